--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -8,7 +8,8 @@
 ac_library(wire DEPS base LIBS ${GLIB} ${EVENT} PkgConfig::msgpack)
 ac_library(replog DEPS base LIBS ${GLIB} PkgConfig::msgpack
 	PkgConfig::libxxhash)
-ac_library(state DEPS conf base LIBS ${GLIB} PkgConfig::msgpack
+ac_library(codec DEPS base LIBS ${GLIB} PkgConfig::msgpack)
+ac_library(state DEPS codec conf base LIBS ${GLIB} PkgConfig::msgpack
 	PkgConfig::libxxhash)
 ac_library(spread DEPS base LIBS ${GLIB} PkgConfig::msgpack)
 ac_library(route DEPS base LIBS ${GLIB} PkgConfig::libxxhash PkgConfig::gsl)
@@ -19,7 +20,10 @@
 ac_library(back DEPS base LIBS ${GLIB} ${EVENT})
 ac_library(front DEPS base LIBS ${GLIB} ${EVENT} PkgConfig::evhtp
 	PkgConfig::jansson)
-ac_library(platform DEPS back base LIBS ${GLIB} PkgConfig::jansson)
+ac_library(fleet DEPS codec base LIBS ${GLIB} PkgConfig::msgpack
+	PkgConfig::libxxhash)
+ac_library(platform DEPS fleet front back conf base LIBS ${GLIB}
+	PkgConfig::jansson)
 ac_library(cli DEPS keys report back conf base LIBS ${GLIB} PkgConfig::argtable2
 	PkgConfig::jansson)
 ac_library(load DEPS report back cli conf base LIBS ${GLIB} ${EVENT}
@@ -32,7 +36,11 @@
 	state wire conf base
 	LIBS ${GLIB} ${EVENT} PkgConfig::jansson PkgConfig::msgpack
 	PkgConfig::libxxhash)
-ac_library(app DEPS control entry cli load loop keys conf base
+ac_library(gateway DEPS platform fleet route loop front back wire conf base
+	LIBS ${GLIB} ${EVENT} PkgConfig::libxxhash)
+ac_library(hub DEPS platform fleet loop front back placement replog wire codec
+	conf base LIBS ${GLIB} ${EVENT})
+ac_library(app DEPS hub gateway platform fleet control entry cli load loop keys conf base
 	LIBS ${GLIB} PkgConfig::argtable2)
 
 add_executable(acaciahinge src/main.c)
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -1,6 +1,6 @@
-set(LIBRARIES base conf wire replog state spread route request rollout placement
+set(LIBRARIES base codec conf wire replog state spread fleet route request rollout placement
 	report back front platform cli load
-	loop control entry app)
+	loop control entry gateway hub app)
 foreach(lib ${LIBRARIES})
 	ac_unit_tests(${lib})
 endforeach()
--- a/src/back/hc.c
+++ b/src/back/hc.c
@@ -17,6 +17,9 @@
 #define HC_MAX_BODY_BYTES (16UL * 1024 * 1024)
 #define HC_MAX_HEADER_BYTES (64UL * 1024)
 #define HC_MAX_IDLE_PER_ADDRESS 64
+/// A kept connection is not used within this time of the end that the server
+/// announced for it.
+#define HC_IDLE_MARGIN_US 700000
 
 /// One connection; it carries one call at a time.
 struct hc_conn {
@@ -25,7 +28,8 @@
 	char *key; ///< address it is kept under
 	hd_t call; ///< HD_NONE while idle
 	bool fresh;
-	bool dead; ///< waits for the reaper
+	bool dead;               ///< waits for the reaper
+	int64_t unused_after_us; ///< monotonic; 0: no end was announced
 };
 
 /// One call under way.
@@ -33,6 +37,7 @@
 	struct hc_conn *conn;
 	struct evhttp_request *answer; ///< set while a callback runs
 	struct event *timeout;
+	struct event *connect_timeout;
 	hc_head_cb on_head;
 	hc_data_cb on_data;
 	hc_end_cb on_end;
@@ -50,6 +55,7 @@
 	GHashTable *idle; ///< address -> GQueue of struct hc_conn
 	GPtrArray *dead;
 	struct event *reaper;
+	uint64_t n_made;
 };
 
 static void
@@ -98,13 +104,41 @@
 	return q;
 }
 
+/// Bytes behind a whole answer belong to no request.
+static bool
+has_stray_bytes(const struct hc_conn *conn)
+{
+	struct bufferevent *bev =
+	    evhttp_connection_get_bufferevent(conn->evcon);
+
+	return bev != NULL &&
+	    evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+}
+
+/// Reads how long the server keeps the connection: `Keep-Alive: timeout=S`.
+static void
+note_end(struct hc_conn *conn, struct evhttp_request *req)
+{
+	const char *value = evhttp_find_header(
+	    evhttp_request_get_input_headers(req), "Keep-Alive");
+	const char *at = value == NULL ? NULL : strstr(value, "timeout=");
+
+	conn->unused_after_us = 0;
+	if (at == NULL)
+		return;
+	conn->unused_after_us = g_get_monotonic_time() - HC_IDLE_MARGIN_US +
+	    (int64_t)g_ascii_strtoull(at + strlen("timeout="), NULL, 10) *
+		G_USEC_PER_SEC;
+}
+
 static void
 conn_release(struct hc_conn *conn)
 {
 	GQueue *q = idle_queue(conn->client, conn->key);
 
 	conn->call = HD_NONE;
-	if (conn->fresh || q->length >= HC_MAX_IDLE_PER_ADDRESS) {
+	if (conn->fresh || q->length >= HC_MAX_IDLE_PER_ADDRESS ||
+	    has_stray_bytes(conn)) {
 		conn_bury(conn);
 		return;
 	}
@@ -146,12 +180,18 @@
 	char *key = g_strdup_printf("%s:%u", call->host, call->port);
 	struct hc_conn *conn = NULL;
 
-	if (!call->fresh)
+	while (!call->fresh) {
 		conn = g_queue_pop_head(idle_queue(c, key));
+		if (conn == NULL || conn->unused_after_us == 0 ||
+		    g_get_monotonic_time() < conn->unused_after_us)
+			break;
+		conn_bury(conn);
+	}
 	if (conn != NULL) {
 		g_free(key);
 		return conn;
 	}
+	c->n_made++;
 	conn = g_new0(struct hc_conn, 1);
 	conn->client = c;
 	conn->key = key;
@@ -172,6 +212,17 @@
 	return hd_get(conn->client->calls, conn->call);
 }
 
+static void
+drop_timers(struct hc_active *a)
+{
+	if (a->timeout != NULL)
+		event_free(a->timeout);
+	if (a->connect_timeout != NULL)
+		event_free(a->connect_timeout);
+	a->timeout = NULL;
+	a->connect_timeout = NULL;
+}
+
 /// Ends a call: tells its owner once and forgets it.
 static void
 finish(struct hc_active *a, const struct hc_result *result)
@@ -181,10 +232,7 @@
 	const hc_end_cb on_end = a->on_end;
 	void *const arg = a->arg;
 
-	if (a->timeout != NULL) {
-		event_free(a->timeout);
-		a->timeout = NULL;
-	}
+	drop_timers(a);
 	a->on_data = NULL;
 	a->on_head = NULL;
 	a->on_end = NULL;
@@ -211,6 +259,26 @@
 	finish(a, &result);
 }
 
+/// The connection doesn't stand in time: nothing can have reached the server.
+static void
+on_connect_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct hc_active *a = arg;
+	struct hc_conn *conn = a->conn;
+	const struct hc_result result = {
+		.status = ST_UNAVAILABLE,
+		.verdict = VD_NOT_RUN,
+		.content_type = "",
+	};
+
+	(void)fd;
+	(void)what;
+	if (conn_connected(conn))
+		return;
+	conn_bury(conn);
+	finish(a, &result);
+}
+
 static int
 on_header(struct evhttp_request *req, void *arg)
 {
@@ -286,6 +354,7 @@
 	result.len = evbuffer_get_length(in);
 	result.body = evbuffer_pullup(in, -1);
 	a->answer = req;
+	note_end(conn, req);
 	conn_release(conn);
 	finish(a, &result);
 }
@@ -295,9 +364,18 @@
 {
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
 	char host[64];
+	char length[24];
 
+	for (size_t i = 0; i < call->n_more; i++)
+		(void)evhttp_add_header(
+		    headers, call->more[i].name, call->more[i].value);
 	(void)g_snprintf(host, sizeof(host), "%s:%u", call->host, call->port);
-	(void)evhttp_add_header(headers, "Host", host);
+	if (evhttp_find_header(headers, "Host") == NULL)
+		(void)evhttp_add_header(headers, "Host", host);
+	// The library states a length only for some methods.
+	(void)g_snprintf(length, sizeof(length), "%zu", call->len);
+	if (call->len > 0)
+		(void)evhttp_add_header(headers, "Content-Length", length);
 	if (call->fresh)
 		(void)evhttp_add_header(headers, "Connection", "close");
 	for (int i = 0; i < HC_MAX_HEADERS; i++) {
@@ -321,21 +399,29 @@
 		return EVHTTP_REQ_PUT;
 	if (strcmp(name, "DELETE") == 0)
 		return EVHTTP_REQ_DELETE;
+	if (strcmp(name, "HEAD") == 0)
+		return EVHTTP_REQ_HEAD;
+	if (strcmp(name, "PATCH") == 0)
+		return EVHTTP_REQ_PATCH;
+	if (strcmp(name, "OPTIONS") == 0)
+		return EVHTTP_REQ_OPTIONS;
 	return EVHTTP_REQ_GET;
 }
 
-static void
-arm_timeout(struct hc *c, struct hc_active *a, uint64_t timeout_us)
+static struct event *
+arm_timeout(struct hc_active *a, uint64_t timeout_us, event_callback_fn cb)
 {
 	const struct timeval tv = {
 		.tv_sec = (time_t)(timeout_us / 1000000),
 		.tv_usec = (suseconds_t)(timeout_us % 1000000),
 	};
+	struct event *e;
 
 	if (timeout_us == 0)
-		return;
-	a->timeout = evtimer_new(c->base, on_timeout, a);
-	(void)evtimer_add(a->timeout, &tv);
+		return NULL;
+	e = evtimer_new(a->client->base, cb, a);
+	(void)evtimer_add(e, &tv);
+	return e;
 }
 
 /// Makes a client on an event loop.
@@ -412,7 +498,10 @@
 	if (call->on_data != NULL)
 		evhttp_request_set_chunked_cb(req, on_chunk);
 	add_headers(req, call);
-	arm_timeout(c, a, call->timeout_us);
+	a->timeout = arm_timeout(a, call->timeout_us, on_timeout);
+	if (!conn_connected(conn))
+		a->connect_timeout =
+		    arm_timeout(a, call->connect_us, on_connect_timeout);
 	if (evhttp_make_request(
 		conn->evcon, req, method_of(call->method), call->path) != 0) {
 		// evhttp has released the request.
@@ -434,8 +523,7 @@
 
 	if (a == NULL)
 		return;
-	if (a->timeout != NULL)
-		event_free(a->timeout);
+	drop_timers(a);
 	conn_bury(a->conn);
 	hd_remove(c->calls, handle);
 }
@@ -454,6 +542,27 @@
 	    evhttp_request_get_input_headers(a->answer), name);
 }
 
+/// Gives each header of the answer, within on_head or on_end of that call.
+void
+hc_each_answer_header(struct hc *c, hd_t handle, hc_header_cb cb, void *arg)
+{
+	const struct hc_active *a = hd_get(c->calls, handle);
+	const struct evkeyval *kv;
+
+	if (a == NULL || a->answer == NULL)
+		return;
+	for (kv = evhttp_request_get_input_headers(a->answer)->tqh_first;
+	     kv != NULL; kv = kv->next.tqe_next)
+		cb(arg, kv->key, kv->value);
+}
+
+/// Connections made so far.
+uint64_t
+hc_connections_made(const struct hc *c)
+{
+	return c->n_made;
+}
+
 struct once {
 	struct event_base *base;
 	enum st status;
--- a/src/back/hc.h
+++ b/src/back/hc.h
@@ -44,8 +44,13 @@
 	uint16_t port;
 	const char *path;
 	struct hc_header headers[HC_MAX_HEADERS]; ///< ended by a NULL name
+	/// More headers, sent as they are. With a "Host" among all these the
+	/// address isn't sent as one.
+	const struct hc_header *more;
+	size_t n_more;
 	const uint8_t *body;
 	size_t len;
+	uint64_t connect_us;    ///< until the connection stands; 0: no limit
 	uint64_t timeout_us;    ///< until the whole answer; 0: none
 	size_t max_body;        ///< 0: 16 MiB
 	bool fresh;             ///< never on a kept connection
@@ -62,6 +67,13 @@
 void hc_cancel(struct hc *c, hd_t handle);
 const char *hc_answer_header(struct hc *c, hd_t handle, const char *name);
 
+/// Gives each header of the answer, within on_head or on_end of that call.
+typedef void (*hc_header_cb)(void *arg, const char *name, const char *value);
+void hc_each_answer_header(
+    struct hc *c, hd_t handle, hc_header_cb cb, void *arg);
+
+uint64_t hc_connections_made(const struct hc *c);
+
 /// Runs one call to its end on a loop of its own; for command-line use.
 enum st hc_once(
     const struct hc_call *call, int *http_status, char **body, size_t *len);
--- a/src/base/lg.c
+++ b/src/base/lg.c
@@ -68,11 +68,11 @@
 		len = sizeof(line) - 1;
 		line[len - 1] = '\n';
 	}
-	if (write(STDERR_FILENO, line, (size_t)len) < 0)
+	if (write(STDOUT_FILENO, line, (size_t)len) < 0)
 		return;
 }
 
-/// Starts logging to standard error, one key=value line per event.
+/// Starts logging to standard output, one key=value line per event.
 ///
 /// @param node   name of this node, put on every line
 /// @param level  events above this level are dropped
--- a/src/base/tm.h
+++ b/src/base/tm.h
@@ -3,8 +3,8 @@
 
 #include <stdint.h>
 
-#define TM_US_PER_MS 1000ULL
-#define TM_US_PER_S 1000000ULL
+#define TM_US_PER_MS UINT64_C(1000)
+#define TM_US_PER_S UINT64_C(1000000)
 
 /// Timer service that parts subscribe to. It runs over a source of time:
 /// the event loop's in a process, a hand-driven one in a test.
--- a/src/state/mp.c
+++ b/src/codec/mp.c
@@ -1,4 +1,4 @@
-#include "state/mp.h"
+#include "codec/mp.h"
 
 #include <assert.h>
 #include <limits.h>
--- a/src/state/mp.h
+++ b/src/codec/mp.h
@@ -1,5 +1,5 @@
-#ifndef STATE_MP_H
-#define STATE_MP_H
+#ifndef CODEC_MP_H
+#define CODEC_MP_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/control/co.c
+++ b/src/control/co.c
@@ -240,6 +240,8 @@
 	case WR_SNAPSHOT:
 	case WR_LEASE:
 	case WR_RUN:
+	case WR_REPORT:
+	case WR_STATE:
 	case WR_KINDS:
 		break;
 	}
--- a/src/entry/en_control.c
+++ b/src/entry/en_control.c
@@ -303,6 +303,8 @@
 	case WR_PROPOSE:
 	case WR_QUERY:
 	case WR_LEVELS:
+	case WR_REPORT:
+	case WR_STATE:
 	case WR_KINDS:
 		break;
 	}
--- /dev/null
+++ b/src/fleet/fc.c
@@ -0,0 +1,384 @@
+#include "fleet/fc.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define FC_DEFAULT_HEADER_BYTES 16384
+#define FC_DEFAULT_BODY_BYTES (4U << 20)
+#define FC_DEFAULT_HEADER_MS 3000
+#define FC_DEFAULT_IDLE_MS 15000
+
+struct fc {
+	gint refs;
+	uint64_t version;
+	struct fc_limits limits;
+	GPtrArray *services;
+	GPtrArray *routes;
+	GPtrArray *customers;
+	GHashTable *by_service; ///< name -> index + 1
+	GHashTable *by_host;    ///< host -> GPtrArray of routes
+	GHashTable *by_key;     ///< API key -> struct fc_customer
+};
+
+static void
+route_free(gpointer p)
+{
+	struct fc_route *r = p;
+
+	g_free(r->host);
+	g_free(r->prefix);
+	g_free(r->splits);
+	g_free(r);
+}
+
+static void
+customer_free(gpointer p)
+{
+	struct fc_customer *u = p;
+
+	for (uint32_t i = 0; i < u->n_keys; i++)
+		g_free(u->keys[i]);
+	g_free(u->keys);
+	g_free(u);
+}
+
+static void
+routes_of_host_free(gpointer p)
+{
+	g_ptr_array_unref(p);
+}
+
+/// Starts an empty configuration; its first reference is the caller's.
+struct fc *
+fc_new(uint64_t version)
+{
+	struct fc *c = g_new0(struct fc, 1);
+
+	c->refs = 1;
+	c->version = version;
+	c->limits.max_header_bytes = FC_DEFAULT_HEADER_BYTES;
+	c->limits.max_body_bytes = FC_DEFAULT_BODY_BYTES;
+	c->limits.header_timeout_ms = FC_DEFAULT_HEADER_MS;
+	c->limits.idle_timeout_ms = FC_DEFAULT_IDLE_MS;
+	c->services = g_ptr_array_new_with_free_func(g_free);
+	c->routes = g_ptr_array_new_with_free_func(route_free);
+	c->customers = g_ptr_array_new_with_free_func(customer_free);
+	c->by_service = g_hash_table_new(g_str_hash, g_str_equal);
+	c->by_host = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, routes_of_host_free);
+	c->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	return c;
+}
+
+/// Takes another reference; NULL is allowed.
+struct fc *
+fc_ref(struct fc *c)
+{
+	if (c != NULL)
+		c->refs++;
+	return c;
+}
+
+/// Gives a reference back; NULL is allowed.
+void
+fc_unref(struct fc *c)
+{
+	if (c == NULL || --c->refs > 0)
+		return;
+	g_hash_table_destroy(c->by_key);
+	g_hash_table_destroy(c->by_host);
+	g_hash_table_destroy(c->by_service);
+	g_ptr_array_unref(c->customers);
+	g_ptr_array_unref(c->routes);
+	g_ptr_array_unref(c->services);
+	g_free(c);
+}
+
+/// Adds a service.
+///
+/// @return the service to be filled in, or NULL: the name is taken or unfit
+struct fc_service *
+fc_add_service(struct fc *c, const char *name)
+{
+	struct fc_service *s;
+
+	if (name[0] == '\0' || strlen(name) >= FC_NAME_BYTES) {
+		(void)st_fail(
+		    ST_INVALID, "service name '%.80s' is unfit", name);
+		return NULL;
+	}
+	if (fc_find_service(c, name) >= 0) {
+		(void)st_fail(ST_INVALID, "service '%s' stands twice", name);
+		return NULL;
+	}
+	s = g_new0(struct fc_service, 1);
+	(void)g_strlcpy(s->name, name, sizeof(s->name));
+	g_ptr_array_add(c->services, s);
+	(void)g_hash_table_insert(
+	    c->by_service, s->name, GUINT_TO_POINTER(c->services->len));
+	return s;
+}
+
+/// Adds a route.
+///
+/// @return the route to be filled in, or NULL: host and prefix are taken
+struct fc_route *
+fc_add_route(struct fc *c, const char *host, const char *prefix)
+{
+	GPtrArray *there = g_hash_table_lookup(c->by_host, host);
+	const size_t len = strlen(prefix);
+	struct fc_route *r;
+
+	if (len == 0 || prefix[0] != '/' || prefix[len - 1] != '/') {
+		(void)st_fail(ST_INVALID,
+		    "prefix '%.80s' doesn't begin and end with a slash",
+		    prefix);
+		return NULL;
+	}
+	if (there == NULL) {
+		there = g_ptr_array_new();
+		(void)g_hash_table_insert(c->by_host, g_strdup(host), there);
+	}
+	for (guint i = 0; i < there->len; i++) {
+		const struct fc_route *o = g_ptr_array_index(there, i);
+
+		if (strcmp(o->prefix, prefix) != 0)
+			continue;
+		(void)st_fail(
+		    ST_INVALID, "routes '%s' share host and prefix", o->name);
+		return NULL;
+	}
+	r = g_new0(struct fc_route, 1);
+	r->host = g_strdup(host);
+	r->prefix = g_strdup(prefix);
+	g_ptr_array_add(c->routes, r);
+	g_ptr_array_add(there, r);
+	return r;
+}
+
+/// Sends a share of a route's requests to a service.
+enum st
+fc_add_split(
+    struct fc *c, struct fc_route *r, const char *service, uint32_t weight)
+{
+	const int i = fc_find_service(c, service);
+
+	if (i < 0)
+		return st_fail(ST_INVALID, "route '%s' names no service: '%s'",
+		    r->name, service);
+	r->splits = g_renew(struct fc_split, r->splits, r->n_splits + 1);
+	r->splits[r->n_splits].service = (uint32_t)i;
+	r->splits[r->n_splits].weight = weight;
+	r->n_splits++;
+	return ST_OK;
+}
+
+/// Adds a customer.
+///
+/// @return the customer to be filled in, or NULL: the name is unfit
+struct fc_customer *
+fc_add_customer(struct fc *c, const char *name)
+{
+	struct fc_customer *u;
+
+	if (name[0] == '\0' || strlen(name) >= FC_NAME_BYTES ||
+	    fc_find_customer(c, name) != NULL) {
+		(void)st_fail(
+		    ST_INVALID, "customer '%.80s': unfit or twice", name);
+		return NULL;
+	}
+	u = g_new0(struct fc_customer, 1);
+	(void)g_strlcpy(u->name, name, sizeof(u->name));
+	g_ptr_array_add(c->customers, u);
+	return u;
+}
+
+/// Gives a customer an API key.
+enum st
+fc_add_key(struct fc *c, struct fc_customer *u, const char *key)
+{
+	if (g_hash_table_contains(c->by_key, key))
+		return st_fail(ST_INVALID, "customers share a key");
+	u->keys = g_renew(char *, u->keys, u->n_keys + 1);
+	u->keys[u->n_keys] = g_strdup(key);
+	(void)g_hash_table_insert(c->by_key, u->keys[u->n_keys], u);
+	u->n_keys++;
+	return ST_OK;
+}
+
+/// Limits of what callers may send, to be filled in.
+struct fc_limits *
+fc_limits(struct fc *c)
+{
+	return &c->limits;
+}
+
+static gint
+longer_first(gconstpointer a, gconstpointer b)
+{
+	const struct fc_route *x = *(struct fc_route *const *)a;
+	const struct fc_route *y = *(struct fc_route *const *)b;
+	const size_t n = strlen(x->prefix);
+	const size_t m = strlen(y->prefix);
+
+	return n > m ? -1 : (n < m ? 1 : 0);
+}
+
+static enum st
+check_route(const struct fc_route *r)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < r->n_splits; i++)
+		sum += r->splits[i].weight;
+	if (sum == 0)
+		return st_fail(
+		    ST_INVALID, "route '%s': no service has a weight", r->name);
+	if (r->timeout_ms == 0)
+		return st_fail(ST_INVALID, "route '%s': time-out 0", r->name);
+	return ST_OK;
+}
+
+/// Checks what only the whole shows, and makes it ready for fc_match().
+enum st
+fc_check(struct fc *c)
+{
+	GHashTableIter it;
+	gpointer routes;
+
+	for (guint i = 0; i < c->routes->len; i++) {
+		const enum st st = check_route(g_ptr_array_index(c->routes, i));
+
+		if (st != ST_OK)
+			return st;
+	}
+	g_hash_table_iter_init(&it, c->by_host);
+	while (g_hash_table_iter_next(&it, NULL, &routes))
+		g_ptr_array_sort(routes, longer_first);
+	return ST_OK;
+}
+
+/// The operator's number.
+uint64_t
+fc_version(const struct fc *c)
+{
+	return c->version;
+}
+
+/// Number of services.
+size_t
+fc_n_services(const struct fc *c)
+{
+	return c->services->len;
+}
+
+/// A service by its index.
+const struct fc_service *
+fc_service(const struct fc *c, size_t i)
+{
+	return g_ptr_array_index(c->services, i);
+}
+
+/// Index of a service, or -1.
+int
+fc_find_service(const struct fc *c, const char *name)
+{
+	return GPOINTER_TO_INT(g_hash_table_lookup(c->by_service, name)) - 1;
+}
+
+/// Number of routes.
+size_t
+fc_n_routes(const struct fc *c)
+{
+	return c->routes->len;
+}
+
+/// A route by its index.
+const struct fc_route *
+fc_route(const struct fc *c, size_t i)
+{
+	return g_ptr_array_index(c->routes, i);
+}
+
+/// Number of customers; 0: requests need no API key.
+size_t
+fc_n_customers(const struct fc *c)
+{
+	return c->customers->len;
+}
+
+/// A customer by its index.
+const struct fc_customer *
+fc_customer(const struct fc *c, size_t i)
+{
+	return g_ptr_array_index(c->customers, i);
+}
+
+/// The route of a request: the longest prefix of its path among the routes of
+/// its host.
+///
+/// @param path  without the query
+/// @return NULL when there is none
+const struct fc_route *
+fc_match(const struct fc *c, const char *host, const char *path)
+{
+	const GPtrArray *there = g_hash_table_lookup(c->by_host, host);
+
+	for (guint i = 0; there != NULL && i < there->len; i++) {
+		const struct fc_route *r = g_ptr_array_index(there, i);
+
+		if (g_str_has_prefix(path, r->prefix))
+			return r;
+	}
+	return NULL;
+}
+
+/// The customer that holds an API key, or NULL.
+const struct fc_customer *
+fc_by_key(const struct fc *c, const char *key)
+{
+	return g_hash_table_lookup(c->by_key, key);
+}
+
+/// A customer by its name, or NULL.
+const struct fc_customer *
+fc_find_customer(const struct fc *c, const char *name)
+{
+	for (guint i = 0; i < c->customers->len; i++) {
+		const struct fc_customer *u =
+		    g_ptr_array_index(c->customers, i);
+
+		if (strcmp(u->name, name) == 0)
+			return u;
+	}
+	return NULL;
+}
+
+/// The service of a request on a route, by the route's weights.
+///
+/// @param hash  of the request; evenly spread
+/// @return index of the service
+uint32_t
+fc_pick(const struct fc_route *r, uint64_t hash)
+{
+	uint64_t sum = 0;
+	uint64_t at;
+
+	for (uint32_t i = 0; i < r->n_splits; i++)
+		sum += r->splits[i].weight;
+	at = hash % sum;
+	for (uint32_t i = 0; i < r->n_splits; i++) {
+		if (at < r->splits[i].weight)
+			return r->splits[i].service;
+		at -= r->splits[i].weight;
+	}
+	g_assert_not_reached();
+}
+
+/// Whether a request of a route may run more than once.
+bool
+fc_may_repeat(const struct fc_route *r)
+{
+	return r->kind == FC_IDEMPOTENT ||
+	    (r->kind == FC_STREAM && r->resumable);
+}
--- /dev/null
+++ b/src/fleet/lm.c
@@ -0,0 +1,179 @@
+#include "fleet/lm.h"
+
+#include "codec/mp.h"
+
+/// More items than any message has; a reader refuses what claims them.
+#define MAX_ITEMS 4096
+
+/// Writes or reads the length of an array, and makes room when reading.
+static void
+items(struct mp *m, GArray *list)
+{
+	uint32_t n = list->len;
+
+	mp_u32(m, &n);
+	if (mp_writing(m))
+		return;
+	if (n > MAX_ITEMS) {
+		mp_fail(m);
+		n = 0;
+	}
+	g_array_set_size(list, n);
+}
+
+static void
+code_usage(struct mp *m, struct lm_usage *u)
+{
+	mp_u64(m, &u->window);
+	mp_str(m, u->customer, sizeof(u->customer));
+	mp_u64(m, &u->n);
+}
+
+static void
+code_demand(struct mp *m, struct lm_demand *d)
+{
+	mp_str(m, d->customer, sizeof(d->customer));
+	mp_u64(m, &d->units_per_s);
+}
+
+static void
+code_load(struct mp *m, struct lm_load *l)
+{
+	mp_str(m, l->service, sizeof(l->service));
+	mp_u32(m, &l->running);
+	mp_u32(m, &l->refused);
+	mp_u32(m, &l->arrived);
+	mp_u64(m, &l->work_us);
+	mp_u32(m, &l->late);
+}
+
+static void
+code_report(struct mp *m, struct lm_report *r)
+{
+	mp_u64(m, &r->sent_us);
+	mp_u64(m, &r->version);
+	mp_u64(m, &r->time_us);
+	mp_bool(m, &r->stopping);
+	items(m, r->usage);
+	for (guint i = 0; i < r->usage->len; i++)
+		code_usage(m, &g_array_index(r->usage, struct lm_usage, i));
+	items(m, r->demand);
+	for (guint i = 0; i < r->demand->len; i++)
+		code_demand(m, &g_array_index(r->demand, struct lm_demand, i));
+	items(m, r->loads);
+	for (guint i = 0; i < r->loads->len; i++)
+		code_load(m, &g_array_index(r->loads, struct lm_load, i));
+}
+
+static void
+code_state(struct mp *m, struct lm_state *s)
+{
+	mp_u64(m, &s->echo_us);
+	mp_bool(m, &s->leads);
+	mp_u32(m, &s->leader);
+	mp_u64(m, &s->version);
+	mp_u64(m, &s->time_us);
+	mp_u32(m, &s->n_gateways);
+	mp_bytes(m, &s->manifest, &s->manifest_len);
+	items(m, s->members);
+	for (guint i = 0; i < s->members->len; i++)
+		mp_u32(m, &g_array_index(s->members, uint32_t, i));
+	items(m, s->shares);
+	for (guint i = 0; i < s->shares->len; i++) {
+		struct lm_share *h =
+		    &g_array_index(s->shares, struct lm_share, i);
+
+		mp_str(m, h->customer, sizeof(h->customer));
+		mp_u32(m, &h->share_ppm);
+	}
+}
+
+/// Makes an empty report.
+void
+lm_report_init(struct lm_report *r)
+{
+	*r = (struct lm_report){
+		.usage = g_array_new(FALSE, TRUE, sizeof(struct lm_usage)),
+		.demand = g_array_new(FALSE, TRUE, sizeof(struct lm_demand)),
+		.loads = g_array_new(FALSE, TRUE, sizeof(struct lm_load)),
+	};
+}
+
+/// Releases a report's arrays.
+void
+lm_report_clear(struct lm_report *r)
+{
+	g_array_unref(r->usage);
+	g_array_unref(r->demand);
+	g_array_unref(r->loads);
+}
+
+/// Encodes a report.
+///
+/// @param bytes  to be released with free()
+void
+lm_report_encode(const struct lm_report *r, uint8_t **bytes, size_t *len)
+{
+	struct lm_report copy = *r;
+	struct mp *m = mp_writer();
+
+	code_report(m, &copy);
+	mp_take(m, bytes, len);
+}
+
+/// Decodes a report into one made by lm_report_init().
+enum st
+lm_report_decode(const uint8_t *bytes, size_t len, struct lm_report *out)
+{
+	struct mp *m = mp_reader(bytes, len);
+	bool good;
+
+	code_report(m, out);
+	good = mp_end(m);
+	mp_free(m);
+	return good ? ST_OK : st_fail(ST_CORRUPT, "report can't be read");
+}
+
+/// Makes an empty state.
+void
+lm_state_init(struct lm_state *s)
+{
+	*s = (struct lm_state){
+		.members = g_array_new(FALSE, TRUE, sizeof(uint32_t)),
+		.shares = g_array_new(FALSE, TRUE, sizeof(struct lm_share)),
+	};
+}
+
+/// Releases a state's arrays.
+void
+lm_state_clear(struct lm_state *s)
+{
+	g_array_unref(s->members);
+	g_array_unref(s->shares);
+}
+
+/// Encodes a state.
+///
+/// @param bytes  to be released with free()
+void
+lm_state_encode(const struct lm_state *s, uint8_t **bytes, size_t *len)
+{
+	struct lm_state copy = *s;
+	struct mp *m = mp_writer();
+
+	code_state(m, &copy);
+	mp_take(m, bytes, len);
+}
+
+/// Decodes a state into one made by lm_state_init().
+enum st
+lm_state_decode(const uint8_t *bytes, size_t len, struct lm_state *out)
+{
+	struct mp *m = mp_reader(bytes, len);
+	bool good;
+
+	code_state(m, out);
+	good = mp_end(m);
+	mp_free(m);
+	return good ? ST_OK : st_fail(ST_CORRUPT, "state can't be read");
+}
--- /dev/null
+++ b/src/fleet/lm.h
@@ -0,0 +1,78 @@
+#ifndef FLEET_LM_H
+#define FLEET_LM_H
+
+#include <glib.h>
+
+#include "fleet/fc.h"
+
+/// What gateways and control tell each other. The arrays are made by
+/// lm_*_init() and released by lm_*_clear().
+
+/// Requests of a customer that began to run in a window, all since the
+/// gateway's start.
+struct lm_usage {
+	uint64_t window;
+	char customer[FC_NAME_BYTES];
+	uint64_t n;
+};
+
+/// Units of a customer's quota that were asked for lately, a second.
+struct lm_demand {
+	char customer[FC_NAME_BYTES];
+	uint64_t units_per_s;
+};
+
+/// Work of a service that this gateway has at servers, and what it had to
+/// refuse lately for want of places.
+struct lm_load {
+	char service[FC_NAME_BYTES];
+	uint32_t running; ///< requests at servers now
+	uint32_t refused; ///< since the last report
+	uint32_t arrived; ///< since the last report
+	uint64_t work_us; ///< spent at servers since the last report
+	uint32_t late;    ///< answers later than their target, since then
+};
+
+/// Gateway to control.
+struct lm_report {
+	uint64_t sent_us; ///< the gateway's steady clock; comes back
+	uint64_t version; ///< configuration in force there; 0: none
+	uint64_t time_us; ///< since 1970, as the gateway believes
+	bool stopping;
+	GArray *usage;  ///< struct lm_usage
+	GArray *demand; ///< struct lm_demand
+	GArray *loads;  ///< struct lm_load
+};
+
+struct lm_share {
+	char customer[FC_NAME_BYTES];
+	uint32_t share_ppm;
+};
+
+/// Control to gateway.
+struct lm_state {
+	uint64_t echo_us; ///< sent_us of the report that this answers
+	bool leads;       ///< the rest but for `leader` and `members` holds
+	uint32_t leader;  ///< slot; 0: unknown
+	uint64_t version; ///< configuration that is in force
+	uint64_t time_us; ///< since 1970, as most processes believe; 0: unknown
+	uint32_t n_gateways;
+	const uint8_t *manifest; ///< of `version`, when the gateway lags
+	size_t manifest_len;
+	GArray *members; ///< uint32_t: slots of control processes
+	GArray *shares;  ///< struct lm_share
+};
+
+void lm_report_init(struct lm_report *r);
+void lm_report_clear(struct lm_report *r);
+void lm_report_encode(const struct lm_report *r, uint8_t **bytes, size_t *len);
+enum st lm_report_decode(
+    const uint8_t *bytes, size_t len, struct lm_report *out);
+
+void lm_state_init(struct lm_state *s);
+void lm_state_clear(struct lm_state *s);
+void lm_state_encode(const struct lm_state *s, uint8_t **bytes, size_t *len);
+/// @param bytes  must outlive `out`, whose manifest points into it
+enum st lm_state_decode(const uint8_t *bytes, size_t len, struct lm_state *out);
+
+#endif
--- /dev/null
+++ b/src/fleet/ps.h
@@ -0,0 +1,18 @@
+#ifndef FLEET_PS_H
+#define FLEET_PS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/// Slots of control processes. A slot is made from the process's own address
+/// and leads back to it, so that whoever knows a member can reach it: all
+/// listen at the same port, and their addresses share the first number.
+
+/// Slot of an address, or 0 when the address has none.
+uint32_t ps_slot(const char *host);
+/// Address of a slot.
+///
+/// @param own  an address of the deployment
+void ps_host(const char *own, uint32_t slot, char *out, size_t size);
+
+#endif
--- a/src/front/fr.c
+++ b/src/front/fr.c
@@ -12,6 +12,8 @@
 // evhtp's own headers need POSIX types declared before them.
 #include <evhtp.h>
 
+#include "base/lg.h"
+
 #define FR_BACKLOG 1024
 #define FR_MAX_KEEPALIVE_REQUESTS 0
 
@@ -41,6 +43,8 @@
 		return FR_GET;
 	case htp_method_POST:
 		return FR_POST;
+	case htp_method_PUT:
+		return FR_PUT;
 	case htp_method_DELETE:
 		return FR_DELETE;
 	default:
@@ -106,6 +110,7 @@
 	    req, evhtp_hook_on_request_fini, (evhtp_hook)on_fini, open);
 	set_no_delay(req);
 	out.method = method_of(req);
+	out.method_name = htparser_get_methodstr(req->conn->parser);
 	out.path = req->uri->path->full;
 	if (req->uri->query_raw != NULL)
 		out.query = (const char *)req->uri->query_raw;
@@ -123,6 +128,50 @@
 	return EVHTP_RES_OK;
 }
 
+/// Whether a request's length can be understood in one way only. Two lengths,
+/// or a length beside chunks, would let one request hide in another.
+static bool
+framing_is_clear(const evhtp_request_t *req)
+{
+	const evhtp_kv_t *kv;
+	unsigned lengths = 0;
+	unsigned encodings = 0;
+
+	TAILQ_FOREACH(kv, req->headers_in, next)
+	{
+		if (g_ascii_strcasecmp(kv->key, "Content-Length") == 0) {
+			lengths++;
+			if (kv->val[0] == '\0' ||
+			    strspn(kv->val, "0123456789") != strlen(kv->val))
+				return false;
+		}
+		if (g_ascii_strcasecmp(kv->key, "Transfer-Encoding") == 0) {
+			encodings++;
+			if (g_ascii_strcasecmp(kv->val, "chunked") != 0)
+				return false;
+		}
+	}
+	return lengths + encodings <= 1;
+}
+
+/// Refuses a request with unclear framing before its body is read. The
+/// connection ends, so nothing behind the head is taken for a request.
+static evhtp_res
+on_headers(evhtp_request_t *req, evhtp_headers_t *headers, void *arg)
+{
+	static const char refusal[] =
+	    "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n"
+	    "Connection: close\r\n\r\n";
+
+	(void)headers;
+	(void)arg;
+	if (framing_is_clear(req))
+		return EVHTP_RES_OK;
+	lg_event(LG_WARN, "caller.bad_framing", "answer=400");
+	(void)send(req->conn->sock, refusal, sizeof(refusal) - 1, MSG_NOSIGNAL);
+	return EVHTP_RES_ERROR;
+}
+
 static evhtp_res
 on_accepted(evhtp_connection_t *conn, void *arg)
 {
@@ -131,6 +180,8 @@
 	(void)g_hash_table_add(f->connections, conn);
 	(void)evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
 	    (evhtp_hook)on_connection_fini, f);
+	(void)evhtp_connection_set_hook(
+	    conn, evhtp_hook_on_headers, (evhtp_hook)on_headers, f);
 	return EVHTP_RES_OK;
 }
 
@@ -230,6 +281,19 @@
 	return evhtp_header_find(open->req->headers_in, name);
 }
 
+/// Gives each header of a request, in the order in which they came.
+void
+fr_each_header(struct fr *f, hd_t handle, fr_header_cb cb, void *arg)
+{
+	const struct fr_open_request *open = hd_get(f->open, handle);
+	const evhtp_kv_t *kv;
+
+	if (open == NULL)
+		return;
+	TAILQ_FOREACH(kv, open->req->headers_in, next)
+	cb(arg, kv->key, kv->val);
+}
+
 /// Whether a request shows a token (`Authorization: Bearer TOKEN`).
 ///
 /// @param token  "": none is asked for
@@ -268,6 +332,43 @@
 		add_header(req, headers[i].name, headers[i].value);
 }
 
+/// Adds a header to the answer that is still to be sent.
+void
+fr_add_header(struct fr *f, hd_t handle, const char *name, const char *value)
+{
+	const struct fr_open_request *open = hd_get(f->open, handle);
+
+	if (open != NULL)
+		add_header(open->req, name, value);
+}
+
+/// Ends the connection once the answer, still to be sent, is out.
+void
+fr_close_after(struct fr *f, hd_t handle)
+{
+	const struct fr_open_request *open = hd_get(f->open, handle);
+
+	if (open != NULL)
+		evhtp_request_set_keepalive(open->req, 0);
+}
+
+/// Cuts the connection of a request; what was answered so far can't be taken
+/// for whole. The handle ends without the `gone` callback.
+void
+fr_abort(struct fr *f, hd_t handle)
+{
+	struct fr_open_request *open = hd_get(f->open, handle);
+	evhtp_request_t *req;
+
+	if (open == NULL)
+		return;
+	req = open->req;
+	(void)evhtp_request_unset_hook(req, evhtp_hook_on_request_fini);
+	forget(open);
+	// The library frees the connection when it meets its end.
+	(void)shutdown(req->conn->sock, SHUT_RDWR);
+}
+
 /// The caller has the whole answer, or has left.
 static evhtp_res
 on_sent(evhtp_request_t *req, void *arg)
@@ -367,6 +468,13 @@
 	    bufferevent_get_output(evhtp_request_get_bev(open->req)));
 }
 
+/// Number of connections, idle ones included.
+size_t
+fr_connections(const struct fr *f)
+{
+	return g_hash_table_size(f->connections);
+}
+
 /// Number of requests whose callers don't have the whole answer yet.
 size_t
 fr_open(const struct fr *f)
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -19,6 +19,7 @@
 enum fr_method {
 	FR_GET,
 	FR_POST,
+	FR_PUT,
 	FR_DELETE,
 	FR_OTHER,
 };
@@ -27,6 +28,7 @@
 /// callback returns.
 struct fr_request {
 	enum fr_method method;
+	const char *method_name;
 	const char *path;
 	const char *query; ///< "" when none
 	const uint8_t *body;
@@ -55,8 +57,16 @@
 void fr_free(struct fr *f);
 enum st fr_listen(struct fr *f, const char *host, uint16_t port);
 void fr_stop_listening(struct fr *f);
+/// Header by header, in the order in which they came.
+typedef void (*fr_header_cb)(void *arg, const char *name, const char *value);
+
 bool fr_bears(struct fr *f, hd_t handle, const char *token);
 const char *fr_header(struct fr *f, hd_t handle, const char *name);
+void fr_each_header(struct fr *f, hd_t handle, fr_header_cb cb, void *arg);
+void fr_add_header(
+    struct fr *f, hd_t handle, const char *name, const char *value);
+void fr_close_after(struct fr *f, hd_t handle);
+void fr_abort(struct fr *f, hd_t handle);
 void fr_reply(struct fr *f, hd_t handle, int status,
     const struct fr_header *headers, const char *type, const void *body,
     size_t len);
@@ -66,5 +76,6 @@
 void fr_stream_end(struct fr *f, hd_t handle);
 size_t fr_unsent_bytes(struct fr *f, hd_t handle);
 size_t fr_open(const struct fr *f);
+size_t fr_connections(const struct fr *f);
 
 #endif
--- /dev/null
+++ b/src/gateway/gw.c
@@ -0,0 +1,247 @@
+#include "gateway/gw_internal.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define GW_TICK_US (50 * TM_US_PER_MS)
+#define GW_END_CHECK_US (20 * TM_US_PER_MS)
+/// New connections still come until the balancer has noticed.
+#define GW_LISTEN_US (2500 * TM_US_PER_MS)
+/// Time left of the grace period when the process ends at the latest.
+#define GW_STOP_MARGIN_US (700 * TM_US_PER_MS)
+/// A list that was read longer ago names servers that may be gone.
+#define GW_LIST_OLD_US (10 * TM_US_PER_S)
+#define GW_MAX_BELIEFS (1U << 15)
+
+/// Whether this gateway takes new work.
+///
+/// @param why  receives the reason when not
+bool
+gw_in_service(const struct gw *g, const char **why)
+{
+	const uint64_t now = lp_now_us(g->loop);
+
+	*why = "";
+	if (g->stopping)
+		*why = "stopping";
+	else if (g->config == NULL)
+		*why = "no configuration yet";
+	else if (now >= g->lease_until_us)
+		*why = "no word from control";
+	else if (g->listed_us == 0)
+		*why = "no list of servers yet";
+	return (*why)[0] == '\0';
+}
+
+/// Time since 1970, also where the VM's own clock has jumped.
+uint64_t
+gw_true_us(const struct gw *g)
+{
+	return (uint64_t)((int64_t)lp_now_us(g->loop) + g->clock_us);
+}
+
+static void
+load_free(gpointer p)
+{
+	struct gw_load *l = p;
+
+	rt_free(l->retries);
+	g_free(l);
+}
+
+/// What this gateway knows of a service's work.
+struct gw_load *
+gw_load(struct gw *g, const char *service)
+{
+	const struct ds_bounds *b = &g->settings.bounds;
+	struct gw_load *l = g_hash_table_lookup(g->loads, service);
+	struct rt_params params = rt_defaults;
+
+	if (l != NULL)
+		return l;
+	l = g_new0(struct gw_load, 1);
+	params.budget_percent = (uint32_t)(b->retry_ratio * 100 / 2);
+	params.budget_floor =
+	    (uint32_t)(b->retry_slack / (2.0 * MAX(g->n_gateways, 1)));
+	params.window_us = (uint64_t)(b->retry_window_s * TM_US_PER_S);
+	params.max_attempts = UINT32_MAX;
+	params.backoff_us = 2 * TM_US_PER_MS;
+	params.backoff_max_us = 40 * TM_US_PER_MS;
+	l->retries = rt_new(&params);
+	(void)g_hash_table_insert(g->loads, g_strdup(service), l);
+	return l;
+}
+
+static void
+on_tick(void *arg, uint64_t now_us)
+{
+	struct gw *g = arg;
+
+	tm_arm_in(g->tick, GW_TICK_US);
+	gw_link_tick(g, now_us);
+	gw_list_tick(g, now_us);
+	if (g->listed_us != 0 && now_us - g->listed_us > GW_LIST_OLD_US &&
+	    now_us - g->listed_us < GW_LIST_OLD_US + GW_TICK_US)
+		lg_event(LG_WARN, "list.old", "age_ms=%" PRIu64,
+		    (now_us - g->listed_us) / TM_US_PER_MS);
+}
+
+static void
+end_left_requests(struct gw *g)
+{
+	hd_t next;
+
+	for (hd_t h = hd_next(g->requests, HD_NONE); h != HD_NONE; h = next) {
+		struct gw_request *q = hd_get(g->requests, h);
+
+		next = hd_next(g->requests, h);
+		if (q->streams && q->started)
+			continue;
+		gw_fail(q, q->ran > 0 ? 502 : 503, 0, "stopping");
+	}
+}
+
+static void
+on_end(void *arg, uint64_t now_us)
+{
+	struct gw *g = arg;
+	const uint64_t grace =
+	    (uint64_t)(g->settings.bounds.stop_s * TM_US_PER_S);
+	const uint64_t last = g->stop_us + grace - GW_STOP_MARGIN_US;
+	const bool idle =
+	    hd_count(g->requests) == 0 && fr_open(g->callers) == 0;
+
+	tm_arm_in(g->end, GW_END_CHECK_US);
+	if (now_us < g->stop_us + MIN(GW_LISTEN_US, grace / 2))
+		return;
+	fr_stop_listening(g->callers);
+	if (!idle && now_us < last)
+		return;
+	if (!idle)
+		end_left_requests(g);
+	lg_event(LG_INFO, "process.stopped", "role=gateway left=%zu",
+	    hd_count(g->requests));
+	lp_end(g->loop, 0);
+}
+
+static void
+make_counters(struct gw *g)
+{
+	struct ct_set *set = lp_counters(g->loop);
+
+	g->n_requests = ct_counter(set, "ac_requests_total", "");
+	g->n_refused = ct_counter(set, "ac_requests_refused_total", "");
+	g->n_failed = ct_counter(set, "ac_requests_failed_total", "");
+	g->n_retries = ct_counter(set, "ac_retries_total", "");
+	g->n_resumed = ct_counter(set, "ac_streams_resumed_total", "");
+	g->n_cancelled = ct_counter(set, "ac_requests_cancelled_total", "");
+	g->first = ct_hist(set, "ac_first_event_seconds", "");
+	g->whole = ct_hist(set, "ac_answer_seconds", "");
+}
+
+static void
+make_router(struct gw *g)
+{
+	struct ro_params params = ro_defaults;
+
+	params.max_blocks = GW_MAX_BELIEFS;
+	g->router = ro_new(&params);
+}
+
+/// Starts a gateway on a loop.
+///
+/// @return ST_OK, else nothing is left running and st_last() says why
+enum st
+gw_start(struct lp *loop, const struct ds_settings *settings, struct gw **out)
+{
+	struct gw *g = g_new0(struct gw, 1);
+	enum st status;
+
+	g->loop = loop;
+	g->settings = *settings;
+	g->http = hc_new(lp_base(loop));
+	g->hubs =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+	g->servers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	g->quotas =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->loads =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, load_free);
+	g->usage =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->page = g_array_new(FALSE, TRUE, sizeof(struct sv));
+	g->requests = hd_new(sizeof(struct gw_request));
+	g->by_caller =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	g->tick = tm_subscribe(lp_timers(loop), on_tick, g);
+	g->end = tm_subscribe(lp_timers(loop), on_end, g);
+	g->clock_us = (int64_t)lp_wall_us() - (int64_t)lp_now_us(loop);
+	make_router(g);
+	make_counters(g);
+	status = gw_accept_start(g);
+	if (status == ST_OK)
+		status = gw_link_start(g);
+	if (status != ST_OK) {
+		gw_free(g);
+		return status;
+	}
+	tm_arm_in(g->tick, 0);
+	*out = g;
+	return ST_OK;
+}
+
+/// Starts a graceful stop: the balancer is told, requests in progress are
+/// finished.
+void
+gw_stop(struct gw *g)
+{
+	if (g->stopping)
+		return;
+	g->stopping = true;
+	g->stop_us = lp_now_us(g->loop);
+	tm_arm_in(g->end, GW_END_CHECK_US);
+}
+
+/// Takes over the settings that may change without a restart: the seeds.
+void
+gw_reload(struct gw *g, const struct ds_settings *settings)
+{
+	g->settings.n_seeds = settings->n_seeds;
+	memcpy(g->settings.seeds, settings->seeds, sizeof(settings->seeds));
+	g->settings.cloud = settings->cloud;
+	lg_set_level(settings->log_level);
+}
+
+/// Releases a gateway; NULL is allowed.
+void
+gw_free(struct gw *g)
+{
+	if (g == NULL)
+		return;
+	for (hd_t h = hd_next(g->requests, HD_NONE); h != HD_NONE;
+	     h = hd_next(g->requests, h)) {
+		struct gw_request *q = hd_get(g->requests, h);
+
+		gw_request_drop(q, RO_CANCELLED);
+		gw_request_free(q);
+	}
+	hd_free(g->requests);
+	fr_free(g->callers);
+	fr_free(g->ready);
+	fr_free(g->metrics);
+	lk_free(g->links);
+	hc_free(g->http);
+	tm_unsubscribe(g->tick);
+	tm_unsubscribe(g->end);
+	ro_free(g->router);
+	g_hash_table_destroy(g->hubs);
+	g_hash_table_destroy(g->servers);
+	g_hash_table_destroy(g->quotas);
+	g_hash_table_destroy(g->loads);
+	g_hash_table_destroy(g->usage);
+	g_hash_table_destroy(g->by_caller);
+	g_array_unref(g->page);
+	fc_unref(g->config);
+	g_free(g);
+}
--- /dev/null
+++ b/src/gateway/gw_accept.c
@@ -0,0 +1,339 @@
+#include "gateway/gw_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "platform/pf_names.h"
+
+/// Callers may leave a connection idle for less than this.
+#define GW_IDLE_MS 75000
+#define GW_MAX_BODY_BYTES (16U << 20)
+/// Tokens of a prompt that one hash stands for.
+#define GW_BLOCK_TOKENS 128
+#define GW_MAX_BLOCKS 512
+/// When a gateway that can't serve now is worth another try.
+#define GW_NOT_READY_US (300 * TM_US_PER_MS)
+#define GW_LAST_PRIORITY (RO_PRIORITIES - 1)
+
+/// Hashes for the parts of a prompt, each chained over all before it, one for
+/// so many tokens. A part counts whole: its last hash covers its end.
+static void
+hash_prompt(struct gw_request *q)
+{
+	const struct pf_call *c = &q->call;
+	uint64_t chain = XXH64(q->service->name, strlen(q->service->name), 0);
+
+	if (c->n_parts == 0)
+		return;
+	q->blocks = g_new(uint64_t, GW_MAX_BLOCKS);
+	for (uint32_t i = 0; i < c->n_parts; i++) {
+		const uint32_t n = MAX(1, c->parts[i].tokens / GW_BLOCK_TOKENS);
+
+		chain = XXH64(&c->parts[i].id, sizeof(c->parts[i].id), chain);
+		for (uint32_t k = 0; k < n && q->n_blocks < GW_MAX_BLOCKS;
+		     k++) {
+			chain = XXH64(&k, sizeof(k), chain);
+			q->blocks[q->n_blocks++] = chain;
+		}
+	}
+}
+
+static double
+units_of(const struct gw_request *q)
+{
+	if (!q->customer->by_tokens)
+		return 1;
+	if (!q->call.has_tokens)
+		return q->customer->plain_tokens;
+	return (double)q->call.prompt_tokens + q->call.output_tokens;
+}
+
+/// Takes the request's units from its customer's quota.
+///
+/// @return false when it was refused
+static bool
+take_quota(struct gw_request *q)
+{
+	struct gw *g = q->gw;
+	const struct ds_bounds *b = &g->settings.bounds;
+	const struct qt_limit limit = {
+		.rate_per_s = q->customer->rate_per_s,
+		.burst = q->customer->burst,
+		.window_s = b->quota_window_s,
+		.over = b->quota_over,
+		.slack = b->quota_slack,
+	};
+	struct qt_bucket *bucket;
+	struct qt_answer a;
+
+	if (q->customer->rate_per_s <= 0)
+		return true;
+	bucket = g_hash_table_lookup(g->quotas, q->customer->name);
+	if (bucket == NULL) {
+		gw_fail(q, 503, GW_NOT_READY_US, "no share of the quota yet");
+		return false;
+	}
+	a = qt_take(bucket, &limit, q->arrived_us, units_of(q));
+	if (a.outcome == QT_TAKEN)
+		return true;
+	gw_fail(q, 429, a.wait_us, "over the customer's quota");
+	return false;
+}
+
+/// @return 0, or the status to refuse with
+static int
+identify(struct gw_request *q, const char **why)
+{
+	if (q->route->open || fc_n_customers(q->config) == 0)
+		return 0;
+	if (q->call.has_key)
+		q->customer = fc_by_key(q->config, q->call.key);
+	if (q->customer != NULL)
+		return 0;
+	*why = q->call.has_key ? "unknown API key" : "no API key";
+	return 401;
+}
+
+static void
+set_times(struct gw_request *q)
+{
+	uint64_t ms = q->route->timeout_ms;
+
+	if (q->call.has_deadline)
+		ms = MIN(ms, q->call.deadline_ms);
+	else
+		q->call.deadline_ms = q->route->timeout_ms;
+	q->give_up_us = q->arrived_us + ms * TM_US_PER_MS;
+}
+
+static void
+on_timer(void *arg, uint64_t now_us)
+{
+	struct gw_request *q = arg;
+
+	(void)now_us;
+	gw_send(q);
+}
+
+static struct gw_request *
+request_new(struct gw *g, hd_t caller, const struct fr_request *req)
+{
+	void *item;
+	const hd_t self = hd_add(g->requests, &item);
+	struct gw_request *q = item;
+	gint64 *key = g_new(gint64, 1);
+	gint64 *value = g_new(gint64, 1);
+
+	q->gw = g;
+	q->self = self;
+	q->caller = caller;
+	q->came_on = caller;
+	q->config = fc_ref(g->config);
+	q->arrived_us = lp_now_us(g->loop);
+	q->verdict = VD_NOT_RUN;
+	q->method = g_strdup(req->method_name);
+	q->target = req->query[0] == '\0'
+	    ? g_strdup(req->path)
+	    : g_strconcat(req->path, "?", req->query, NULL);
+	q->body = g_memdup2(req->body, req->len);
+	q->len = req->len;
+	q->timer = tm_subscribe(lp_timers(g->loop), on_timer, q);
+	*key = (gint64)caller;
+	*value = (gint64)self;
+	(void)g_hash_table_insert(g->by_caller, key, value);
+	return q;
+}
+
+static void
+set_service(struct gw_request *q)
+{
+	const uint64_t hash =
+	    XXH64(q->call.id, strlen(q->call.id), fc_version(q->config));
+
+	q->service = fc_service(q->config, fc_pick(q->route, hash));
+	q->priority = q->customer != NULL && q->customer->has_priority
+	    ? q->customer->priority
+	    : q->route->priority;
+	q->priority = MIN(q->priority, GW_LAST_PRIORITY);
+}
+
+/// Why a request can't be taken at all, before its route is looked up.
+///
+/// @return 0, or the status to refuse with
+static int
+check_ready(const struct gw *g, const struct pf_call *call, const char **why)
+{
+	if (g->config == NULL)
+		*why = "no configuration yet";
+	else if (lp_now_us(g->loop) >= g->lease_until_us)
+		*why = "no word from control";
+	else if (g->listed_us == 0)
+		*why = "no list of servers yet";
+	else if (call->bad || call->id[0] == '\0') {
+		*why = "a header can't be read, or the request has no id";
+		return 400;
+	} else
+		return 0;
+	return 503;
+}
+
+static void
+take(struct gw *g, hd_t handle, const struct fr_request *req)
+{
+	const char *why = "";
+	struct pf_call call;
+	struct gw_request *q;
+	const struct fc_route *route;
+	int status;
+
+	pf_call_read(g->callers, handle, &call);
+	if (g->stopping)
+		fr_close_after(g->callers, handle);
+	status = check_ready(g, &call, &why);
+	if (status != 0) {
+		gw_refuse(g, handle, status, GW_NOT_READY_US, call.id, why);
+		return;
+	}
+	route = fc_match(g->config, call.host, req->path);
+	if (route == NULL) {
+		gw_refuse(g, handle, 404, 0, call.id, "no route");
+		return;
+	}
+	q = request_new(g, handle, req);
+	q->call = call;
+	q->route = route;
+	set_times(q);
+	status = identify(q, &why);
+	if (status != 0) {
+		gw_fail(q, status, 0, why);
+		return;
+	}
+	if (q->customer != NULL && !take_quota(q))
+		return;
+	set_service(q);
+	gw_load(g, q->service->name)->arrived++;
+	hash_prompt(q);
+	q->headers = pf_headers_of_request(
+	    g->callers, handle, fc_n_customers(q->config) > 0);
+	q->n_headers = pf_headers_count(q->headers);
+	if (q->route->kind == FC_STREAM) {
+		q->events = es_new();
+		es_begin(q->events, q->call.resumes ? q->call.last_event : 0);
+	}
+	gw_send(q);
+}
+
+static void
+on_request(void *arg, hd_t handle, const struct fr_request *req)
+{
+	struct gw *g = arg;
+
+	g->n_requests->n++;
+	take(g, handle, req);
+}
+
+/// The caller left: nobody works on its request any more.
+static void
+on_gone(void *arg, hd_t handle)
+{
+	struct gw *g = arg;
+	const gint64 key = (gint64)handle;
+	const gint64 *found = g_hash_table_lookup(g->by_caller, &key);
+	struct gw_request *q =
+	    found == NULL ? NULL : hd_get(g->requests, (hd_t)*found);
+
+	if (q == NULL)
+		return;
+	g->n_cancelled->n++;
+	lg_event(LG_INFO, "request.cancelled",
+	    "request=%s route=%s server=%s attempts=%u after_ms=%" PRIu64,
+	    q->call.id, q->route->name, q->server, q->sent,
+	    (lp_now_us(g->loop) - q->arrived_us) / TM_US_PER_MS);
+	q->caller = HD_NONE;
+	gw_request_drop(q, RO_CANCELLED);
+	gw_request_free(q);
+}
+
+static void
+on_ready(void *arg, hd_t handle, const struct fr_request *req)
+{
+	struct gw *g = arg;
+	const char *why = "";
+	int status = 404;
+
+	if (strcmp(req->path, PF_READY_PATH) == 0)
+		status = gw_in_service(g, &why) ? 200 : 503;
+	fr_reply(
+	    g->ready, handle, status, NULL, "text/plain", why, strlen(why));
+}
+
+static void
+on_metrics(void *arg, hd_t handle, const struct fr_request *req)
+{
+	struct gw *g = arg;
+	struct ct_set *set = lp_counters(g->loop);
+	const uint64_t now = lp_now_us(g->loop);
+	size_t len;
+	char *text;
+
+	(void)req;
+	ct_gauge(set, "ac_config_version", "")->n =
+	    g->config != NULL ? fc_version(g->config) : 0;
+	ct_gauge(set, "ac_lease_left_ms", "")->n = g->lease_until_us > now
+	    ? (g->lease_until_us - now) / TM_US_PER_MS
+	    : 0;
+	ct_gauge(set, "ac_list_age_ms", "")->n =
+	    g->listed_us == 0 ? 0 : (now - g->listed_us) / TM_US_PER_MS;
+	ct_gauge(set, "ac_servers", "")->n = ro_count(g->router);
+	ct_gauge(set, "ac_requests_open", "")->n = hd_count(g->requests);
+	ct_gauge(set, "ac_connections_made_total", "")->n =
+	    hc_connections_made(g->http);
+	text = ct_text(set, &len);
+	fr_reply(g->metrics, handle, 200, NULL, "text/plain; version=0.0.4",
+	    text, len);
+	free(text);
+}
+
+static void
+ignore_gone(void *arg, hd_t handle)
+{
+	(void)arg;
+	(void)handle;
+}
+
+static struct fr *
+server_new(struct gw *g,
+    void (*request)(void *, hd_t, const struct fr_request *),
+    void (*gone)(void *, hd_t))
+{
+	const struct fr_config config = {
+		.base = lp_base(g->loop),
+		.max_body_bytes = GW_MAX_BODY_BYTES,
+		.idle_ms = GW_IDLE_MS,
+		.request = request,
+		.gone = gone,
+		.arg = g,
+	};
+
+	return fr_new(&config);
+}
+
+/// Opens the callers' address, that of readiness, and that of metrics.
+enum st
+gw_accept_start(struct gw *g)
+{
+	const struct ds_settings *s = &g->settings;
+	enum st st;
+
+	g->callers = server_new(g, on_request, on_gone);
+	g->ready = server_new(g, on_ready, ignore_gone);
+	st = fr_listen(g->callers, s->callers.host, s->callers.port);
+	if (st == ST_OK)
+		st = fr_listen(g->ready, s->ready.host, s->ready.port);
+	if (st != ST_OK || s->metrics_port == 0)
+		return st;
+	g->metrics = server_new(g, on_metrics, ignore_gone);
+	return fr_listen(g->metrics, s->host, s->metrics_port);
+}
--- /dev/null
+++ b/src/gateway/gw_answer.c
@@ -0,0 +1,164 @@
+#include "gateway/gw_internal.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "platform/pf_names.h"
+
+#define GW_RETRY_AFTER_US (250 * TM_US_PER_MS)
+
+/// Answers a caller whose request didn't go further than this gateway, or
+/// failed.
+///
+/// @param retry_us  when to come back; 0: not stated
+void
+gw_refuse(struct gw *g, hd_t caller, int status, uint64_t retry_us,
+    const char *id, const char *why)
+{
+	char after[32];
+
+	if (retry_us > 0) {
+		(void)g_snprintf(after, sizeof(after), "%" PRIu64 ".%03" PRIu64,
+		    retry_us / TM_US_PER_S,
+		    retry_us % TM_US_PER_S / TM_US_PER_MS);
+		fr_add_header(g->callers, caller, "Retry-After", after);
+	}
+	if (id[0] != '\0')
+		fr_add_header(g->callers, caller, PF_REQUEST_ID, id);
+	if (status == 429 || status == 503)
+		g->n_refused->n++;
+	else
+		g->n_failed->n++;
+	lg_event(LG_INFO, "request.refused",
+	    "request=%s status=%d retry_after_ms=%" PRIu64 " reason=\"%s\"", id,
+	    status, retry_us / TM_US_PER_MS, why);
+	fr_reply(
+	    g->callers, caller, status, NULL, "text/plain", why, strlen(why));
+}
+
+/// A time to come back that differs from request to request, so that those
+/// who were refused together don't return together.
+uint64_t
+gw_retry_after(const struct gw_request *q)
+{
+	struct rnd *r = lp_random(q->gw->loop);
+
+	return GW_RETRY_AFTER_US / 2 + rnd_below(r, GW_RETRY_AFTER_US);
+}
+
+static void
+log_end(
+    const struct gw_request *q, const char *event, int status, const char *why)
+{
+	const uint64_t now = lp_now_us(q->gw->loop);
+
+	lg_event(LG_INFO, event,
+	    "request=%s route=%s service=%s customer=%s config=%" PRIu64
+	    " status=%d verdict=\"%s\" attempts=%u server=%s reason=\"%s\" "
+	    "ms=%" PRIu64,
+	    q->call.id, q->route->name,
+	    q->service != NULL ? q->service->name : "-",
+	    q->customer != NULL ? q->customer->name : "-",
+	    fc_version(q->config), status, vd_name(q->verdict), q->sent,
+	    q->server[0] != '\0' ? q->server : "-", why,
+	    (now - q->arrived_us) / TM_US_PER_MS);
+}
+
+/// Ends a request without a backend server's answer.
+void
+gw_fail(struct gw_request *q, int status, uint64_t retry_us, const char *why)
+{
+	struct gw *g = q->gw;
+	const hd_t caller = q->caller;
+
+	if (q->service != NULL && status == 503)
+		gw_load(g, q->service->name)->refused++;
+	log_end(q, "request.failed", status, why);
+	gw_request_drop(q, RO_CANCELLED);
+	q->caller = HD_NONE;
+	if (q->started) {
+		g->n_failed->n++;
+		fr_abort(g->callers, caller);
+	} else {
+		gw_refuse(g, caller, status, retry_us, q->call.id, why);
+	}
+	gw_request_free(q);
+}
+
+static void
+add_headers(struct gw_request *q, const struct pf_headers *headers)
+{
+	const struct hc_header *h = pf_headers_all(headers);
+
+	for (size_t i = 0; i < pf_headers_count(headers); i++)
+		fr_add_header(q->gw->callers, q->caller, h[i].name, h[i].value);
+}
+
+static void
+observe_first(struct gw_request *q)
+{
+	struct gw *g = q->gw;
+	const uint64_t took = lp_now_us(g->loop) - q->arrived_us;
+
+	ct_observe(g->first, took);
+	if (took > q->route->target_ms * TM_US_PER_MS)
+		gw_load(g, q->service->name)->late++;
+}
+
+/// Passes a backend server's whole answer on; its headers were kept.
+void
+gw_pass_on(struct gw_request *q, int status, const uint8_t *body, size_t len)
+{
+	struct gw *g = q->gw;
+	const hd_t caller = q->caller;
+
+	observe_first(q);
+	ct_observe(g->whole, lp_now_us(g->loop) - q->arrived_us);
+	log_end(q, "request.done", status, "");
+	add_headers(q, q->answer_headers);
+	q->caller = HD_NONE;
+	fr_reply(g->callers, caller, status, NULL, NULL, body, len);
+	gw_request_free(q);
+}
+
+static void
+pass_event(void *arg, const char *text, size_t len)
+{
+	struct gw_request *q = arg;
+	struct gw *g = q->gw;
+
+	if (!q->started) {
+		q->started = true;
+		observe_first(q);
+		add_headers(q, q->answer_headers);
+		fr_stream_start(g->callers, q->caller, q->status, NULL, NULL);
+	}
+	fr_stream_data(g->callers, q->caller, text, len);
+}
+
+/// Passes the whole events among new bytes of a stream on.
+///
+/// @return false when the stream is broken
+bool
+gw_stream_feed(struct gw_request *q, const uint8_t *bytes, size_t len)
+{
+	return es_feed(q->events, bytes, len, pass_event, q) == ES_GOOD;
+}
+
+/// Ends a stream that is whole.
+void
+gw_stream_end(struct gw_request *q)
+{
+	struct gw *g = q->gw;
+	const hd_t caller = q->caller;
+
+	if (!q->started) {
+		add_headers(q, q->answer_headers);
+		fr_stream_start(g->callers, caller, q->status, NULL, NULL);
+	}
+	ct_observe(g->whole, lp_now_us(g->loop) - q->arrived_us);
+	log_end(q, "request.done", q->status, "");
+	q->caller = HD_NONE;
+	fr_stream_end(g->callers, caller);
+	gw_request_free(q);
+}
--- /dev/null
+++ b/src/gateway/gw_internal.h
@@ -0,0 +1,181 @@
+#ifndef GATEWAY_GW_INTERNAL_H
+#define GATEWAY_GW_INTERNAL_H
+
+#include <glib.h>
+
+#include "back/hc.h"
+#include "base/lg.h"
+#include "base/vd.h"
+#include "fleet/es.h"
+#include "fleet/fc.h"
+#include "fleet/lm.h"
+#include "fleet/qt.h"
+#include "fleet/sv.h"
+#include "front/fr.h"
+#include "gateway/gw.h"
+#include "platform/pf_call.h"
+#include "route/ro.h"
+#include "route/rt.h"
+#include "wire/lk.h"
+
+/// A control process as this gateway knows it.
+struct gw_hub {
+	uint32_t slot;
+	hd_t link;
+	uint64_t heard_us; ///< 0: never
+	uint64_t asked_us; ///< first report that wasn't answered; 0: none
+};
+
+/// A backend server of the list.
+struct gw_server {
+	struct sv sv;
+	hd_t route;     ///< handle of routing
+	uint64_t round; ///< reading of the list that showed it last
+	uint64_t reports;
+};
+
+/// A service's work here, since the last report to control.
+struct gw_load {
+	uint32_t running;
+	uint32_t refused;
+	uint32_t arrived;
+	uint32_t late;
+	uint64_t work_us;
+	struct rt *retries; ///< this gateway's part of the retry budget
+};
+
+struct gw {
+	struct lp *loop;
+	struct ds_settings settings;
+	struct lk *links;
+	struct fr *callers;
+	struct fr *ready;
+	struct fr *metrics; ///< NULL: none
+	struct hc *http;
+	struct tm_timer *tick;
+	struct tm_timer *end;
+	bool stopping;
+	uint64_t stop_us;
+
+	/// What control says (gw_link.c).
+	GHashTable *hubs; ///< slot -> struct gw_hub
+	uint32_t leader;  ///< slot; 0: unknown
+	uint64_t lease_until_us;
+	uint64_t next_report_us;
+	uint64_t demand_us; ///< when demand was taken last
+	uint32_t n_gateways;
+	struct fc *config; ///< NULL: none known yet
+	int64_t clock_us;  ///< time since 1970 less the steady clock
+	bool clock_told;   ///< by control
+
+	/// Backend servers (gw_list.c).
+	struct ro *router;
+	GHashTable *servers; ///< id -> struct gw_server
+	GArray *page;        ///< struct sv of the reading under way
+	uint64_t round;
+	uint64_t listed_us; ///< newest whole reading; 0: none
+	uint64_t next_list_us;
+	hd_t list_call;
+
+	/// Customers and services.
+	GHashTable *quotas; ///< customer -> struct qt_bucket
+	GHashTable *loads;  ///< service -> struct gw_load
+	GHashTable *usage;  ///< "window customer" -> struct lm_usage
+
+	struct hd_table *requests; ///< of struct gw_request
+	GHashTable *by_caller;     ///< caller's handle -> handle of the request
+
+	struct ct_value *n_requests;
+	struct ct_value *n_refused;
+	struct ct_value *n_failed;
+	struct ct_value *n_retries;
+	struct ct_value *n_resumed;
+	struct ct_value *n_cancelled;
+	struct ct_hist *first;
+	struct ct_hist *whole;
+};
+
+/// One request of a caller.
+struct gw_request {
+	struct gw *gw;
+	hd_t self;
+	hd_t caller;       ///< HD_NONE: answered, or gone
+	hd_t came_on;      ///< the caller's handle, for good
+	struct fc *config; ///< in force when it came
+	const struct fc_route *route;
+	const struct fc_service *service;
+	const struct fc_customer *customer; ///< NULL: open route
+	struct pf_call call;
+	char *method;
+	char *target; ///< path and query
+	uint8_t *body;
+	size_t len;
+	struct pf_headers *headers; ///< to be sent on
+	size_t n_headers;           ///< of the caller's own among them
+	uint64_t *blocks;           ///< hashes of the prompt's blocks
+	size_t n_blocks;
+	uint32_t priority;
+
+	uint64_t arrived_us;
+	uint64_t give_up_us; ///< no answer is of use after this
+	struct tm_timer *timer;
+
+	/// The attempt under way.
+	hd_t call_handle; ///< of the HTTP client; HD_NONE: none
+	hd_t dispatch;    ///< of routing
+	struct ro_choice choice;
+	char server[FC_NAME_BYTES];
+	uint64_t sent_us;
+	uint32_t sent;       ///< attempts sent so far
+	uint32_t ran;        ///< of these, those that may have run
+	bool dispatched_ran; ///< the attempt under way is known to run
+	struct rt_attempts attempts;
+	enum vd verdict; ///< of the attempts that ended
+	struct pf_answer answer;
+	int status;
+
+	/// A stream on its way to the caller.
+	struct es *events;
+	bool streams; ///< the answer under way is an event stream
+	bool started; ///< its head went to the caller
+	bool counted; ///< in the usage
+	bool stream_broken;
+	struct pf_headers *answer_headers;
+	GString *error_body; ///< of an answer that isn't a stream
+	uint64_t last_event_us;
+};
+
+/// gw.c
+bool gw_in_service(const struct gw *g, const char **why);
+uint64_t gw_true_us(const struct gw *g);
+struct gw_load *gw_load(struct gw *g, const char *service);
+
+/// gw_link.c: control
+enum st gw_link_start(struct gw *g);
+void gw_link_tick(struct gw *g, uint64_t now_us);
+void gw_count_usage(struct gw_request *q);
+
+/// gw_list.c: backend servers
+void gw_list_tick(struct gw *g, uint64_t now_us);
+void gw_list_gone(struct gw *g, const char *id);
+
+/// gw_accept.c: requests as they come
+enum st gw_accept_start(struct gw *g);
+
+/// gw_send.c: attempts
+void gw_send(struct gw_request *q);
+void gw_request_drop(struct gw_request *q, enum ro_end how);
+void gw_request_free(struct gw_request *q);
+
+/// gw_answer.c: answers to callers
+void gw_refuse(struct gw *g, hd_t caller, int status, uint64_t retry_us,
+    const char *id, const char *why);
+void gw_fail(
+    struct gw_request *q, int status, uint64_t retry_us, const char *why);
+void gw_pass_on(
+    struct gw_request *q, int status, const uint8_t *body, size_t len);
+bool gw_stream_feed(struct gw_request *q, const uint8_t *bytes, size_t len);
+void gw_stream_end(struct gw_request *q);
+uint64_t gw_retry_after(const struct gw_request *q);
+
+#endif
--- /dev/null
+++ b/src/gateway/gw_link.c
@@ -0,0 +1,397 @@
+#include "gateway/gw_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/ps.h"
+#include "platform/pf_manifest.h"
+
+#define GW_REPORT_US (400 * TM_US_PER_MS)
+/// A control process that answers nothing for so long is dialled anew.
+#define GW_SILENT_US (1500 * TM_US_PER_MS)
+#define GW_MAX_QUEUE_BYTES (1UL << 20)
+/// Keys are held for valid for this share of the time in which a revoked one
+/// must be dead everywhere.
+#define GW_LEASE_SHARE 0.8
+/// Windows of usage that are told; control has settled older ones.
+#define GW_USAGE_WINDOWS 6
+/// A difference to control's time that is taken for a wrong clock.
+#define GW_CLOCK_US (50 * (int64_t)TM_US_PER_MS)
+#define PPM 1e6
+
+static struct gw_hub *
+hub_of(struct gw *g, uint32_t slot)
+{
+	struct gw_hub *h = g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(slot));
+	char host[SV_HOST_BYTES];
+
+	if (h != NULL || slot == 0)
+		return h;
+	h = g_new0(struct gw_hub, 1);
+	h->slot = slot;
+	ps_host(g->settings.host, slot, host, sizeof(host));
+	h->link = lk_dial(g->links, host, g->settings.peer_port);
+	(void)g_hash_table_insert(g->hubs, GUINT_TO_POINTER(slot), h);
+	lg_event(LG_INFO, "control.known", "host=%s", host);
+	return h;
+}
+
+static void
+dial_seeds(struct gw *g)
+{
+	for (uint32_t i = 0; i < g->settings.n_seeds; i++)
+		(void)hub_of(g, ps_slot(g->settings.seeds[i].host));
+}
+
+static char *
+usage_key(uint64_t window, const char *customer)
+{
+	return g_strdup_printf("%" PRIu64 " %s", window, customer);
+}
+
+/// Counts a request that a backend server began to run.
+void
+gw_count_usage(struct gw_request *q)
+{
+	struct gw *g = q->gw;
+	const uint64_t window = gw_true_us(g) /
+	    (uint64_t)(g->settings.bounds.usage_window_s * TM_US_PER_S);
+	struct lm_usage *u;
+	char *key;
+
+	if (q->counted || q->customer == NULL)
+		return;
+	q->counted = true;
+	key = usage_key(window, q->customer->name);
+	u = g_hash_table_lookup(g->usage, key);
+	if (u == NULL) {
+		u = g_new0(struct lm_usage, 1);
+		u->window = window;
+		(void)g_strlcpy(
+		    u->customer, q->customer->name, sizeof(u->customer));
+		(void)g_hash_table_insert(g->usage, g_strdup(key), u);
+	}
+	u->n++;
+	g_free(key);
+}
+
+static void
+report_usage(struct gw *g, struct lm_report *r)
+{
+	const uint64_t window = gw_true_us(g) /
+	    (uint64_t)(g->settings.bounds.usage_window_s * TM_US_PER_S);
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->usage);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct lm_usage *u = value;
+
+		if (u->window + GW_USAGE_WINDOWS < window)
+			g_hash_table_iter_remove(&it);
+		else
+			g_array_append_val(r->usage, *u);
+	}
+}
+
+static void
+report_demand(struct gw *g, struct lm_report *r, uint64_t now_us)
+{
+	const double s = (double)(now_us - g->demand_us) / TM_US_PER_S;
+	GHashTableIter it;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->quotas);
+	while (g_hash_table_iter_next(&it, &name, &value)) {
+		const double asked = qt_demand(value);
+		struct lm_demand d = { .units_per_s = 0 };
+
+		(void)g_strlcpy(d.customer, name, sizeof(d.customer));
+		if (s > 0)
+			d.units_per_s = (uint64_t)(asked / s);
+		g_array_append_val(r->demand, d);
+	}
+	g->demand_us = now_us;
+}
+
+static void
+report_loads(struct gw *g, struct lm_report *r)
+{
+	GHashTableIter it;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->loads);
+	while (g_hash_table_iter_next(&it, &name, &value)) {
+		struct gw_load *l = value;
+		struct lm_load out = {
+			.running = l->running,
+			.refused = l->refused,
+			.arrived = l->arrived,
+			.late = l->late,
+			.work_us = l->work_us,
+		};
+
+		(void)g_strlcpy(out.service, name, sizeof(out.service));
+		l->refused = 0;
+		l->arrived = 0;
+		l->late = 0;
+		l->work_us = 0;
+		g_array_append_val(r->loads, out);
+	}
+}
+
+/// Reports to the leader, or to all while it isn't known or silent.
+static void
+send_report(struct gw *g, uint64_t now_us)
+{
+	struct wr_msg msg = { .kind = WR_REPORT };
+	struct gw_hub *leader =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->leader));
+	struct lm_report r;
+	GHashTableIter it;
+	gpointer value;
+	uint8_t *bytes;
+	bool all;
+
+	all = leader == NULL || !lk_is_up(g->links, leader->link) ||
+	    now_us > leader->heard_us + 2 * GW_REPORT_US + GW_REPORT_US / 2;
+	lm_report_init(&r);
+	r.sent_us = now_us;
+	r.version = g->config != NULL ? fc_version(g->config) : 0;
+	r.time_us = lp_wall_us();
+	r.stopping = g->stopping;
+	report_usage(g, &r);
+	report_demand(g, &r, now_us);
+	report_loads(g, &r);
+	lm_report_encode(&r, &bytes, &msg.evidence.len);
+	msg.evidence.at = bytes;
+	g_hash_table_iter_init(&it, g->hubs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct gw_hub *h = value;
+
+		if (!all && h != leader)
+			continue;
+		if (lk_send(g->links, h->link, &msg) && h->asked_us == 0)
+			h->asked_us = now_us;
+	}
+	free(bytes);
+	lm_report_clear(&r);
+}
+
+static void
+take_config(struct gw *g, const struct lm_state *s)
+{
+	struct fc *config;
+
+	if (s->manifest_len == 0 ||
+	    (g->config != NULL && s->version <= fc_version(g->config)))
+		return;
+	if (pf_manifest_read(
+		(const char *)s->manifest, s->manifest_len, &config) != ST_OK) {
+		lg_event(LG_ERROR, "config.unreadable",
+		    "version=%" PRIu64 " reason=\"%s\"", s->version, st_last());
+		return;
+	}
+	fc_unref(g->config);
+	g->config = config;
+	lg_event(LG_INFO, "config.in_force",
+	    "version=%" PRIu64 " routes=%zu services=%zu customers=%zu",
+	    s->version, fc_n_routes(config), fc_n_services(config),
+	    fc_n_customers(config));
+}
+
+/// What a customer's quota allows, as configured.
+static struct qt_limit
+limit_of(const struct gw *g, const struct fc_customer *c)
+{
+	const struct ds_bounds *b = &g->settings.bounds;
+	const struct qt_limit limit = {
+		.rate_per_s = c->rate_per_s,
+		.burst = c->burst,
+		.window_s = b->quota_window_s,
+		.over = b->quota_over,
+		.slack = b->quota_slack,
+	};
+
+	return limit;
+}
+
+static void
+take_shares(struct gw *g, const struct lm_state *s, uint64_t now_us)
+{
+	for (guint i = 0; i < s->shares->len && g->config != NULL; i++) {
+		const struct lm_share *h =
+		    &g_array_index(s->shares, struct lm_share, i);
+		const struct fc_customer *c =
+		    fc_find_customer(g->config, h->customer);
+		struct qt_bucket *b =
+		    g_hash_table_lookup(g->quotas, h->customer);
+		struct qt_limit limit;
+
+		if (c == NULL || h->share_ppm > PPM)
+			continue;
+		if (b == NULL) {
+			b = g_new0(struct qt_bucket, 1);
+			(void)g_hash_table_insert(
+			    g->quotas, g_strdup(h->customer), b);
+		}
+		limit = limit_of(g, c);
+		qt_lease(b, &limit, now_us, h->share_ppm / PPM);
+	}
+}
+
+static void
+take_time(struct gw *g, const struct lm_state *s, uint64_t now_us)
+{
+	const uint64_t half = (now_us - s->echo_us) / 2;
+	const int64_t clock = (int64_t)(s->time_us + half) - (int64_t)now_us;
+	const int64_t off = clock - g->clock_us;
+
+	if (s->time_us == 0 || (off < GW_CLOCK_US && off > -GW_CLOCK_US))
+		return;
+	lg_event(LG_WARN, "clock.corrected", "by_ms=%" PRId64,
+	    off / (int64_t)TM_US_PER_MS);
+	g->clock_us = clock;
+}
+
+static void
+take_state(struct gw *g, uint32_t from, const struct lm_state *s)
+{
+	const uint64_t now = lp_now_us(g->loop);
+	const uint64_t revoke =
+	    (uint64_t)(g->settings.bounds.revoke_ms * TM_US_PER_MS);
+	struct gw_hub *h = hub_of(g, from);
+	uint64_t until;
+
+	for (guint i = 0; i < s->members->len; i++)
+		(void)hub_of(g, g_array_index(s->members, uint32_t, i));
+	if (h != NULL) {
+		h->heard_us = now;
+		h->asked_us = 0;
+	}
+	if (!s->leads) {
+		if (s->leader != 0 && now >= g->lease_until_us)
+			g->leader = s->leader;
+		return;
+	}
+	if (s->echo_us > now)
+		return;
+	if (g->leader != from)
+		lg_event(LG_INFO, "control.leader", "slot=%u", from);
+	g->leader = from;
+	g->n_gateways = s->n_gateways;
+	take_config(g, s);
+	// An older configuration than control's is no ground for a lease.
+	if (g->config == NULL || fc_version(g->config) < s->version)
+		return;
+	take_shares(g, s, now);
+	take_time(g, s, now);
+	until = s->echo_us + (uint64_t)(GW_LEASE_SHARE * (double)revoke);
+	if (g->lease_until_us < now)
+		lg_event(LG_INFO, "lease.gained",
+		    "version=%" PRIu64 " until_ms=%" PRIu64, s->version,
+		    (until - now) / TM_US_PER_MS);
+	g->lease_until_us = MAX(g->lease_until_us, until);
+}
+
+static void
+on_message(void *arg, hd_t link, const struct wr_hello *hello,
+    const struct wr_msg *msg)
+{
+	struct gw *g = arg;
+	struct lm_state s;
+
+	(void)link;
+	if (msg->kind != WR_STATE)
+		return;
+	lm_state_init(&s);
+	if (lm_state_decode(msg->evidence.at, msg->evidence.len, &s) == ST_OK)
+		take_state(g, hello->id, &s);
+	else
+		lg_event(LG_WARN, "control.unreadable", "peer=%s", hello->node);
+	lm_state_clear(&s);
+}
+
+static void
+on_up(void *arg, hd_t link, const struct wr_hello *hello)
+{
+	struct gw *g = arg;
+
+	(void)link;
+	lg_event(LG_INFO, "link.up", "peer=%s", hello->node);
+	g->next_report_us = 0;
+}
+
+static void
+on_down(void *arg, hd_t link, const struct wr_hello *hello)
+{
+	struct gw *g = arg;
+	struct gw_hub *h =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(hello->id));
+
+	(void)link;
+	lg_event(LG_INFO, "link.down", "peer=%s", hello->node);
+	if (h != NULL)
+		h->asked_us = 0;
+}
+
+/// Starts to look for control.
+enum st
+gw_link_start(struct gw *g)
+{
+	struct lk_config config = {
+		.base = lp_base(g->loop),
+		.timers = lp_timers(g->loop),
+		.self = {
+			.role = WR_ROLE_ENTRY,
+			.incarnation = lp_incarnation(g->loop),
+			.deployment = "fleet",
+		},
+		.max_queue_bytes = GW_MAX_QUEUE_BYTES,
+		.callbacks = {
+			.up = on_up,
+			.message = on_message,
+			.down = on_down,
+			.arg = g,
+		},
+	};
+
+	(void)g_strlcpy(config.self.node, g->settings.node, WR_NAME_BYTES);
+	(void)g_strlcpy(
+	    config.self.data_centre, g->settings.data_centre, WR_NAME_BYTES);
+	g->links = lk_new(&config);
+	dial_seeds(g);
+	return ST_OK;
+}
+
+static void
+close_silent(struct gw *g, uint64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->hubs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct gw_hub *h = value;
+
+		if (h->asked_us == 0 || now_us < h->asked_us + GW_SILENT_US)
+			continue;
+		h->asked_us = 0;
+		lk_close(g->links, h->link);
+	}
+}
+
+/// Reports to control, and leaves what is silent.
+void
+gw_link_tick(struct gw *g, uint64_t now_us)
+{
+	close_silent(g, now_us);
+	if (now_us < g->next_report_us)
+		return;
+	g->next_report_us = now_us + GW_REPORT_US;
+	dial_seeds(g);
+	send_report(g, now_us);
+}
--- /dev/null
+++ b/src/gateway/gw_list.c
@@ -0,0 +1,170 @@
+#include "gateway/gw_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/pf_cloud.h"
+
+#define GW_LIST_US (900 * TM_US_PER_MS)
+#define GW_LIST_TIMEOUT_US (1 * TM_US_PER_S)
+#define GW_MAX_LIST_BYTES (4UL << 20)
+/// One way between data centres of a region.
+#define GW_DISTANCE_US 500
+
+static void read_page(struct gw *g, const char *token);
+
+static bool
+serves_prompts(const struct gw *g, const char *service)
+{
+	const int i =
+	    g->config == NULL ? -1 : fc_find_service(g->config, service);
+
+	return i >= 0 && fc_service(g->config, (size_t)i)->engine.enabled;
+}
+
+static void
+route_server(struct gw *g, struct gw_server *s, uint64_t now_us)
+{
+	struct ro_server conf = {
+		.kind =
+		    serves_prompts(g, s->sv.service) ? RO_RUNNER : RO_SERVICE,
+		.n_versions = 1,
+	};
+
+	(void)g_strlcpy(conf.name, s->sv.id, sizeof(conf.name));
+	(void)g_strlcpy(conf.pool, s->sv.service, sizeof(conf.pool));
+	(void)g_strlcpy(conf.data_centre, s->sv.zone, sizeof(conf.data_centre));
+	(void)g_strlcpy(
+	    conf.versions[0], s->sv.version, sizeof(conf.versions[0]));
+	ro_set_data_centre(g->router, s->sv.zone,
+	    strcmp(s->sv.zone, g->settings.data_centre) == 0 ? 0
+							     : GW_DISTANCE_US,
+	    false);
+	s->route = ro_set_server(g->router, now_us, &conf);
+	if (s->sv.leaving)
+		ro_leave(g->router, now_us, s->route, RO_BY_LIST);
+}
+
+static void
+take_server(struct gw *g, const struct sv *sv, uint64_t now_us)
+{
+	struct gw_server *s = g_hash_table_lookup(g->servers, sv->id);
+
+	if (s == NULL) {
+		s = g_new0(struct gw_server, 1);
+		s->sv = *sv;
+		(void)g_hash_table_insert(g->servers, s->sv.id, s);
+		lg_event(LG_INFO, "server.listed",
+		    "server=%s service=%s zone=%s version=%s address=%s:%u "
+		    "leaving=%d",
+		    sv->id, sv->service, sv->zone, sv->version, sv->host,
+		    sv->port, sv->leaving);
+	} else if (sv->leaving && !s->sv.leaving) {
+		lg_event(LG_INFO, "server.leaving", "server=%s", sv->id);
+	}
+	s->sv = *sv;
+	s->round = g->round;
+	route_server(g, s, now_us);
+}
+
+static void
+forget_server(struct gw *g, GHashTableIter *it, struct gw_server *s)
+{
+	lg_event(LG_INFO, "server.gone", "server=%s", s->sv.id);
+	ro_remove_server(g->router, s->route);
+	g_hash_table_iter_remove(it);
+}
+
+static void
+take_list(struct gw *g)
+{
+	const uint64_t now = lp_now_us(g->loop);
+	GHashTableIter it;
+	gpointer value;
+
+	g->round++;
+	for (guint i = 0; i < g->page->len; i++)
+		take_server(g, &g_array_index(g->page, struct sv, i), now);
+	g_hash_table_iter_init(&it, g->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct gw_server *s = value;
+
+		if (s->round < g->round)
+			forget_server(g, &it, s);
+	}
+	if (g->listed_us == 0)
+		lg_event(LG_INFO, "list.known", "servers=%u", g->page->len);
+	g->listed_us = now;
+}
+
+static void
+on_page(void *arg, const struct hc_result *result)
+{
+	struct gw *g = arg;
+	char *next = NULL;
+	size_t n_bad = 0;
+
+	g->list_call = HD_NONE;
+	if (result->status != ST_OK || result->http_status != 200) {
+		lg_event(LG_WARN, "list.failed", "status=%s http=%d",
+		    st_name(result->status), result->http_status);
+		return;
+	}
+	if (pf_list_read((const char *)result->body, result->len, g->page,
+		&next, &n_bad) != ST_OK) {
+		lg_event(
+		    LG_WARN, "list.unreadable", "reason=\"%s\"", st_last());
+		return;
+	}
+	if (n_bad > 0)
+		lg_event(LG_DEBUG, "list.bad_entries", "n=%zu", n_bad);
+	if (next != NULL)
+		read_page(g, next);
+	else
+		take_list(g);
+	g_free(next);
+}
+
+static void
+read_page(struct gw *g, const char *token)
+{
+	char *path = pf_list_path(token);
+	const struct hc_call call = {
+		.method = "GET",
+		.host = g->settings.cloud.host,
+		.port = g->settings.cloud.port,
+		.path = path,
+		.timeout_us = GW_LIST_TIMEOUT_US,
+		.max_body = GW_MAX_LIST_BYTES,
+		.on_end = on_page,
+		.arg = g,
+	};
+
+	g->list_call = hc_send(g->http, &call);
+	g_free(path);
+}
+
+/// Reads the list again when it is due.
+void
+gw_list_tick(struct gw *g, uint64_t now_us)
+{
+	if (now_us < g->next_list_us || g->list_call != HD_NONE)
+		return;
+	g->next_list_us = now_us + GW_LIST_US;
+	g_array_set_size(g->page, 0);
+	read_page(g, NULL);
+}
+
+/// A server said that it isn't the one that the list names: nothing more is
+/// sent to it until the list is read again.
+void
+gw_list_gone(struct gw *g, const char *id)
+{
+	struct gw_server *s = g_hash_table_lookup(g->servers, id);
+
+	if (s == NULL)
+		return;
+	lg_event(LG_INFO, "server.replaced", "server=%s", id);
+	ro_leave(g->router, lp_now_us(g->loop), s->route, RO_BY_SERVER);
+	g->next_list_us = 0;
+}
--- /dev/null
+++ b/src/gateway/gw_send.c
@@ -0,0 +1,508 @@
+#include "gateway/gw_internal.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "platform/pf_names.h"
+
+/// A connection that doesn't stand by then means another server.
+#define GW_CONNECT_US (400 * TM_US_PER_MS)
+/// Attempts that didn't run may be followed by others up to this many.
+#define GW_MAX_SENT 4
+/// A stream that is silent for so many of its longest pauses, and at least so
+/// long, goes on at another server.
+#define GW_STALL_PAUSES 3
+#define GW_STALL_US (1500 * TM_US_PER_MS)
+#define GW_MAX_ERROR_BYTES (1U << 20)
+#define GW_MISDIRECTED 421
+
+static void on_end(void *arg, const struct hc_result *result);
+
+/// Leaves the attempt under way, if there is one.
+void
+gw_request_drop(struct gw_request *q, enum ro_end how)
+{
+	struct gw *g = q->gw;
+	const uint64_t now = lp_now_us(g->loop);
+
+	tm_disarm(q->timer);
+	if (q->call_handle != HD_NONE) {
+		hc_cancel(g->http, q->call_handle);
+		gw_load(g, q->service->name)->running--;
+		gw_load(g, q->service->name)->work_us += now - q->sent_us;
+	}
+	q->call_handle = HD_NONE;
+	if (q->dispatch != HD_NONE)
+		ro_end(g->router, now, q->dispatch, how,
+		    q->events != NULL ? es_count(q->events) : 0, UINT32_MAX);
+	q->dispatch = HD_NONE;
+}
+
+/// Releases a request that has no attempt under way.
+void
+gw_request_free(struct gw_request *q)
+{
+	struct gw *g = q->gw;
+	const gint64 key = (gint64)q->came_on;
+
+	(void)g_hash_table_remove(g->by_caller, &key);
+	tm_unsubscribe(q->timer);
+	pf_headers_free(q->headers);
+	pf_headers_free(q->answer_headers);
+	if (q->error_body != NULL)
+		(void)g_string_free(q->error_body, TRUE);
+	es_free(q->events);
+	fc_unref(q->config);
+	g_free(q->method);
+	g_free(q->target);
+	g_free(q->body);
+	g_free(q->blocks);
+	hd_remove(g->requests, q->self);
+}
+
+static void
+make_ask(const struct gw_request *q, struct ro_ask *out)
+{
+	*out = (struct ro_ask){
+		.pool = q->service->name,
+		.blocks = q->blocks,
+		.n_blocks = q->n_blocks,
+		.prompt_tokens = q->call.prompt_tokens,
+		.output_tokens = q->call.length_hint > 0
+		    ? q->call.length_hint
+		    : q->call.output_tokens,
+		.priority = q->priority,
+	};
+}
+
+/// Chooses among the servers that this request has not tried, and among all
+/// when there is no other.
+static enum st
+choose(struct gw_request *q, struct ro_ask *ask)
+{
+	struct gw *g = q->gw;
+	const uint64_t now = lp_now_us(g->loop);
+	enum st st;
+
+	make_ask(q, ask);
+	rt_exclude(&q->attempts, ask);
+	st = ro_choose(g->router, now, lp_random(g->loop), ask, &q->choice);
+	if (st != ST_UNAVAILABLE || ask->n_servers == 0)
+		return st;
+	ask->n_servers = 0;
+	return ro_choose(g->router, now, lp_random(g->loop), ask, &q->choice);
+}
+
+/// No further attempt: the answer says whether the request may have run.
+static void
+give_up(struct gw_request *q, const char *why)
+{
+	const uint64_t now = lp_now_us(q->gw->loop);
+
+	if (q->verdict == VD_NOT_RUN)
+		gw_fail(q, 503, gw_retry_after(q), why);
+	else
+		gw_fail(q, now >= q->give_up_us ? 504 : 502, 0, why);
+}
+
+/// Whether the verdicts so far and the route allow another attempt.
+static bool
+may_send_again(const struct gw_request *q, const char **why)
+{
+	if (q->verdict != VD_NOT_RUN && !fc_may_repeat(q->route))
+		*why = "it may have run";
+	else if (q->ran >= MAX(q->route->max_attempts, 1))
+		*why = "all attempts of the route were made";
+	else if (q->sent >= GW_MAX_SENT + q->ran)
+		*why = "too many servers refused it";
+	else
+		return true;
+	return false;
+}
+
+/// An attempt gave no answer to pass on: sends it again, or ends it.
+static void
+next_attempt(struct gw_request *q, const char *why)
+{
+	struct gw *g = q->gw;
+	const uint64_t now = lp_now_us(g->loop);
+	const struct rt_failure failure = {
+		.verdict = q->verdict,
+		.idempotent = fc_may_repeat(q->route),
+		.deadline_us = q->started ? UINT64_MAX : q->give_up_us,
+	};
+	struct rt_decision d;
+	const char *no;
+
+	if (!q->started && now >= q->give_up_us) {
+		give_up(q, why);
+		return;
+	}
+	if (!may_send_again(q, &no)) {
+		lg_event(LG_INFO, "attempt.last", "request=%s reason=\"%s\"",
+		    q->call.id, no);
+		give_up(q, why);
+		return;
+	}
+	d = rt_retry(gw_load(g, q->service->name)->retries, now,
+	    lp_random(g->loop), &q->attempts, &failure);
+	if (!d.go) {
+		lg_event(LG_INFO, "attempt.last", "request=%s reason=%s",
+		    q->call.id,
+		    d.reason == RT_BUDGET ? "retry_budget" : "deadline");
+		give_up(q, why);
+		return;
+	}
+	g->n_retries->n++;
+	if (q->started)
+		g->n_resumed->n++;
+	tm_arm(q->timer, MAX(d.at_us, now));
+}
+
+/// Forgets the attempt under way, which has ended.
+static void
+end_attempt(struct gw_request *q, enum ro_end how)
+{
+	struct gw *g = q->gw;
+	const uint64_t now = lp_now_us(g->loop);
+
+	tm_disarm(q->timer);
+	if (q->call_handle != HD_NONE) {
+		struct gw_load *l = gw_load(g, q->service->name);
+
+		l->running--;
+		l->work_us += now - q->sent_us;
+	}
+	q->call_handle = HD_NONE;
+	if (q->dispatch != HD_NONE)
+		ro_end(g->router, now, q->dispatch, how,
+		    q->events != NULL ? es_count(q->events) : 0, UINT32_MAX);
+	q->dispatch = HD_NONE;
+}
+
+static void
+attempt_failed(
+    struct gw_request *q, enum ro_end how, enum vd verdict, const char *why)
+{
+	end_attempt(q, how);
+	if (verdict != VD_NOT_RUN)
+		q->ran++;
+	q->verdict = vd_join(q->verdict, verdict);
+	lg_event(LG_INFO, "attempt.failed",
+	    "request=%s attempt=%u server=%s verdict=\"%s\" reason=\"%s\"",
+	    q->call.id, q->sent, q->server, vd_name(verdict), why);
+	next_attempt(q, why);
+}
+
+static void
+note_load(struct gw_request *q)
+{
+	struct gw *g = q->gw;
+	struct gw_server *s = g_hash_table_lookup(g->servers, q->server);
+	struct ro_report report = {
+		.running = q->answer.running,
+		.waiting = q->answer.waiting,
+	};
+
+	if (s == NULL || !q->answer.has_load)
+		return;
+	report.sequence = ++s->reports;
+	ro_report_in(g->router, lp_now_us(g->loop), s->route, &report);
+}
+
+/// Whether the head is that of this request's answer by a backend server.
+static bool
+head_is_ours(const struct gw_request *q)
+{
+	const struct pf_answer *a = &q->answer;
+
+	if (a->id[0] != '\0' && strcmp(a->id, q->call.id) != 0)
+		return false;
+	if (q->status >= 200 && q->status < 300)
+		return a->stamped && !a->encoded && a->id[0] != '\0';
+	return true;
+}
+
+static bool
+not_run(const struct gw_request *q)
+{
+	return q->answer.not_run || q->status == GW_MISDIRECTED;
+}
+
+static void
+on_head(void *arg, int http_status)
+{
+	struct gw_request *q = arg;
+	struct gw *g = q->gw;
+
+	q->status = http_status;
+	pf_answer_read(g->http, q->call_handle, &q->answer);
+	note_load(q);
+	q->streams = q->events != NULL && http_status == 200 &&
+	    head_is_ours(q) && !not_run(q);
+	if (!q->streams || q->answer_headers != NULL)
+		return;
+	q->answer_headers = pf_headers_of_answer(g->http, q->call_handle);
+}
+
+static void
+arm_stall(struct gw_request *q)
+{
+	const uint64_t pause =
+	    (uint64_t)q->route->gap_ms * TM_US_PER_MS * GW_STALL_PAUSES;
+
+	tm_arm_in(q->timer, MAX(pause, GW_STALL_US));
+}
+
+static void
+on_data(void *arg, const uint8_t *bytes, size_t len)
+{
+	struct gw_request *q = arg;
+	struct gw *g = q->gw;
+	const uint32_t before = es_count(q->events);
+
+	if (!q->streams) {
+		if (q->error_body == NULL)
+			q->error_body = g_string_new(NULL);
+		if (q->error_body->len + len <= GW_MAX_ERROR_BYTES)
+			(void)g_string_append_len(
+			    q->error_body, (const char *)bytes, (gssize)len);
+		return;
+	}
+	if (q->stream_broken)
+		return;
+	if (!gw_stream_feed(q, bytes, len)) {
+		q->stream_broken = true;
+		lg_event(LG_WARN, "stream.broken",
+		    "request=%s server=%s after=%" PRIu64, q->call.id,
+		    q->server, es_last(q->events));
+		tm_arm_in(q->timer, 0);
+		return;
+	}
+	if (es_count(q->events) == before)
+		return;
+	ro_first_token(g->router, lp_now_us(g->loop), q->dispatch);
+	gw_count_usage(q);
+	arm_stall(q);
+}
+
+static void
+end_refused(struct gw_request *q)
+{
+	if (q->status == GW_MISDIRECTED)
+		gw_list_gone(q->gw, q->server);
+	attempt_failed(q, RO_REFUSED, VD_NOT_RUN,
+	    q->status == GW_MISDIRECTED ? "another server has the address"
+					: "the server refused it");
+}
+
+static void
+pass_answer(struct gw_request *q, const uint8_t *body, size_t len)
+{
+	struct gw *g = q->gw;
+
+	if (q->answer_headers == NULL)
+		q->answer_headers =
+		    pf_headers_of_answer(g->http, q->call_handle);
+	ro_first_token(g->router, lp_now_us(g->loop), q->dispatch);
+	end_attempt(q, q->status >= 500 ? RO_FAILED : RO_DONE);
+	q->verdict = VD_RAN;
+	gw_count_usage(q);
+	gw_pass_on(q, q->status, body, len);
+}
+
+/// A server's failure of a request that may be repeated is tried elsewhere.
+static bool
+worth_another(const struct gw_request *q)
+{
+	const char *why;
+
+	return q->status >= 500 && fc_may_repeat(q->route) &&
+	    q->ran + 1 < MAX(q->route->max_attempts, 1) &&
+	    may_send_again(q, &why) && lp_now_us(q->gw->loop) < q->give_up_us;
+}
+
+static void
+end_answered(struct gw_request *q, const struct hc_result *result)
+{
+	const uint8_t *body = result->body;
+	size_t len = result->len;
+
+	if (!head_is_ours(q)) {
+		attempt_failed(q, RO_FAILED, VD_MAY_HAVE_RUN,
+		    "the answer isn't this request's");
+		return;
+	}
+	if (not_run(q)) {
+		end_refused(q);
+		return;
+	}
+	if (q->streams) {
+		if (es_partial(q->events)) {
+			attempt_failed(q, RO_FAILED, VD_MAY_HAVE_RUN,
+			    "the stream ended within an event");
+			return;
+		}
+		end_attempt(q, RO_DONE);
+		q->verdict = VD_RAN;
+		gw_stream_end(q);
+		return;
+	}
+	if (q->started) {
+		attempt_failed(
+		    q, RO_FAILED, VD_MAY_HAVE_RUN, "it could not be resumed");
+		return;
+	}
+	if (worth_another(q)) {
+		attempt_failed(
+		    q, RO_FAILED, VD_MAY_HAVE_RUN, "the server failed");
+		return;
+	}
+	if (q->error_body != NULL) {
+		body = (const uint8_t *)q->error_body->str;
+		len = q->error_body->len;
+	}
+	pass_answer(q, body, len);
+}
+
+static void
+on_end(void *arg, const struct hc_result *result)
+{
+	struct gw_request *q = arg;
+
+	q->status = result->http_status;
+	if (result->status == ST_OK) {
+		pf_answer_read(q->gw->http, q->call_handle, &q->answer);
+		note_load(q);
+		end_answered(q, result);
+		return;
+	}
+	attempt_failed(q, RO_FAILED, result->verdict,
+	    result->verdict == VD_NOT_RUN ? "no connection"
+					  : "the answer broke off");
+}
+
+/// Headers that this system sets, behind the caller's own.
+static void
+set_headers(struct gw_request *q, const struct gw_server *s, uint64_t now_us)
+{
+	struct pf_headers *h = q->headers;
+	const uint64_t until = q->events != NULL
+	    ? q->arrived_us + (uint64_t)q->call.deadline_ms * TM_US_PER_MS
+	    : q->give_up_us;
+	const uint64_t left_ms =
+	    until > now_us ? (until - now_us) / TM_US_PER_MS : 0;
+
+	pf_headers_cut(h, q->n_headers);
+	pf_headers_addf(h, PF_DEADLINE, "%" PRIu64, MAX(left_ms, 1));
+	pf_headers_add(h, PF_EXPECT_SERVER, s->sv.id);
+	if (q->customer != NULL)
+		pf_headers_add(h, PF_CUSTOMER, q->customer->name);
+	if (q->events != NULL && es_last(q->events) > 0)
+		pf_headers_addf(
+		    h, PF_LAST_EVENT, "%" PRIu64, es_last(q->events));
+	else if (q->call.resumes)
+		pf_headers_addf(
+		    h, PF_LAST_EVENT, "%" PRIu64, q->call.last_event);
+}
+
+static void
+begin(struct gw_request *q, const struct ro_ask *ask, uint64_t now_us)
+{
+	struct gw *g = q->gw;
+
+	if (q->sent == 0)
+		rt_first(gw_load(g, q->service->name)->retries, now_us,
+		    &q->attempts, q->choice.server);
+	else
+		rt_sent(&q->attempts, q->choice.server);
+	q->dispatch = ro_begin(g->router, now_us, ask, &q->choice);
+	q->sent++;
+	q->sent_us = now_us;
+	q->streams = false;
+	q->stream_broken = false;
+	q->status = 0;
+	if (q->error_body != NULL)
+		(void)g_string_truncate(q->error_body, 0);
+	if (q->events != NULL)
+		es_begin(q->events, 0);
+	if (!q->started) {
+		pf_headers_free(q->answer_headers);
+		q->answer_headers = NULL;
+	}
+}
+
+static void
+send_to(struct gw_request *q, const struct gw_server *s, uint64_t now_us)
+{
+	struct gw *g = q->gw;
+	struct hc_call call = {
+		.method = q->method,
+		.host = s->sv.host,
+		.port = s->sv.port,
+		.path = q->target,
+		.body = q->body,
+		.len = q->len,
+		// A kept connection may close under a request, which leaves
+		// its outcome unknown.
+		.fresh = !fc_may_repeat(q->route),
+		.connect_us = GW_CONNECT_US,
+		.on_head = on_head,
+		.on_data = q->events != NULL ? on_data : NULL,
+		.on_end = on_end,
+		.arg = q,
+	};
+
+	set_headers(q, s, now_us);
+	call.more = pf_headers_all(q->headers);
+	call.n_more = pf_headers_count(q->headers);
+	lg_event(LG_DEBUG, "attempt.sent",
+	    "request=%s attempt=%u server=%s recompute=%u queue=%.0f",
+	    q->call.id, q->sent, s->sv.id, q->choice.recompute_tokens,
+	    q->choice.queue_tokens);
+	q->call_handle = hc_send(g->http, &call);
+	if (q->call_handle == HD_NONE) {
+		attempt_failed(q, RO_FAILED, VD_NOT_RUN, "can't be sent");
+		return;
+	}
+	gw_load(g, q->service->name)->running++;
+	if (q->started)
+		arm_stall(q);
+	else
+		tm_arm(q->timer, MAX(q->give_up_us, now_us));
+}
+
+/// The time of an attempt under way is over.
+static void
+leave_attempt(struct gw_request *q)
+{
+	hc_cancel(q->gw->http, q->call_handle);
+	attempt_failed(q, RO_TIMED_OUT, VD_MAY_HAVE_RUN,
+	    q->stream_broken ? "the stream is broken" : "no answer in time");
+}
+
+/// Sends the next attempt, or ends the one under way whose time is over.
+void
+gw_send(struct gw_request *q)
+{
+	struct gw *g = q->gw;
+	const uint64_t now = lp_now_us(g->loop);
+	const struct ro_server *conf;
+	const struct gw_server *s;
+	struct ro_ask ask;
+
+	if (q->call_handle != HD_NONE) {
+		leave_attempt(q);
+		return;
+	}
+	if (choose(q, &ask) != ST_OK) {
+		give_up(q, "no backend server to be had");
+		return;
+	}
+	conf = ro_get(g->router, q->choice.server);
+	s = g_hash_table_lookup(g->servers, conf->name);
+	g_assert(s != NULL);
+	(void)g_strlcpy(q->server, s->sv.id, sizeof(q->server));
+	begin(q, &ask, now);
+	send_to(q, s, now);
+}
--- /dev/null
+++ b/src/hub/hb.h
@@ -0,0 +1,18 @@
+#ifndef HUB_HB_H
+#define HUB_HB_H
+
+#include "conf/ds.h"
+#include "loop/lp.h"
+
+/// A process of control in a deployment that finds itself by seeds: it keeps
+/// the replicated state, tells gateways what is in force, and its leader does
+/// the duties.
+struct hb;
+
+enum st hb_start(
+    struct lp *loop, const struct ds_settings *settings, struct hb **out);
+void hb_stop(struct hb *h);
+void hb_reload(struct hb *h, const struct ds_settings *settings);
+void hb_free(struct hb *h);
+
+#endif
--- /dev/null
+++ b/src/hub/hb_internal.h
@@ -0,0 +1,107 @@
+#ifndef HUB_HB_INTERNAL_H
+#define HUB_HB_INTERNAL_H
+
+#include <glib.h>
+
+#include "back/hc.h"
+#include "base/lg.h"
+#include "fleet/fc.h"
+#include "fleet/lm.h"
+#include "fleet/sv.h"
+#include "front/fr.h"
+#include "hub/hb.h"
+#include "hub/hs.h"
+#include "replog/gp.h"
+#include "wire/lk.h"
+
+/// Another process of control.
+struct hb_peer {
+	uint32_t slot;
+	hd_t dialled;
+	hd_t accepted; ///< its link to us; HD_NONE: none
+	char data_centre[FC_NAME_BYTES];
+	uint64_t silent_since_us; ///< as a member; 0: active
+};
+
+/// A gateway that reports here.
+struct hb_gateway {
+	char name[FC_NAME_BYTES];
+	char data_centre[FC_NAME_BYTES];
+	uint64_t incarnation;
+	hd_t link;
+	uint64_t heard_us;
+	uint64_t echo_us; ///< its clock when it sent its newest report
+	uint64_t version;
+	int64_t clock_us; ///< its time since 1970 less our steady clock
+	bool stopping;
+	GArray *usage;  ///< struct lm_usage
+	GArray *demand; ///< struct lm_demand
+	GArray *loads;  ///< struct lm_load, the newest report's
+};
+
+struct hb {
+	struct lp *loop;
+	struct ds_settings settings;
+	uint32_t slot;
+	struct lk *links;
+	struct fr *operators;
+	struct fr *metrics; ///< NULL: none
+	struct hc *http;
+	struct gp *group;
+	struct hs *state;
+	struct fc *config;    ///< of the state; NULL: none yet
+	GHashTable *peers;    ///< slot -> struct hb_peer
+	GHashTable *gateways; ///< name -> struct hb_gateway
+	struct tm_timer *tick;
+	struct tm_timer *push; ///< tell the gateways soon
+	struct tm_timer *end;
+	bool stopping;
+	uint64_t stop_us;
+	bool changing; ///< members
+
+	/// Duties, while this process leads.
+	bool taking; ///< a command that takes the duties is on its way
+	uint64_t duty_from_us; ///< no call before; 0: not the holder
+	uint64_t settled_to;   ///< windows before this one are done with
+	bool settling;         ///< a window's usage is being committed
+	bool telling;          ///< a usage call is on its way
+	uint64_t told_to;      ///< windows before this one were accepted
+	uint64_t next_tell_us;
+
+	struct ct_value *n_orders;
+	struct ct_value *n_invalid;
+	struct ct_hist *ack_latency;
+};
+
+/// hb.c
+bool hb_leads(const struct hb *h);
+uint64_t hb_true_us(const struct hb *h);
+
+/// hb_log.c: the replicated log
+enum st hb_log_start(struct hb *h);
+void hb_propose(
+    struct hb *h, const struct hs_command *c, gp_done done, void *arg);
+
+/// hb_members.c: who votes
+void hb_members_tick(struct hb *h, uint64_t now_us);
+
+/// hb_link.c: links to peers and gateways
+enum st hb_link_start(struct hb *h);
+struct hb_peer *hb_peer(struct hb *h, uint32_t slot);
+void hb_link_tick(struct hb *h, uint64_t now_us);
+void hb_push(struct hb *h);
+bool hb_gateway_lives(const struct hb *h, const struct hb_gateway *g);
+
+/// hb_operators.c: operators' HTTP
+enum st hb_operators_start(struct hb *h);
+
+/// hb_duty.c: calls to the cloud that the leader alone makes
+void hb_duty_reset(struct hb *h);
+bool hb_duty_holds(const struct hb *h);
+void hb_duty_tick(struct hb *h, uint64_t now_us);
+void hb_duty_refused(struct hb *h);
+
+/// hb_usage.c
+void hb_usage_tick(struct hb *h, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/hub/hb_link.c
@@ -0,0 +1,358 @@
+#include "hub/hb_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/ps.h"
+#include "fleet/qt.h"
+
+#define HB_MAX_QUEUE_BYTES (16UL << 20)
+/// A gateway that reports nothing for so long counts as gone.
+#define HB_GATEWAY_LOST_US (2500 * TM_US_PER_MS)
+/// What a gone gateway had counted is kept for so long.
+#define HB_GATEWAY_KEPT_US (60 * TM_US_PER_S)
+#define PPM 1e6
+
+/// A process of control by its slot; the first call dials it.
+///
+/// @return NULL for this process itself
+struct hb_peer *
+hb_peer(struct hb *h, uint32_t slot)
+{
+	struct hb_peer *p;
+	char host[SV_HOST_BYTES];
+
+	if (slot == 0 || slot == h->slot)
+		return NULL;
+	p = g_hash_table_lookup(h->peers, GUINT_TO_POINTER(slot));
+	if (p != NULL)
+		return p;
+	p = g_new0(struct hb_peer, 1);
+	p->slot = slot;
+	(void)g_hash_table_insert(h->peers, GUINT_TO_POINTER(slot), p);
+	ps_host(h->settings.host, slot, host, sizeof(host));
+	p->dialled = lk_dial(h->links, host, h->settings.peer_port);
+	lg_event(LG_INFO, "peer.known", "host=%s", host);
+	return p;
+}
+
+/// Whether a gateway reported lately.
+bool
+hb_gateway_lives(const struct hb *h, const struct hb_gateway *g)
+{
+	return lp_now_us(h->loop) < g->heard_us + HB_GATEWAY_LOST_US &&
+	    !g->stopping;
+}
+
+static struct hb_gateway *
+gateway_of(struct hb *h, const struct wr_hello *hello)
+{
+	struct hb_gateway *g = g_hash_table_lookup(h->gateways, hello->node);
+
+	if (g != NULL && g->incarnation == hello->incarnation)
+		return g;
+	// What the last start counted stays until it is settled.
+	if (g != NULL) {
+		char *old =
+		    g_strdup_printf("%s@%" PRIu64, g->name, g->incarnation);
+
+		(void)g_hash_table_steal(h->gateways, g->name);
+		(void)g_strlcpy(g->name, old, sizeof(g->name));
+		g->heard_us =
+		    MIN(g->heard_us, lp_now_us(h->loop) - HB_GATEWAY_LOST_US);
+		(void)g_hash_table_replace(h->gateways, g->name, g);
+		g_free(old);
+	}
+	g = g_new0(struct hb_gateway, 1);
+	(void)g_strlcpy(g->name, hello->node, sizeof(g->name));
+	(void)g_strlcpy(
+	    g->data_centre, hello->data_centre, sizeof(g->data_centre));
+	g->incarnation = hello->incarnation;
+	g->usage = g_array_new(FALSE, TRUE, sizeof(struct lm_usage));
+	g->demand = g_array_new(FALSE, TRUE, sizeof(struct lm_demand));
+	g->loads = g_array_new(FALSE, TRUE, sizeof(struct lm_load));
+	(void)g_hash_table_insert(h->gateways, g->name, g);
+	lg_event(LG_INFO, "gateway.known", "gateway=%s zone=%s", g->name,
+	    g->data_centre);
+	return g;
+}
+
+static double
+demand_of(const struct hb_gateway *g, const char *customer)
+{
+	for (guint i = 0; i < g->demand->len; i++) {
+		const struct lm_demand *d =
+		    &g_array_index(g->demand, struct lm_demand, i);
+
+		if (strcmp(d->customer, customer) == 0)
+			return (double)d->units_per_s;
+	}
+	return 0;
+}
+
+/// A gateway's share of a customer's quota, by the demand of all.
+static uint32_t
+share_of(const struct hb *h, const struct hb_gateway *own, const char *customer)
+{
+	const guint most = g_hash_table_size(h->gateways);
+	double *demand = g_new0(double, most + 1);
+	double *shares = g_new0(double, most + 1);
+	size_t n = 0;
+	size_t at = most;
+	uint32_t ppm = 0;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct hb_gateway *g = value;
+
+		if (!hb_gateway_lives(h, g))
+			continue;
+		if (g == own)
+			at = n;
+		demand[n++] = demand_of(g, customer);
+	}
+	if (at < n) {
+		qt_split(demand, n, shares);
+		ppm = (uint32_t)(shares[at] * PPM);
+	}
+	g_free(demand);
+	g_free(shares);
+	return ppm;
+}
+
+static uint32_t
+count_gateways(const struct hb *h)
+{
+	uint32_t n = 0;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		n += hb_gateway_lives(h, value);
+	return n;
+}
+
+static void
+fill_members(const struct gp_status *st, struct lm_state *s)
+{
+	for (uint32_t i = 0; i < st->members.n_voters; i++) {
+		const uint32_t slot = st->members.voters[i] & RL_SLOT_MASK;
+
+		g_array_append_val(s->members, slot);
+	}
+	for (uint32_t i = 0; i < st->members.n_learners; i++) {
+		const uint32_t slot = st->members.learners[i] & RL_SLOT_MASK;
+
+		g_array_append_val(s->members, slot);
+	}
+}
+
+static void
+fill_shares(const struct hb *h, const struct hb_gateway *g, struct lm_state *s)
+{
+	for (size_t i = 0; h->config != NULL && i < fc_n_customers(h->config);
+	     i++) {
+		const struct fc_customer *c = fc_customer(h->config, i);
+		struct lm_share share = { .share_ppm = 0 };
+
+		if (c->rate_per_s <= 0)
+			continue;
+		(void)g_strlcpy(
+		    share.customer, c->name, sizeof(share.customer));
+		share.share_ppm = share_of(h, g, c->name);
+		g_array_append_val(s->shares, share);
+	}
+}
+
+/// Tells a gateway what is in force. Only the leader says so; others say who
+/// leads.
+static void
+send_state(struct hb *h, const struct hb_gateway *g)
+{
+	struct wr_msg msg = { .kind = WR_STATE };
+	struct gp_status st;
+	struct lm_state s;
+	uint8_t *bytes;
+
+	gp_status(h->group, &st);
+	lm_state_init(&s);
+	s.echo_us = g->echo_us;
+	s.leads = hb_leads(h);
+	s.leader = st.leader & RL_SLOT_MASK;
+	fill_members(&st, &s);
+	if (s.leads) {
+		s.version = hs_version(h->state);
+		s.time_us = hb_true_us(h);
+		s.n_gateways = count_gateways(h);
+		if (g->version < s.version)
+			s.manifest = hs_manifest(h->state, &s.manifest_len);
+		fill_shares(h, g, &s);
+	}
+	lm_state_encode(&s, &bytes, &msg.evidence.len);
+	msg.evidence.at = bytes;
+	(void)lk_send(h->links, g->link, &msg);
+	free(bytes);
+	lm_state_clear(&s);
+}
+
+/// Tells all gateways, after a change.
+void
+hb_push(struct hb *h)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hb_gateway *g = value;
+
+		if (!hb_gateway_lives(h, g))
+			continue;
+		send_state(h, g);
+	}
+}
+
+static void
+swap_arrays(GArray **a, GArray **b)
+{
+	GArray *tmp = *a;
+
+	*a = *b;
+	*b = tmp;
+}
+
+static void
+take_report(struct hb *h, hd_t link, const struct wr_hello *hello,
+    const struct wr_bytes *bytes)
+{
+	struct hb_gateway *g;
+	struct lm_report r;
+
+	lm_report_init(&r);
+	if (lm_report_decode(bytes->at, bytes->len, &r) != ST_OK) {
+		lg_event(
+		    LG_WARN, "gateway.unreadable", "gateway=%s", hello->node);
+		lm_report_clear(&r);
+		return;
+	}
+	g = gateway_of(h, hello);
+	g->link = link;
+	g->heard_us = lp_now_us(h->loop);
+	g->echo_us = r.sent_us;
+	g->version = r.version;
+	g->stopping = r.stopping;
+	g->clock_us = (int64_t)r.time_us - (int64_t)g->heard_us;
+	swap_arrays(&g->usage, &r.usage);
+	swap_arrays(&g->demand, &r.demand);
+	swap_arrays(&g->loads, &r.loads);
+	lm_report_clear(&r);
+	send_state(h, g);
+}
+
+static void
+on_up(void *arg, hd_t link, const struct wr_hello *hello)
+{
+	struct hb *h = arg;
+	struct hb_peer *p;
+
+	lg_event(LG_INFO, "link.up", "peer=%s", hello->node);
+	if (hello->role != WR_ROLE_CONTROL)
+		return;
+	p = hb_peer(h, hello->id);
+	if (p == NULL)
+		return;
+	(void)g_strlcpy(
+	    p->data_centre, hello->data_centre, sizeof(p->data_centre));
+	if (link != p->dialled)
+		p->accepted = link;
+}
+
+static void
+on_message(void *arg, hd_t link, const struct wr_hello *hello,
+    const struct wr_msg *msg)
+{
+	struct hb *h = arg;
+
+	switch (msg->kind) {
+	case WR_LOG:
+		if (hello->role == WR_ROLE_CONTROL && h->group != NULL)
+			gp_message(h->group, hello->id, msg->log.bytes.at,
+			    msg->log.bytes.len);
+		break;
+	case WR_REPORT:
+		if (hello->role == WR_ROLE_ENTRY && h->group != NULL)
+			take_report(h, link, hello, &msg->evidence);
+		break;
+	default:
+		lg_event(LG_WARN, "link.unexpected", "peer=%s kind=%d",
+		    hello->node, (int)msg->kind);
+		break;
+	}
+}
+
+static void
+on_down(void *arg, hd_t link, const struct wr_hello *hello)
+{
+	struct hb *h = arg;
+	struct hb_peer *p;
+
+	lg_event(LG_INFO, "link.down", "peer=%s", hello->node);
+	if (hello->role != WR_ROLE_CONTROL)
+		return;
+	p = hb_peer(h, hello->id);
+	if (p != NULL && p->accepted == link)
+		p->accepted = HD_NONE;
+}
+
+/// Opens the links to the other processes of the deployment.
+enum st
+hb_link_start(struct hb *h)
+{
+	const struct ds_settings *s = &h->settings;
+	struct lk_config config = {
+		.base = lp_base(h->loop),
+		.timers = lp_timers(h->loop),
+		.self = {
+			.role = WR_ROLE_CONTROL,
+			.id = h->slot,
+			.incarnation = lp_incarnation(h->loop),
+			.deployment = "fleet",
+		},
+		.max_queue_bytes = HB_MAX_QUEUE_BYTES,
+		.callbacks = {
+			.up = on_up,
+			.message = on_message,
+			.down = on_down,
+			.arg = h,
+		},
+	};
+
+	(void)g_strlcpy(config.self.node, s->node, WR_NAME_BYTES);
+	(void)g_strlcpy(config.self.data_centre, s->data_centre, WR_NAME_BYTES);
+	h->links = lk_new(&config);
+	for (uint32_t i = 0; i < s->n_seeds; i++)
+		(void)hb_peer(h, ps_slot(s->seeds[i].host));
+	return lk_listen(h->links, s->host, s->peer_port);
+}
+
+/// Forgets gateways that are gone for long.
+void
+hb_link_tick(struct hb *h, uint64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct hb_gateway *g = value;
+
+		if (now_us < g->heard_us + HB_GATEWAY_KEPT_US)
+			continue;
+		lg_event(LG_INFO, "gateway.forgotten", "gateway=%s", g->name);
+		g_hash_table_iter_remove(&it);
+	}
+}
--- /dev/null
+++ b/src/hub/hb_log.c
@@ -0,0 +1,197 @@
+#include "hub/hb_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/ps.h"
+#include "platform/pf_manifest.h"
+
+#define HB_GROUP 1
+#define HB_ELECTION_US (900 * TM_US_PER_MS)
+#define HB_HEARTBEAT_US (200 * TM_US_PER_MS)
+#define HB_FAILED_EXIT 1
+
+static void
+on_send(void *arg, uint32_t to, const uint8_t *bytes, size_t len)
+{
+	struct hb *h = arg;
+	const struct hb_peer *p = hb_peer(h, to & RL_SLOT_MASK);
+	const struct wr_msg msg = {
+		.kind = WR_LOG,
+		.log = { .group = HB_GROUP, .bytes = { bytes, len } },
+	};
+
+	if (p == NULL)
+		return;
+	if (!lk_send(h->links, p->dialled, &msg) && p->accepted != HD_NONE)
+		(void)lk_send(h->links, p->accepted, &msg);
+}
+
+/// Reads the configuration of the state anew.
+static void
+read_config(struct hb *h)
+{
+	struct fc *config;
+	size_t len;
+	const uint8_t *text = hs_manifest(h->state, &len);
+
+	if (len == 0 ||
+	    (h->config != NULL &&
+		fc_version(h->config) == hs_version(h->state)))
+		return;
+	if (pf_manifest_read((const char *)text, len, &config) != ST_OK) {
+		lg_event(
+		    LG_ERROR, "config.unreadable", "reason=\"%s\"", st_last());
+		return;
+	}
+	fc_unref(h->config);
+	h->config = config;
+	lg_event(
+	    LG_INFO, "config.changed", "version=%" PRIu64, fc_version(config));
+	tm_arm_in(h->push, 0);
+}
+
+static void
+on_apply(void *arg, uint64_t index, const uint8_t *cmd, size_t len,
+    uint8_t **result, size_t *result_len)
+{
+	struct hb *h = arg;
+
+	*result = NULL;
+	*result_len = 0;
+	if (hs_apply(h->state, index, cmd, len) != ST_OK)
+		lg_event(LG_ERROR, "log.unreadable", "index=%" PRIu64, index);
+	read_config(h);
+}
+
+static enum st
+on_snapshot_make(void *arg, uint8_t **bytes, size_t *len)
+{
+	const struct hb *h = arg;
+
+	hs_save(h->state, bytes, len);
+	return ST_OK;
+}
+
+static enum st
+on_snapshot_load(void *arg, const uint8_t *bytes, size_t len)
+{
+	struct hb *h = arg;
+	struct hs *state;
+	const enum st st = hs_load(bytes, len, &state);
+
+	if (st != ST_OK)
+		return st;
+	hs_free(h->state);
+	h->state = state;
+	read_config(h);
+	return ST_OK;
+}
+
+static const char *
+role_name(enum rl_role role)
+{
+	switch (role) {
+	case RL_FOLLOWER:
+		return "follower";
+	case RL_PRE_CANDIDATE:
+		return "pre_candidate";
+	case RL_CANDIDATE:
+		return "candidate";
+	case RL_LEADER:
+		return "leader";
+	}
+	return "?";
+}
+
+static void
+on_role(void *arg, enum rl_role role, uint32_t leader, uint64_t term)
+{
+	struct hb *h = arg;
+	char host[SV_HOST_BYTES] = "-";
+
+	if (leader != 0)
+		ps_host(h->settings.host, leader & RL_SLOT_MASK, host,
+		    sizeof(host));
+	lg_event(LG_INFO, "group.role",
+	    "role=%s leader=%s term=%" PRIu64 " ready=%s", role_name(role),
+	    host, term, hb_leads(h) ? "yes" : "no");
+	if (!hb_leads(h))
+		hb_duty_reset(h);
+	tm_arm_in(h->push, 0);
+}
+
+static void
+on_failed(void *arg, enum st status)
+{
+	struct hb *h = arg;
+	char quoted[256];
+
+	lg_event(LG_ERROR, "group.failed", "status=%s reason=%s",
+	    st_name(status), lg_quote(quoted, sizeof(quoted), st_last()));
+	lp_end(h->loop, HB_FAILED_EXIT);
+}
+
+/// Proposes a command to the log that this process leads.
+void
+hb_propose(struct hb *h, const struct hs_command *c, gp_done done, void *arg)
+{
+	uint8_t *bytes;
+	size_t len;
+
+	hs_encode(c, &bytes, &len);
+	gp_propose(h->group, bytes, len, done, arg);
+	free(bytes);
+}
+
+/// Founders are the seeds of the first start; everybody else joins.
+static void
+set_founders(const struct hb *h, struct gp_config *config)
+{
+	const struct ds_settings *s = &h->settings;
+	bool founds = false;
+
+	for (uint32_t i = 0; i < s->n_seeds; i++) {
+		const uint32_t slot = ps_slot(s->seeds[i].host);
+
+		if (slot == 0)
+			continue;
+		config->contacts[config->n_contacts++] = slot;
+		founds |= s->first_start && slot == h->slot;
+	}
+	if (!founds)
+		return;
+	config->n_voters = config->n_contacts;
+	memcpy(config->voters, config->contacts, sizeof(config->voters));
+}
+
+/// Opens the log.
+enum st
+hb_log_start(struct hb *h)
+{
+	const struct ds_settings *s = &h->settings;
+	struct gp_config config = {
+		.folder = s->data_folder,
+		.group = HB_GROUP,
+		.self = h->slot,
+		.deployment = "fleet",
+		.node = s->node,
+		.election_us = HB_ELECTION_US,
+		.heartbeat_us = HB_HEARTBEAT_US,
+		.tm = lp_timers(h->loop),
+		.rnd = lp_random(h->loop),
+		.ops = {
+			.send = on_send,
+			.apply = on_apply,
+			.snapshot_make = on_snapshot_make,
+			.snapshot_load = on_snapshot_load,
+			.role_changed = on_role,
+			.failed = on_failed,
+		},
+		.arg = h,
+	};
+
+	set_founders(h, &config);
+	return gp_open(&config, &h->group);
+}
--- /dev/null
+++ b/src/hub/hb_operators.c
@@ -0,0 +1,207 @@
+#include "hub/hb_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/ps.h"
+#include "platform/pf_cloud.h"
+#include "platform/pf_manifest.h"
+#include "platform/pf_names.h"
+
+#define HB_MAX_ORDER_BYTES (32U << 20)
+#define HB_IDLE_MS 60000
+
+/// An operator's order that waits for the log.
+struct pending {
+	struct hb *hb;
+	hd_t handle;
+	uint64_t asked_us;
+	uint64_t version;
+};
+
+static void
+reply(struct hb *h, hd_t handle, int status, const char *text)
+{
+	fr_reply(h->operators, handle, status, NULL, "text/plain", text,
+	    strlen(text));
+}
+
+/// Sends an operator on to the leader, if it is known.
+static void
+redirect(struct hb *h, hd_t handle, const struct fr_request *req)
+{
+	struct gp_status st;
+	char host[SV_HOST_BYTES];
+	char *location;
+
+	gp_status(h->group, &st);
+	if (st.leader == 0 || (st.leader & RL_SLOT_MASK) == h->slot) {
+		reply(h, handle, 503, "no leader at the moment");
+		return;
+	}
+	ps_host(h->settings.host, st.leader & RL_SLOT_MASK, host, sizeof(host));
+	location = g_strdup_printf(
+	    "http://%s:%u%s", host, h->settings.operators.port, req->path);
+	fr_add_header(h->operators, handle, "Location", location);
+	reply(h, handle, 307, "the leader answers");
+	g_free(location);
+}
+
+static void
+on_config_done(void *arg, enum st status, const uint8_t *result, size_t len)
+{
+	struct pending *p = arg;
+	struct hb *h = p->hb;
+
+	(void)result;
+	(void)len;
+	lg_event(LG_INFO, "order.config", "version=%" PRIu64 " status=%s",
+	    p->version, st_name(status));
+	ct_observe(h->ack_latency, lp_now_us(h->loop) - p->asked_us);
+	if (status == ST_OK)
+		reply(h, p->handle, 200, "accepted");
+	else
+		reply(h, p->handle, 503,
+		    status == ST_UNAVAILABLE ? "not accepted: no leader"
+					     : "outcome unknown");
+	g_free(p);
+}
+
+static void
+put_config(struct hb *h, hd_t handle, const struct fr_request *req)
+{
+	const struct hs_command c = {
+		.kind = HS_CONFIG,
+		.text = req->body,
+		.len = req->len,
+	};
+	struct hs_command command = c;
+	struct pending *p;
+	struct fc *config;
+	char quoted[256];
+	size_t len;
+
+	if (pf_manifest_read((const char *)req->body, req->len, &config) !=
+	    ST_OK) {
+		h->n_invalid->n++;
+		lg_event(LG_INFO, "order.invalid", "reason=%s",
+		    lg_quote(quoted, sizeof(quoted), st_last()));
+		reply(h, handle, 400, st_last());
+		return;
+	}
+	command.version = fc_version(config);
+	fc_unref(config);
+	(void)hs_manifest(h->state, &len);
+	if (len > 0 && command.version <= hs_version(h->state)) {
+		lg_event(LG_INFO, "order.config",
+		    "version=%" PRIu64 " status=overtaken by=%" PRIu64,
+		    command.version, hs_version(h->state));
+		reply(h, handle, 200, "a newer configuration is in force");
+		return;
+	}
+	p = g_new0(struct pending, 1);
+	p->hb = h;
+	p->handle = handle;
+	p->asked_us = lp_now_us(h->loop);
+	p->version = command.version;
+	hb_propose(h, &command, on_config_done, p);
+}
+
+static void
+get_config(struct hb *h, hd_t handle)
+{
+	size_t len;
+	const uint8_t *text = hs_manifest(h->state, &len);
+
+	if (len == 0)
+		reply(h, handle, 503, "no configuration yet");
+	else
+		fr_reply(h->operators, handle, 200, NULL, "application/json",
+		    text, len);
+}
+
+static void
+on_request(void *arg, hd_t handle, const struct fr_request *req)
+{
+	struct hb *h = arg;
+	const bool config = strcmp(req->path, PF_CONFIG_PATH) == 0;
+	const bool put = config && req->method == FR_PUT;
+
+	h->n_orders->n++;
+	if (!config) {
+		reply(h, handle, 404, "no such call");
+		return;
+	}
+	if (!put && req->method != FR_GET) {
+		reply(h, handle, 405, "no such method");
+		return;
+	}
+	if (!hb_leads(h)) {
+		redirect(h, handle, req);
+		return;
+	}
+	if (put)
+		put_config(h, handle, req);
+	else
+		get_config(h, handle);
+}
+
+static void
+on_gone(void *arg, hd_t handle)
+{
+	(void)arg;
+	(void)handle;
+}
+
+static void
+on_metrics(void *arg, hd_t handle, const struct fr_request *req)
+{
+	struct hb *h = arg;
+	struct ct_set *set = lp_counters(h->loop);
+	size_t len;
+	char *text;
+
+	(void)req;
+	ct_gauge(set, "ac_config_version", "")->n = hs_version(h->state);
+	ct_gauge(set, "ac_leads", "")->n = hb_leads(h);
+	ct_gauge(set, "ac_fence", "")->n = hs_duty(h->state).fence;
+	ct_gauge(set, "ac_gateways", "")->n = g_hash_table_size(h->gateways);
+	ct_gauge(set, "ac_peer_bytes_sent_total", "")->n =
+	    lk_bytes_sent(h->links);
+	text = ct_text(set, &len);
+	fr_reply(h->metrics, handle, 200, NULL, "text/plain; version=0.0.4",
+	    text, len);
+	free(text);
+}
+
+static struct fr *
+server_new(
+    struct hb *h, void (*request)(void *, hd_t, const struct fr_request *))
+{
+	const struct fr_config config = {
+		.base = lp_base(h->loop),
+		.max_body_bytes = HB_MAX_ORDER_BYTES,
+		.idle_ms = HB_IDLE_MS,
+		.request = request,
+		.gone = on_gone,
+		.arg = h,
+	};
+
+	return fr_new(&config);
+}
+
+/// Opens the operators' address and that of metrics.
+enum st
+hb_operators_start(struct hb *h)
+{
+	const struct ds_settings *s = &h->settings;
+	enum st st;
+
+	h->operators = server_new(h, on_request);
+	st = fr_listen(h->operators, s->operators.host, s->operators.port);
+	if (st != ST_OK || s->metrics_port == 0)
+		return st;
+	h->metrics = server_new(h, on_metrics);
+	return fr_listen(h->metrics, s->host, s->metrics_port);
+}
--- /dev/null
+++ b/src/hub/hs.c
@@ -0,0 +1,269 @@
+#include "hub/hs.h"
+
+#include <string.h>
+
+#include "codec/mp.h"
+
+/// Windows whose usage is kept, so that a repeat is exact.
+#define HS_KEEP_WINDOWS 24
+#define HS_MAX_COUNTS 4096
+#define HS_FORMAT 1
+
+struct hs {
+	uint64_t version;
+	uint8_t *text;
+	size_t len;
+	struct hs_duty duty;
+	GQueue *usage; ///< struct hs_usage, oldest first
+};
+
+static void
+usage_free(gpointer p)
+{
+	struct hs_usage *u = p;
+
+	g_array_unref(u->counts);
+	g_free(u);
+}
+
+/// Makes an empty state.
+struct hs *
+hs_new(void)
+{
+	struct hs *s = g_new0(struct hs, 1);
+
+	s->usage = g_queue_new();
+	return s;
+}
+
+/// Releases a state; NULL is allowed.
+void
+hs_free(struct hs *s)
+{
+	if (s == NULL)
+		return;
+	g_queue_free_full(s->usage, usage_free);
+	g_free(s->text);
+	g_free(s);
+}
+
+static void
+code_usage(struct mp *m, struct hs_usage *u)
+{
+	uint32_t n = u->counts->len;
+
+	mp_u64(m, &u->window);
+	mp_u32(m, &n);
+	if (!mp_writing(m)) {
+		if (n > HS_MAX_COUNTS) {
+			mp_fail(m);
+			n = 0;
+		}
+		g_array_set_size(u->counts, n);
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		struct lm_usage *c =
+		    &g_array_index(u->counts, struct lm_usage, i);
+
+		c->window = u->window;
+		mp_str(m, c->customer, sizeof(c->customer));
+		mp_u64(m, &c->n);
+	}
+}
+
+static void
+code_command(struct mp *m, struct hs_command *c)
+{
+	mp_enum(m, &c->kind, HS_KINDS);
+	switch (c->kind) {
+	case HS_CONFIG:
+		mp_u64(m, &c->version);
+		mp_bytes(m, &c->text, &c->len);
+		break;
+	case HS_DUTY:
+		mp_u32(m, &c->holder);
+		break;
+	case HS_USAGE:
+		code_usage(m, &c->usage);
+		break;
+	case HS_KINDS:
+		mp_fail(m);
+		break;
+	}
+}
+
+/// Encodes a command.
+///
+/// @param bytes  to be released with free()
+void
+hs_encode(const struct hs_command *c, uint8_t **bytes, size_t *len)
+{
+	struct hs_command copy = *c;
+	struct mp *m = mp_writer();
+
+	code_command(m, &copy);
+	mp_take(m, bytes, len);
+}
+
+static void
+set_config(struct hs *s, const struct hs_command *c)
+{
+	if (s->len > 0 && c->version <= s->version)
+		return;
+	g_free(s->text);
+	s->version = c->version;
+	s->text = g_memdup2(c->text, c->len);
+	s->len = c->len;
+}
+
+static void
+settle_usage(struct hs *s, struct hs_usage *u)
+{
+	struct hs_usage *kept;
+
+	if (hs_usage(s, u->window) != NULL)
+		return;
+	kept = g_new0(struct hs_usage, 1);
+	kept->window = u->window;
+	kept->counts = g_array_ref(u->counts);
+	g_queue_push_tail(s->usage, kept);
+	if (g_queue_get_length(s->usage) > HS_KEEP_WINDOWS)
+		usage_free(g_queue_pop_head(s->usage));
+}
+
+/// Applies a committed command.
+///
+/// @param index  of its entry in the log: grows with each command
+/// @return ST_OK, or ST_CORRUPT when it can't be read
+enum st
+hs_apply(struct hs *s, uint64_t index, const uint8_t *bytes, size_t len)
+{
+	struct hs_command c = { .kind = HS_CONFIG };
+	struct mp *m = mp_reader(bytes, len);
+	bool good;
+
+	c.usage.counts = g_array_new(FALSE, TRUE, sizeof(struct lm_usage));
+	code_command(m, &c);
+	good = mp_end(m);
+	mp_free(m);
+	if (good) {
+		switch (c.kind) {
+		case HS_CONFIG:
+			set_config(s, &c);
+			break;
+		case HS_DUTY:
+			s->duty.holder = c.holder;
+			s->duty.fence = index;
+			break;
+		case HS_USAGE:
+			settle_usage(s, &c.usage);
+			break;
+		case HS_KINDS:
+			break;
+		}
+	}
+	g_array_unref(c.usage.counts);
+	return good ? ST_OK : st_fail(ST_CORRUPT, "a command can't be read");
+}
+
+static void
+code_state(struct mp *m, struct hs *s, const uint8_t **text)
+{
+	uint32_t format = HS_FORMAT;
+	uint32_t n = g_queue_get_length(s->usage);
+
+	mp_u32(m, &format);
+	if (format != HS_FORMAT)
+		mp_fail(m);
+	mp_u64(m, &s->version);
+	mp_bytes(m, text, &s->len);
+	mp_u32(m, &s->duty.holder);
+	mp_u64(m, &s->duty.fence);
+	mp_u32(m, &n);
+	for (uint32_t i = 0; i < n && !mp_bad(m); i++) {
+		struct hs_usage *u;
+
+		if (mp_writing(m)) {
+			code_usage(m, g_queue_peek_nth(s->usage, i));
+			continue;
+		}
+		u = g_new0(struct hs_usage, 1);
+		u->counts = g_array_new(FALSE, TRUE, sizeof(struct lm_usage));
+		g_queue_push_tail(s->usage, u);
+		code_usage(m, u);
+	}
+}
+
+/// Encodes the whole state.
+///
+/// @param bytes  to be released with free()
+void
+hs_save(const struct hs *s, uint8_t **bytes, size_t *len)
+{
+	struct mp *m = mp_writer();
+	struct hs copy = *s;
+	const uint8_t *text = s->text;
+
+	code_state(m, &copy, &text);
+	mp_take(m, bytes, len);
+}
+
+/// Decodes a whole state.
+///
+/// @return ST_OK or ST_CORRUPT
+enum st
+hs_load(const uint8_t *bytes, size_t len, struct hs **out)
+{
+	struct hs *s = hs_new();
+	struct mp *m = mp_reader(bytes, len);
+	const uint8_t *text = NULL;
+	bool good;
+
+	code_state(m, s, &text);
+	good = mp_end(m);
+	s->text = g_memdup2(text, s->len);
+	mp_free(m);
+	if (!good) {
+		hs_free(s);
+		return st_fail(ST_CORRUPT, "a snapshot can't be read");
+	}
+	*out = s;
+	return ST_OK;
+}
+
+/// Version of the configuration; 0 with no text: none yet.
+uint64_t
+hs_version(const struct hs *s)
+{
+	return s->version;
+}
+
+/// The configuration as the operator sent it.
+///
+/// @param len  receives its length; 0: none yet
+const uint8_t *
+hs_manifest(const struct hs *s, size_t *len)
+{
+	*len = s->len;
+	return s->text;
+}
+
+/// Who holds the duties.
+struct hs_duty
+hs_duty(const struct hs *s)
+{
+	return s->duty;
+}
+
+/// Settled usage of a window, or NULL.
+const struct hs_usage *
+hs_usage(const struct hs *s, uint64_t window)
+{
+	for (const GList *l = s->usage->head; l != NULL; l = l->next) {
+		const struct hs_usage *u = l->data;
+
+		if (u->window == window)
+			return u;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/hub/hs.h
@@ -0,0 +1,55 @@
+#ifndef HUB_HS_H
+#define HUB_HS_H
+
+#include <glib.h>
+
+#include "fleet/lm.h"
+
+/// Replicated state of a deployment: the configuration in force, who holds the
+/// duties, usage that was settled. A core without I/O: equal commands in equal
+/// order give equal states.
+
+struct hs;
+
+enum hs_kind {
+	HS_CONFIG, ///< A whole configuration; the highest version wins.
+	HS_DUTY,   ///< A process takes the duties over.
+	HS_USAGE,  ///< Counts of a window; the first ones are final.
+	HS_KINDS,
+};
+
+/// Settled usage of one window.
+struct hs_usage {
+	uint64_t window;
+	GArray *counts; ///< struct lm_usage
+};
+
+struct hs_command {
+	enum hs_kind kind;
+	uint64_t version;
+	const uint8_t *text;
+	size_t len;
+	uint32_t holder; ///< slot
+	struct hs_usage usage;
+};
+
+/// Who may make the calls of the duties, under which fencing number.
+struct hs_duty {
+	uint32_t holder; ///< slot; 0: nobody yet
+	uint64_t fence;
+};
+
+struct hs *hs_new(void);
+void hs_free(struct hs *s);
+void hs_encode(const struct hs_command *c, uint8_t **bytes, size_t *len);
+enum st hs_apply(
+    struct hs *s, uint64_t index, const uint8_t *bytes, size_t len);
+void hs_save(const struct hs *s, uint8_t **bytes, size_t *len);
+enum st hs_load(const uint8_t *bytes, size_t len, struct hs **out);
+
+uint64_t hs_version(const struct hs *s);
+const uint8_t *hs_manifest(const struct hs *s, size_t *len);
+struct hs_duty hs_duty(const struct hs *s);
+const struct hs_usage *hs_usage(const struct hs *s, uint64_t window);
+
+#endif
--- a/src/loop/lp.c
+++ b/src/loop/lp.c
@@ -35,17 +35,18 @@
 }
 
 static uint64_t
-monotonic_us(void *arg)
+steady_us(void *arg)
 {
 	(void)arg;
-	return clock_us(CLOCK_MONOTONIC);
+	// Leases must run out while a VM stands still.
+	return clock_us(CLOCK_BOOTTIME);
 }
 
 static void
 wake_at(void *arg, uint64_t at_us)
 {
 	struct lp *l = arg;
-	const uint64_t now = monotonic_us(NULL);
+	const uint64_t now = steady_us(NULL);
 	const uint64_t in = at_us > now ? at_us - now : 0;
 	const struct timeval tv = {
 		.tv_sec = (time_t)(in / TM_US_PER_S),
@@ -84,7 +85,7 @@
 {
 	struct lp *l = g_new0(struct lp, 1);
 	const struct tm_source source = {
-		.now_us = monotonic_us,
+		.now_us = steady_us,
 		.wake_at = wake_at,
 		.arg = l,
 	};
@@ -206,7 +207,7 @@
 	return l->random;
 }
 
-/// Monotonic time in microseconds.
+/// Time in microseconds that never steps and counts while the VM is frozen.
 uint64_t
 lp_now_us(const struct lp *l)
 {
--- /dev/null
+++ b/src/platform/pf_call.c
@@ -0,0 +1,357 @@
+#include "platform/pf_call.h"
+
+#include <glib.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include "platform/pf_names.h"
+
+#define HEX 16
+#define DECIMAL 10
+
+struct pf_headers {
+	GArray *list; ///< struct hc_header
+};
+
+/// Headers that concern one connection, or that the client library states.
+static const char *const one_hop[] = { "Connection", "Keep-Alive",
+	"Proxy-Connection", "Proxy-Authorization", "Proxy-Authenticate", "TE",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+	NULL };
+
+/// Headers of requests that only this system may set.
+static const char *const own[] = { PF_CUSTOMER, PF_EXPECT_SERVER,
+	PF_EXPECT_WEIGHTS, PF_PRIORITY, PF_HOLD, PF_PIN, PF_BACKUP, PF_KV_FROM,
+	PF_KV_FETCH, PF_DEADLINE, PF_LAST_EVENT, NULL };
+
+static bool
+is_among(const char *const *names, const char *name)
+{
+	for (; *names != NULL; names++) {
+		if (g_ascii_strcasecmp(*names, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+read_u32(const char *text, char **end, uint32_t *out)
+{
+	guint64 v;
+
+	if (!g_ascii_isdigit(*text))
+		return false;
+	v = g_ascii_strtoull(text, end, DECIMAL);
+	if (v > UINT32_MAX)
+		return false;
+	*out = (uint32_t)v;
+	return true;
+}
+
+/// Milliseconds, perhaps with a fraction.
+static bool
+read_ms(const char *text, uint32_t *out)
+{
+	char *end;
+
+	if (!read_u32(text, &end, out))
+		return false;
+	return *end == '\0' || *end == '.';
+}
+
+static bool
+read_tokens(const char *text, struct pf_call *out)
+{
+	char *end;
+
+	if (!read_u32(text, &end, &out->prompt_tokens) || *end != ',')
+		return false;
+	for (end++; *end == ' '; end++)
+		;
+	return read_u32(end, &end, &out->output_tokens) && *end == '\0';
+}
+
+static bool
+read_parts(const char *text, struct pf_call *out)
+{
+	out->n_parts = 0;
+	while (*text != '\0') {
+		struct pf_part p;
+		char *end;
+
+		while (*text == ' ')
+			text++;
+		if (!g_ascii_isxdigit(*text))
+			return false;
+		p.id = g_ascii_strtoull(text, &end, HEX);
+		if (*end != ':' || !read_u32(end + 1, &end, &p.tokens))
+			return false;
+		if (out->n_parts < PF_MAX_PARTS)
+			out->parts[out->n_parts++] = p;
+		if (*end != ',' && *end != '\0')
+			return false;
+		text = *end == ',' ? end + 1 : end;
+	}
+	return true;
+}
+
+static void
+read_host(const char *text, char *out, size_t size)
+{
+	const char *colon = strchr(text, ':');
+	const size_t len =
+	    colon != NULL ? (size_t)(colon - text) : strlen(text);
+
+	(void)g_strlcpy(out, text, MIN(size, len + 1));
+	for (; *out != '\0'; out++)
+		*out = g_ascii_tolower(*out);
+}
+
+static void
+read_key(const char *text, struct pf_call *out)
+{
+	static const char bearer[] = "Bearer ";
+
+	if (g_ascii_strncasecmp(text, bearer, strlen(bearer)) != 0)
+		return;
+	out->has_key = true;
+	(void)g_strlcpy(out->key, text + strlen(bearer), sizeof(out->key));
+}
+
+static void
+read_call_header(void *arg, const char *name, const char *value)
+{
+	struct pf_call *out = arg;
+	char *end;
+
+	if (g_ascii_strcasecmp(name, PF_REQUEST_ID) == 0)
+		(void)g_strlcpy(out->id, value, sizeof(out->id));
+	else if (g_ascii_strcasecmp(name, "Host") == 0)
+		read_host(value, out->host, sizeof(out->host));
+	else if (g_ascii_strcasecmp(name, "Authorization") == 0)
+		read_key(value, out);
+	else if (g_ascii_strcasecmp(name, PF_DEADLINE) == 0)
+		out->bad |=
+		    !(out->has_deadline = read_ms(value, &out->deadline_ms));
+	else if (g_ascii_strcasecmp(name, PF_TOKENS) == 0)
+		out->bad |= !(out->has_tokens = read_tokens(value, out));
+	else if (g_ascii_strcasecmp(name, PF_LENGTH_HINT) == 0)
+		(void)read_u32(value, &end, &out->length_hint);
+	else if (g_ascii_strcasecmp(name, PF_PROMPT) == 0)
+		out->bad |= !read_parts(value, out);
+	else if (g_ascii_strcasecmp(name, PF_LAST_EVENT) == 0) {
+		out->resumes = g_ascii_isdigit(value[0]);
+		out->bad |= !out->resumes;
+		out->last_event = g_ascii_strtoull(value, NULL, DECIMAL);
+	}
+}
+
+/// Reads the head of a caller's request.
+void
+pf_call_read(struct fr *f, hd_t handle, struct pf_call *out)
+{
+	memset(out, 0, sizeof(*out));
+	fr_each_header(f, handle, read_call_header, out);
+}
+
+static void
+read_load(const char *value, struct pf_answer *out)
+{
+	char *end;
+
+	out->has_load = read_u32(value, &end, &out->running) && *end == ',' &&
+	    read_u32(end + 1, &end, &out->waiting) && *end == ',' &&
+	    read_u32(end + 1, &end, &out->slots);
+}
+
+static void
+read_answer_header(void *arg, const char *name, const char *value)
+{
+	struct pf_answer *out = arg;
+
+	if (g_ascii_strcasecmp(name, PF_REQUEST_ID) == 0)
+		(void)g_strlcpy(out->id, value, sizeof(out->id));
+	else if (g_ascii_strcasecmp(name, PF_STAMP) == 0)
+		out->stamped = true;
+	else if (g_ascii_strcasecmp(name, PF_NOT_RUN) == 0)
+		out->not_run = true;
+	else if (g_ascii_strcasecmp(name, PF_LOAD) == 0)
+		read_load(value, out);
+	else if (g_ascii_strcasecmp(name, "Content-Encoding") == 0)
+		out->encoded = g_ascii_strcasecmp(value, "identity") != 0;
+	else if (g_ascii_strcasecmp(name, "Retry-After") == 0)
+		out->retry_after_ms =
+		    (uint32_t)(CLAMP(g_ascii_strtod(value, NULL), 0, 3600) *
+			1000);
+}
+
+/// Reads the head of a backend server's answer, within on_head or on_end.
+void
+pf_answer_read(struct hc *c, hd_t handle, struct pf_answer *out)
+{
+	memset(out, 0, sizeof(*out));
+	hc_each_answer_header(c, handle, read_answer_header, out);
+}
+
+static struct pf_headers *
+headers_new(void)
+{
+	struct pf_headers *h = g_new0(struct pf_headers, 1);
+
+	h->list = g_array_new(FALSE, FALSE, sizeof(struct hc_header));
+	return h;
+}
+
+/// Names in a Connection header; these concern one connection, too.
+static bool
+is_named_in(const char *list, const char *name)
+{
+	gchar **names;
+	bool found = false;
+
+	if (list == NULL)
+		return false;
+	names = g_strsplit(list, ",", -1);
+	for (gchar **n = names; *n != NULL && !found; n++)
+		found = g_ascii_strcasecmp(g_strstrip(*n), name) == 0;
+	g_strfreev(names);
+	return found;
+}
+
+struct picking {
+	struct pf_headers *out;
+	const char *connection;
+	bool drop_key;
+};
+
+static void
+pick_request_header(void *arg, const char *name, const char *value)
+{
+	const struct picking *p = arg;
+
+	if (is_among(one_hop, name) || is_among(own, name) ||
+	    is_named_in(p->connection, name))
+		return;
+	if (p->drop_key && g_ascii_strcasecmp(name, "Authorization") == 0)
+		return;
+	pf_headers_add(p->out, name, value);
+}
+
+/// Headers of a caller's request that go on to the backend server.
+///
+/// @param drop_key  the API key stays here
+struct pf_headers *
+pf_headers_of_request(struct fr *f, hd_t handle, bool drop_key)
+{
+	struct picking p = {
+		.out = headers_new(),
+		.connection = fr_header(f, handle, "Connection"),
+		.drop_key = drop_key,
+	};
+
+	fr_each_header(f, handle, pick_request_header, &p);
+	return p.out;
+}
+
+static void
+pick_answer_header(void *arg, const char *name, const char *value)
+{
+	const struct picking *p = arg;
+
+	if (is_among(one_hop, name) || is_named_in(p->connection, name))
+		return;
+	pf_headers_add(p->out, name, value);
+}
+
+/// Headers of a backend server's answer that go on to the caller.
+struct pf_headers *
+pf_headers_of_answer(struct hc *c, hd_t handle)
+{
+	struct picking p = {
+		.out = headers_new(),
+		.connection = hc_answer_header(c, handle, "Connection"),
+	};
+
+	hc_each_answer_header(c, handle, pick_answer_header, &p);
+	return p.out;
+}
+
+/// Adds a header.
+void
+pf_headers_add(struct pf_headers *h, const char *name, const char *value)
+{
+	const struct hc_header copy = { g_strdup(name), g_strdup(value) };
+
+	g_array_append_val(h->list, copy);
+}
+
+/// Adds a header with a formatted value.
+void
+pf_headers_addf(struct pf_headers *h, const char *name, const char *fmt, ...)
+{
+	struct hc_header copy = { .name = g_strdup(name) };
+	va_list ap;
+
+	va_start(ap, fmt);
+	copy.value = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	g_array_append_val(h->list, copy);
+}
+
+static void
+clear(const struct hc_header *h)
+{
+	g_free((char *)h->name);
+	g_free((char *)h->value);
+}
+
+/// Keeps only the first headers.
+///
+/// @param n  how many
+void
+pf_headers_cut(struct pf_headers *h, size_t n)
+{
+	for (guint i = (guint)n; i < h->list->len; i++)
+		clear(&g_array_index(h->list, struct hc_header, i));
+	if (h->list->len > n)
+		g_array_set_size(h->list, (guint)n);
+}
+
+/// Number of headers.
+size_t
+pf_headers_count(const struct pf_headers *h)
+{
+	return h->list->len;
+}
+
+/// All headers, valid until the next one is added.
+const struct hc_header *
+pf_headers_all(const struct pf_headers *h)
+{
+	return (const struct hc_header *)(const void *)h->list->data;
+}
+
+/// Value of a header, or NULL.
+const char *
+pf_headers_find(const struct pf_headers *h, const char *name)
+{
+	for (guint i = 0; i < h->list->len; i++) {
+		const struct hc_header *at =
+		    &g_array_index(h->list, struct hc_header, i);
+
+		if (g_ascii_strcasecmp(at->name, name) == 0)
+			return at->value;
+	}
+	return NULL;
+}
+
+/// Releases headers; NULL is allowed.
+void
+pf_headers_free(struct pf_headers *h)
+{
+	if (h == NULL)
+		return;
+	pf_headers_cut(h, 0);
+	g_array_unref(h->list);
+	g_free(h);
+}
--- /dev/null
+++ b/src/platform/pf_cloud.c
@@ -0,0 +1,204 @@
+#include "platform/pf_cloud.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/lg.h"
+#include "platform/pf_names.h"
+
+#define MAX_COLD_MS 600000
+
+static bool
+copy_text(const json_t *o, const char *key, char *out, size_t size)
+{
+	const char *text = json_string_value(json_object_get(o, key));
+
+	return text != NULL && text[0] != '\0' &&
+	    g_strlcpy(out, text, size) < size;
+}
+
+static bool
+read_address(const json_t *o, struct sv *out)
+{
+	const char *text = json_string_value(json_object_get(o, "address"));
+	const char *colon = text == NULL ? NULL : strrchr(text, ':');
+	guint64 port;
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(out->host))
+		return false;
+	(void)g_strlcpy(out->host, text, (gsize)(colon - text) + 1);
+	port = g_ascii_strtoull(colon + 1, NULL, 10);
+	out->port = (uint16_t)port;
+	return port > 0 && port <= UINT16_MAX &&
+	    g_hostname_is_ip_address(out->host);
+}
+
+static bool
+read_state(const json_t *o, struct sv *out)
+{
+	const char *state = json_string_value(json_object_get(o, "state"));
+
+	if (state == NULL)
+		return false;
+	out->leaving = strcmp(state, "draining") == 0;
+	return out->leaving || strcmp(state, "ready") == 0;
+}
+
+static bool
+read_server(const json_t *o, struct sv *out)
+{
+	const json_t *slots = json_object_get(o, "slots");
+	const json_t *cold = json_object_get(o, "cold_left_ms");
+
+	memset(out, 0, sizeof(*out));
+	if (!json_is_object(o) ||
+	    !copy_text(o, "id", out->id, sizeof(out->id)) ||
+	    !copy_text(o, "service", out->service, sizeof(out->service)) ||
+	    !copy_text(o, "zone", out->zone, sizeof(out->zone)) ||
+	    !read_address(o, out) || !read_state(o, out))
+		return false;
+	if (!copy_text(o, "version", out->version, sizeof(out->version)))
+		return false;
+	if (!json_is_integer(slots) || json_integer_value(slots) < 0)
+		return false;
+	out->slots = (uint32_t)json_integer_value(slots);
+	out->spot = json_is_true(json_object_get(o, "spot"));
+	if (json_is_number(cold))
+		out->cold_ms =
+		    (uint32_t)CLAMP(json_number_value(cold), 0, MAX_COLD_MS);
+	return true;
+}
+
+/// Reads one page of the list.
+enum st
+pf_list_read(
+    const char *text, size_t len, GArray *servers, char **next, size_t *n_bad)
+{
+	json_t *root = json_loadb(text, len, 0, NULL);
+	const json_t *list = json_object_get(root, "instances");
+	const char *token = json_string_value(json_object_get(root, "next"));
+	const json_t *o;
+	size_t i;
+
+	*next = NULL;
+	*n_bad = 0;
+	if (!json_is_array(list)) {
+		json_decref(root);
+		return st_fail(ST_CORRUPT, "the list can't be read");
+	}
+	json_array_foreach(list, i, o)
+	{
+		struct sv s;
+
+		if (read_server(o, &s))
+			g_array_append_val(servers, s);
+		else
+			(*n_bad)++;
+	}
+	*next = g_strdup(token);
+	json_decref(root);
+	return ST_OK;
+}
+
+/// Path of a page of the list.
+char *
+pf_list_path(const char *token)
+{
+	char *quoted;
+	char *path;
+
+	if (token == NULL)
+		return g_strdup(PF_LIST_PATH);
+	quoted = g_uri_escape_string(token, NULL, FALSE);
+	path = g_strdup_printf(PF_LIST_PATH "?page_token=%s", quoted);
+	g_free(quoted);
+	return path;
+}
+
+static char *
+dump(json_t *o)
+{
+	char *text = json_dumps(o, JSON_COMPACT | JSON_PRESERVE_ORDER);
+
+	json_decref(o);
+	return text;
+}
+
+/// Report of a window's usage; to be released with free().
+char *
+pf_usage_body(uint64_t window, const struct pf_usage *usage, size_t n)
+{
+	json_t *counts = json_object();
+
+	for (size_t i = 0; i < n; i++)
+		(void)json_object_set_new(counts, usage[i].customer,
+		    json_integer((json_int_t)usage[i].n));
+	return dump(json_pack(
+	    "{s:I, s:o}", "window_seq", (json_int_t)window, "counts", counts));
+}
+
+/// Order for a number of servers; to be released with free().
+char *
+pf_scale_body(
+    const char *service, const char *zone, uint32_t servers, bool spot)
+{
+	json_t *o = json_pack("{s:s, s:s, s:i}", "service", service, "zone",
+	    zone, "desired_count", (int)servers);
+
+	if (spot)
+		(void)json_object_set_new(o, "spot", json_true());
+	return dump(o);
+}
+
+/// Sends a call of a duty's holder.
+hd_t
+pf_duty_send(struct hc *c, const struct pf_duty_call *call)
+{
+	char fence[32];
+	const struct hc_call out = {
+		.method = "POST",
+		.host = call->host,
+		.port = call->port,
+		.path = call->path,
+		.headers = {
+			{ "Content-Type", "application/json" },
+			{ PF_HOLDER, call->holder },
+			{ PF_FENCE, fence },
+		},
+		.body = (const uint8_t *)call->body,
+		.len = strlen(call->body),
+		.timeout_us = call->timeout_us,
+		.on_end = call->on_end,
+		.arg = call->arg,
+	};
+
+	(void)g_snprintf(
+	    fence, sizeof(fence), "%" G_GUINT64_FORMAT, (guint64)call->fence);
+	return hc_send(c, &out);
+}
+
+/// Reads an operator's order to move a service.
+enum st
+pf_rollout_read(const char *text, size_t len, struct pf_rollout *out)
+{
+	json_t *o = json_loadb(text, len, 0, NULL);
+	const json_t *duration = json_object_get(o, "duration_s");
+	bool good;
+
+	memset(out, 0, sizeof(*out));
+	good = copy_text(o, "service", out->service, sizeof(out->service)) &&
+	    copy_text(o, "target", out->target, sizeof(out->target)) &&
+	    json_is_number(duration) && json_number_value(duration) > 0;
+	if (good)
+		out->duration_s = json_number_value(duration);
+	json_decref(o);
+	return good ? ST_OK : st_fail(ST_INVALID, "the order can't be read");
+}
+
+/// State of a move, as operators read it; to be released with free().
+char *
+pf_rollout_body(const char *state, const char *target)
+{
+	return dump(json_pack("{s:s, s:s}", "state", state, "target", target));
+}
--- a/src/replog/gp.h
+++ b/src/replog/gp.h
@@ -47,6 +47,9 @@
 	/// it was. A process that isn't among these joins as a learner.
 	uint32_t n_voters;
 	uint32_t voters[RL_MAX_MEMBERS];
+	/// Slots to ask when this process knows no leader, besides the voters.
+	uint32_t n_contacts;
+	uint32_t contacts[RL_MAX_MEMBERS];
 	uint64_t election_us;
 	uint64_t heartbeat_us;
 	/// As the leader, replace a member whose slot came back with another
--- a/src/replog/gp_join.c
+++ b/src/replog/gp_join.c
@@ -336,6 +336,10 @@
 			if (g->config.voters[i] != slot(g->self))
 				say_hello(g, g->config.voters[i], false);
 		}
+		for (uint32_t i = 0; i < g->config.n_contacts; i++) {
+			if (g->config.contacts[i] != slot(g->self))
+				say_hello(g, g->config.contacts[i], false);
+		}
 		return;
 	}
 	if (g->config.repair && !g->repairing && gp_is_ready(g))
--- a/src/replog/rl.h
+++ b/src/replog/rl.h
@@ -17,8 +17,8 @@
 /// A member's id is its fixed slot (from the settings) in the low bits; the
 /// bits above tell a member that joined anew with another disk from the one
 /// that had the slot before. Messages are addressed by slot.
-#define RL_SLOT_BITS 8
-#define RL_SLOT_MASK 0xffU
+#define RL_SLOT_BITS 16
+#define RL_SLOT_MASK 0xffffU
 
 enum rl_entry_kind {
 	RL_COMMAND, ///< Bytes for the state machine.
--- a/src/state/jr_code.c
+++ b/src/state/jr_code.c
@@ -1,6 +1,6 @@
 #include "state/jr_code.h"
 #include "state/jr_state.h"
-#include "state/mp.h"
+#include "codec/mp.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/state/jw.c
+++ b/src/state/jw.c
@@ -1,6 +1,6 @@
 #include "state/jr_code.h"
 #include "state/jw.h"
-#include "state/mp.h"
+#include "codec/mp.h"
 
 #include <string.h>
 
--- a/src/state/sm_code.c
+++ b/src/state/sm_code.c
@@ -1,4 +1,4 @@
-#include "state/mp.h"
+#include "codec/mp.h"
 #include "state/sm_code.h"
 #include "state/sm_state.h"
 
--- a/src/wire/lk.c
+++ b/src/wire/lk.c
@@ -1,6 +1,7 @@
 #include "wire/lk.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/bufferevent_ssl.h>
@@ -17,6 +18,12 @@
 #define LK_RETRY_FIRST_US (50 * TM_US_PER_MS)
 #define LK_RETRY_MAX_US (1 * TM_US_PER_S)
 #define LK_HEAD_BYTES 4
+/// A dialled link that isn't up by then is dialled again.
+#define LK_DIAL_US (1 * TM_US_PER_S)
+/// A peer that acknowledges nothing for so long is gone, also without a reset.
+#define LK_SILENT_MS 2000
+#define LK_PROBE_S 1
+#define LK_PROBES 2
 
 /// One link; a dialled one stays in the table while it is down.
 struct lk_link {
@@ -66,11 +73,18 @@
 	return st_fail(ST_INVALID, "'%s' is not an IP number", host);
 }
 
+static void link_down(struct lk_link *link);
+
 static void
 on_retry(void *arg, uint64_t now_us)
 {
+	struct lk_link *link = arg;
+
 	(void)now_us;
-	dial(arg);
+	if (link->bev == NULL)
+		dial(link);
+	else if (!link->up)
+		link_down(link);
 }
 
 static void
@@ -147,6 +161,8 @@
 	link->hello = msg->hello;
 	link->up = true;
 	link->up_us = tm_now_us(l->config.timers);
+	if (link->dialled)
+		tm_disarm(link->retry);
 	l->config.callbacks.up(
 	    l->config.callbacks.arg, link->self, &link->hello);
 	return true;
@@ -214,14 +230,27 @@
 }
 
 static void
-set_no_delay(struct bufferevent *bev)
+set_option(evutil_socket_t fd, int level, int option, int value)
+{
+	if (setsockopt(fd, level, option, &value, sizeof(value)) != 0)
+		lg_event(LG_WARN, "link.option", "option=%d errno=%d", option,
+		    errno);
+}
+
+/// Small messages leave at once; a peer that fell silent is noticed.
+static void
+set_options(struct bufferevent *bev)
 {
-	const int one = 1;
 	const evutil_socket_t fd = bufferevent_getfd(bev);
 
-	if (fd >= 0)
-		(void)setsockopt(
-		    fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (fd < 0)
+		return;
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, LK_SILENT_MS);
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, LK_PROBE_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, LK_PROBE_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, LK_PROBES);
 }
 
 static void
@@ -241,7 +270,7 @@
 	struct lk_link *link = arg;
 
 	if (what & BEV_EVENT_CONNECTED) {
-		set_no_delay(bev);
+		set_options(bev);
 		send_hello(link);
 		return;
 	}
@@ -265,6 +294,7 @@
 static void
 dial(struct lk_link *link)
 {
+	tm_arm_in(link->retry, LK_DIAL_US);
 	link->bev = make_bev(link->owner, -1, true);
 	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
 	(void)bufferevent_enable(link->bev, EV_READ | EV_WRITE);
@@ -294,7 +324,7 @@
 	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
 	(void)bufferevent_enable(link->bev, EV_READ | EV_WRITE);
 	if (l->config.tls == NULL) {
-		set_no_delay(link->bev);
+		set_options(link->bev);
 		send_hello(link);
 	}
 }
--- a/src/wire/wr.c
+++ b/src/wire/wr.c
@@ -106,6 +106,8 @@
 		break;
 	case WR_EVIDENCE:
 	case WR_LEVELS:
+	case WR_REPORT:
+	case WR_STATE:
 		start(p, m->kind, 1);
 		put_bytes(p, m->evidence);
 		break;
@@ -291,6 +293,8 @@
 		break;
 	case WR_EVIDENCE:
 	case WR_LEVELS:
+	case WR_REPORT:
+	case WR_STATE:
 		m->evidence = get_bytes(r);
 		break;
 	case WR_RUN:
--- a/src/wire/wr.h
+++ b/src/wire/wr.h
@@ -27,6 +27,8 @@
 	WR_EVIDENCE, ///< entry to leader: evidence on versions; and back: taken
 	WR_LEVELS,   ///< entry to leader: service-level counters
 	WR_RUN,      ///< leader to entry: finish this accepted request
+	WR_REPORT,   ///< gateway to control: load, usage, what is in force
+	WR_STATE,    ///< control to gateway: who leads, what is in force
 	WR_KINDS,
 };
 
@@ -107,7 +109,8 @@
 		struct wr_ack ack;
 		struct wr_propose propose; ///< also WR_QUERY
 		struct wr_outcome outcome;
-		struct wr_bytes evidence; ///< also WR_LEVELS
+		struct wr_bytes
+		    evidence; ///< also WR_LEVELS, WR_REPORT, WR_STATE
 		struct wr_bytes run;
 	};
 };
--- a/test/script/tls.sh
+++ b/test/script/tls.sh
@@ -53,11 +53,11 @@
 settings entry entry-1 entry "\"callers\":\"$address:$(port 3)\"," 4 >entry.json
 settings entry entry-2 misnamed "\"callers\":\"$address:$(port 5)\"," 6 >second.json
 settings entry entry-3 foreign "\"callers\":\"$address:$(port 7)\"," 8 >third.json
-acaciahinge control --settings control.json 2>control.log &
+acaciahinge control --settings control.json >control.log 2>&1 &
 control=$!
 pids="$control"
 for s in entry second third; do
-	acaciahinge entry --settings $s.json 2>$s.log &
+	acaciahinge entry --settings $s.json >$s.log 2>&1 &
 	pids="$pids $!"
 done
 
