Gateways notice a leader that leads no more; large requests pass a quota on debt

A request larger than a gateway's part of a quota never fitted. Ruled out: lost links; the new leader knew no gateway, since none reported. Change: an answer without leadership forgets the leader, and silence of the leader for 700 ms asks all of control. A request passes while half of the bucket is full and leaves a debt.

--- a/src/fleet/qt.c
+++ b/src/fleet/qt.c
@@ -11,7 +11,11 @@
 
 /// Part of the slack above the quota that is let through; the rest covers
 /// shares on their way and clocks that differ.
-#define SLACK_USED 0.6
+#define SLACK_USED 0.4
+
+/// A request larger than what is left passes while so much of the bucket is
+/// full, and leaves a debt: otherwise the largest would never pass.
+#define DEBT_LEVEL 0.5
 
 /// A wait is told up to this; callers don't wait longer.
 #define MAX_WAIT_S 30.0
@@ -59,6 +63,7 @@
     double units)
 {
 	struct qt_answer a = { .outcome = QT_TAKEN };
+	double enough;
 	double rate;
 	double wait_s;
 
@@ -66,12 +71,13 @@
 	if (limit->rate_per_s <= 0)
 		return a;
 	refill(b, limit, now_us);
-	if (units <= b->units) {
+	enough = fmin(units, DEBT_LEVEL * b->share * capacity(limit));
+	if (enough <= b->units && b->share > 0) {
 		b->units -= units;
 		return a;
 	}
 	rate = b->share * limit->rate_per_s;
-	wait_s = rate > 0 ? (units - b->units) / rate : MAX_WAIT_S;
+	wait_s = rate > 0 ? (enough - b->units) / rate : MAX_WAIT_S;
 	a.outcome = QT_OVER;
 	a.wait_us = (uint64_t)(fmin(wait_s, MAX_WAIT_S) * US_PER_S);
 	return a;
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -60,6 +60,7 @@
 	/// What control says (gw_link.c).
 	GHashTable *hubs; ///< slot -> struct gw_hub
 	uint32_t leader;  ///< slot; 0: unknown
+	uint64_t led_us;  ///< when the leader's word came last
 	uint64_t lease_until_us;
 	uint64_t next_report_us;
 	uint64_t demand_us; ///< when demand was taken last
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -11,6 +11,10 @@
 /// A control process that answers nothing for so long is dialled anew.
 #define GW_SILENT_US (1500 * TM_US_PER_MS)
 #define GW_MAX_QUEUE_BYTES (1UL << 20)
+/// Without the leader's word for so long, all of control is asked.
+#define GW_LEADER_SILENT_US (700 * TM_US_PER_MS)
+/// An answer that took longer says too little of control's time.
+#define GW_CLOCK_RTT_US (60 * TM_US_PER_MS)
 /// Keys are held for valid for this share of the time in which a revoked one
 /// must be dead everywhere.
 #define GW_LEASE_SHARE 0.8
@@ -157,7 +161,7 @@
 	bool all;
 
 	all = leader == NULL || !lk_is_up(g->links, leader->link) ||
-	    now_us > leader->heard_us + 2 * GW_REPORT_US + GW_REPORT_US / 2;
+	    now_us > g->led_us + GW_LEADER_SILENT_US;
 	lm_report_init(&r);
 	r.sent_us = now_us;
 	r.version = g->config != NULL ? fc_version(g->config) : 0;
@@ -250,7 +254,9 @@
 	const int64_t clock = (int64_t)(s->time_us + half) - (int64_t)now_us;
 	const int64_t off = clock - g->clock_us;
 
-	if (s->time_us == 0 || (off < GW_CLOCK_US && off > -GW_CLOCK_US))
+	if (s->time_us == 0 || now_us - s->echo_us > GW_CLOCK_RTT_US)
+		return;
+	if (off < GW_CLOCK_US && off > -GW_CLOCK_US)
 		return;
 	lg_event(LG_WARN, "clock.corrected", "by_ms=%" PRId64,
 	    off / (int64_t)TM_US_PER_MS);
@@ -273,12 +279,14 @@
 		h->asked_us = 0;
 	}
 	if (!s->leads) {
-		if (s->leader != 0 && now >= g->lease_until_us)
-			g->leader = s->leader;
+		// Who led until now is no longer sure of it.
+		if (from == g->leader)
+			g->leader = 0;
 		return;
 	}
 	if (s->echo_us > now)
 		return;
+	g->led_us = now;
 	if (g->leader != from)
 		lg_event(LG_INFO, "control.leader", "slot=%u", from);
 	g->leader = from;
