One bucket a customer at control; servers are ordered by price

Cause: shares of a quota by demand over 400 ms jumped from 0.05 to 0.7 and back; what a gateway held was lost with its share, so a tenth of what customers were owed was refused. Nine on-demand servers cost a quarter of the worth, reclaimable ones a fifth of that. Ruled out: quotas that bind, since nobody sent more than was allowed. Change: control keeps one bucket a customer; a gateway may spend a part of what is left until the next word.

--- a/src/fleet/lm.c
+++ b/src/fleet/lm.c
@@ -4,6 +4,8 @@
 
 /// More items than any message has; a reader refuses what claims them.
 #define MAX_ITEMS 4096
+/// Levels may be below zero; numbers on the wire aren't.
+#define LEVEL_BIAS (INT64_C(1) << 48)
 
 /// Writes or reads the length of an array, and makes room when reading.
 static void
@@ -30,10 +32,22 @@
 }
 
 static void
-code_demand(struct mp *m, struct lm_demand *d)
+code_quota(struct mp *m, struct lm_quota *q)
 {
-	mp_str(m, d->customer, sizeof(d->customer));
-	mp_u64(m, &d->units_per_s);
+	uint64_t level = (uint64_t)(q->level + LEVEL_BIAS);
+
+	mp_str(m, q->customer, sizeof(q->customer));
+	mp_u64(m, &q->spent);
+	mp_u64(m, &level);
+	q->level = (int64_t)level - LEVEL_BIAS;
+}
+
+static void
+code_quotas(struct mp *m, GArray *quotas)
+{
+	items(m, quotas);
+	for (guint i = 0; i < quotas->len; i++)
+		code_quota(m, &g_array_index(quotas, struct lm_quota, i));
 }
 
 static void
@@ -57,9 +71,7 @@
 	items(m, r->usage);
 	for (guint i = 0; i < r->usage->len; i++)
 		code_usage(m, &g_array_index(r->usage, struct lm_usage, i));
-	items(m, r->demand);
-	for (guint i = 0; i < r->demand->len; i++)
-		code_demand(m, &g_array_index(r->demand, struct lm_demand, i));
+	code_quotas(m, r->quotas);
 	items(m, r->loads);
 	for (guint i = 0; i < r->loads->len; i++)
 		code_load(m, &g_array_index(r->loads, struct lm_load, i));
@@ -78,14 +90,7 @@
 	items(m, s->members);
 	for (guint i = 0; i < s->members->len; i++)
 		mp_u32(m, &g_array_index(s->members, uint32_t, i));
-	items(m, s->shares);
-	for (guint i = 0; i < s->shares->len; i++) {
-		struct lm_share *h =
-		    &g_array_index(s->shares, struct lm_share, i);
-
-		mp_str(m, h->customer, sizeof(h->customer));
-		mp_u32(m, &h->share_ppm);
-	}
+	code_quotas(m, s->quotas);
 }
 
 /// Makes an empty report.
@@ -94,7 +99,7 @@
 {
 	*r = (struct lm_report){
 		.usage = g_array_new(FALSE, TRUE, sizeof(struct lm_usage)),
-		.demand = g_array_new(FALSE, TRUE, sizeof(struct lm_demand)),
+		.quotas = g_array_new(FALSE, TRUE, sizeof(struct lm_quota)),
 		.loads = g_array_new(FALSE, TRUE, sizeof(struct lm_load)),
 	};
 }
@@ -104,7 +109,7 @@
 lm_report_clear(struct lm_report *r)
 {
 	g_array_unref(r->usage);
-	g_array_unref(r->demand);
+	g_array_unref(r->quotas);
 	g_array_unref(r->loads);
 }
 
@@ -140,7 +145,7 @@
 {
 	*s = (struct lm_state){
 		.members = g_array_new(FALSE, TRUE, sizeof(uint32_t)),
-		.shares = g_array_new(FALSE, TRUE, sizeof(struct lm_share)),
+		.quotas = g_array_new(FALSE, TRUE, sizeof(struct lm_quota)),
 	};
 }
 
@@ -149,7 +154,7 @@
 lm_state_clear(struct lm_state *s)
 {
 	g_array_unref(s->members);
-	g_array_unref(s->shares);
+	g_array_unref(s->quotas);
 }
 
 /// Encodes a state.
--- a/src/fleet/lm.h
+++ b/src/fleet/lm.h
@@ -16,10 +16,11 @@
 	uint64_t n;
 };
 
-/// Units of a customer's quota that were asked for lately, a second.
-struct lm_demand {
+/// Units of a customer's quota.
+struct lm_quota {
 	char customer[FC_NAME_BYTES];
-	uint64_t units_per_s;
+	uint64_t spent; ///< by the gateway, since its start
+	int64_t level;  ///< what is left for all
 };
 
 /// Work of a service that this gateway has at servers, and what it had to
@@ -40,15 +41,10 @@
 	uint64_t time_us; ///< since 1970, as the gateway believes
 	bool stopping;
 	GArray *usage;  ///< struct lm_usage
-	GArray *demand; ///< struct lm_demand
+	GArray *quotas; ///< struct lm_quota
 	GArray *loads;  ///< struct lm_load
 };
 
-struct lm_share {
-	char customer[FC_NAME_BYTES];
-	uint32_t share_ppm;
-};
-
 /// Control to gateway.
 struct lm_state {
 	uint64_t echo_us; ///< sent_us of the report that this answers
@@ -60,7 +56,7 @@
 	const uint8_t *manifest; ///< of `version`, when the gateway lags
 	size_t manifest_len;
 	GArray *members; ///< uint32_t: slots of control processes
-	GArray *shares;  ///< struct lm_share
+	GArray *quotas;  ///< struct lm_quota
 };
 
 void lm_report_init(struct lm_report *r);
--- a/src/fleet/qt.c
+++ b/src/fleet/qt.c
@@ -1,28 +1,28 @@
 #include "fleet/qt.h"
 
-#include <assert.h>
 #include <math.h>
 
 #define US_PER_S 1e6
 
-/// Share of a quota that is dealt out evenly, so that a gateway whose first
-/// request of a customer comes has something to give.
-#define EVEN_SHARE 0.3
-
 /// Part of the slack above the quota that is let through; the rest covers
-/// shares on their way and clocks that differ.
+/// what gateways spend before they hear of each other.
 #define SLACK_USED 0.4
-
-/// A request larger than what is left passes while so much of the bucket is
-/// full, and leaves a debt: otherwise the largest would never pass.
-#define DEBT_LEVEL 0.5
-
+/// Part of what is left that one gateway may spend until control's next word.
+#define PART 0.4
+/// A request larger than that passes while the bucket is so full, and leaves a
+/// debt: otherwise the largest would never pass.
+#define DEBT_LEVEL 0.25
+/// Control's word is fresh for so long: until then the whole rate is added to
+/// it, later a gateway's part.
+#define FRESH_S 0.6
+/// Units spent that control should hear of at once, as a part of the bucket.
+#define TELL_PART 0.1
 /// A wait is told up to this; callers don't wait longer.
 #define MAX_WAIT_S 30.0
 
-/// Units that may be let through at once, by all gateways.
-static double
-capacity(const struct qt_limit *limit)
+/// Units that the bucket holds.
+double
+qt_capacity(const struct qt_limit *limit)
 {
 	const double over = limit->over * limit->rate_per_s * limit->window_s;
 
@@ -30,85 +30,93 @@
 }
 
 static void
-refill(struct qt_bucket *b, const struct qt_limit *limit, uint64_t now_us)
+refill(struct qt_pool *p, const struct qt_limit *limit, uint64_t now_us)
+{
+	const double most = qt_capacity(limit);
+
+	if (now_us > p->last_us)
+		p->level += limit->rate_per_s *
+		    (double)(now_us - p->last_us) / US_PER_S;
+	p->level = fmin(p->level, most);
+	p->last_us = now_us;
+}
+
+/// Starts control's bucket.
+///
+/// @param level  as gateways last knew it; NAN: nobody does
+void
+qt_pool_start(struct qt_pool *p, const struct qt_limit *limit, uint64_t now_us,
+    double level)
+{
+	const double most = qt_capacity(limit);
+
+	p->level = isnan(level) ? most : fmin(level, most);
+	p->last_us = now_us;
+}
+
+/// Takes what a gateway spent; what passed has passed, so the level may fall
+/// below zero.
+void
+qt_pool_spend(struct qt_pool *p, const struct qt_limit *limit, uint64_t now_us,
+    double units)
 {
-	const double most = b->share * capacity(limit);
-
-	if (b->last_us == 0)
-		b->units = most;
-	else if (now_us > b->last_us)
-		b->units += b->share * limit->rate_per_s *
-		    (double)(now_us - b->last_us) / US_PER_S;
-	b->units = fmin(b->units, most);
-	b->last_us = now_us;
+	refill(p, limit, now_us);
+	p->level -= units;
 }
 
-/// Takes over a new share. A share that grows brings no units with it: these
-/// are another gateway's.
+/// Takes control's word over.
+///
+/// @param counted  what was spent here, as control knows it
 void
-qt_lease(struct qt_bucket *b, const struct qt_limit *limit, uint64_t now_us,
-    double share)
+qt_told(struct qt_view *v, uint64_t now_us, double level, uint64_t counted)
+{
+	v->level = level;
+	v->told_us = now_us;
+	v->counted = counted < v->spent ? counted : v->spent;
+}
+
+/// What is left of the quota as far as this gateway knows.
+double
+qt_level(const struct qt_view *v, const struct qt_limit *limit, uint64_t now_us,
+    uint32_t n_gateways)
 {
-	assert(share >= 0 && share <= 1);
-	if (b->last_us != 0)
-		refill(b, limit, now_us);
-	b->share = share;
-	if (b->last_us != 0)
-		refill(b, limit, now_us);
+	const double age = (double)(now_us - v->told_us) / US_PER_S;
+	const double fresh = fmin(age, FRESH_S);
+	const double part = 1.0 / fmax(n_gateways, 1);
+	double level = v->level;
+
+	level += limit->rate_per_s * (fresh + (age - fresh) * part);
+	level = fmin(level, qt_capacity(limit));
+	return level - (double)(v->spent - v->counted);
 }
 
 /// Takes a request's units, if they fit.
 struct qt_answer
-qt_take(struct qt_bucket *b, const struct qt_limit *limit, uint64_t now_us,
-    double units)
+qt_take(struct qt_view *v, const struct qt_limit *limit, uint64_t now_us,
+    uint32_t n_gateways, double units)
 {
 	struct qt_answer a = { .outcome = QT_TAKEN };
+	const double most = qt_capacity(limit);
+	double level;
 	double enough;
-	double rate;
-	double wait_s;
 
-	b->asked += units;
 	if (limit->rate_per_s <= 0)
 		return a;
-	refill(b, limit, now_us);
-	enough = fmin(units, DEBT_LEVEL * b->share * capacity(limit));
-	if (enough <= b->units && b->share > 0) {
-		b->units -= units;
+	level = qt_level(v, limit, now_us, n_gateways);
+	enough = fmin(units / PART, DEBT_LEVEL * most);
+	if (level >= enough) {
+		v->spent += (uint64_t)units;
 		return a;
 	}
-	rate = b->share * limit->rate_per_s;
-	wait_s = rate > 0 ? (enough - b->units) / rate : MAX_WAIT_S;
 	a.outcome = QT_OVER;
-	a.wait_us = (uint64_t)(fmin(wait_s, MAX_WAIT_S) * US_PER_S);
+	a.wait_us = (uint64_t)(
+	    fmin((enough - level) / limit->rate_per_s, MAX_WAIT_S) * US_PER_S);
 	return a;
 }
 
-/// Units asked for since the last call.
-double
-qt_demand(struct qt_bucket *b)
-{
-	const double asked = b->asked;
-
-	b->asked = 0;
-	return asked;
-}
-
-/// Splits a quota over gateways by their demand.
-///
-/// @param demand  of each gateway
-/// @param shares  receives their shares; they sum to 1 at most
-void
-qt_split(const double *demand, size_t n, double *shares)
+/// Whether so much was spent that control should hear of it at once.
+bool
+qt_should_tell(const struct qt_view *v, const struct qt_limit *limit)
 {
-	double sum = 0;
-
-	for (size_t i = 0; i < n; i++)
-		sum += demand[i];
-	for (size_t i = 0; i < n; i++) {
-		const double even = 1.0 / (double)n;
-
-		shares[i] = sum <= 0
-		    ? even
-		    : EVEN_SHARE * even + (1 - EVEN_SHARE) * demand[i] / sum;
-	}
+	return (double)(v->spent - v->counted) > TELL_PART * qt_capacity(limit);
 }
--- a/src/fleet/qt.h
+++ b/src/fleet/qt.h
@@ -5,9 +5,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/// A customer's quota, shared by all gateways: each holds a share that control
-/// leases to it by demand. The shares of all gateways never sum to more than
-/// one, so what all let through together stays within the quota.
+/// A customer's quota over all gateways. Control keeps one bucket; gateways
+/// tell what they spent and are told what is left. Between two words of control
+/// a gateway spends a part of what was left only, so that all together stay
+/// close to the quota, and a gateway that is cut off goes on with its part.
 
 /// What the quota allows, for all gateways together.
 struct qt_limit {
@@ -18,12 +19,18 @@
 	double slack;    ///< units by which it lies above that
 };
 
-/// One gateway's part of one customer's quota.
-struct qt_bucket {
-	double units;     ///< left
-	double share;     ///< 0 .. 1
-	uint64_t last_us; ///< when `units` was true; 0: never
-	double asked;     ///< units asked for since the last qt_demand()
+/// Control's bucket.
+struct qt_pool {
+	double level;     ///< units left; below 0: owed
+	uint64_t last_us; ///< when `level` was true; 0: never
+};
+
+/// A gateway's view of that bucket.
+struct qt_view {
+	double level;      ///< as control said
+	uint64_t told_us;  ///< when; 0: never
+	uint64_t spent;    ///< here, since the start
+	uint64_t counted;  ///< part of `spent` that `level` takes into account
 };
 
 enum qt_outcome {
@@ -36,11 +43,19 @@
 	uint64_t wait_us;
 };
 
-void qt_lease(struct qt_bucket *b, const struct qt_limit *limit,
-    uint64_t now_us, double share);
-struct qt_answer qt_take(struct qt_bucket *b, const struct qt_limit *limit,
+double qt_capacity(const struct qt_limit *limit);
+
+void qt_pool_start(struct qt_pool *p, const struct qt_limit *limit,
+    uint64_t now_us, double level);
+void qt_pool_spend(struct qt_pool *p, const struct qt_limit *limit,
     uint64_t now_us, double units);
-double qt_demand(struct qt_bucket *b);
-void qt_split(const double *demand, size_t n, double *shares);
+
+void qt_told(
+    struct qt_view *v, uint64_t now_us, double level, uint64_t counted);
+double qt_level(const struct qt_view *v, const struct qt_limit *limit,
+    uint64_t now_us, uint32_t n_gateways);
+struct qt_answer qt_take(struct qt_view *v, const struct qt_limit *limit,
+    uint64_t now_us, uint32_t n_gateways, double units);
+bool qt_should_tell(const struct qt_view *v, const struct qt_limit *limit);
 
 #endif
--- a/src/gateway/gw_accept.c
+++ b/src/gateway/gw_accept.c
@@ -57,27 +57,31 @@
 take_quota(struct gw_request *q)
 {
 	struct gw *g = q->gw;
-	const struct ds_bounds *b = &g->settings.bounds;
-	const struct qt_limit limit = {
-		.rate_per_s = q->customer->rate_per_s,
-		.burst = q->customer->burst,
-		.window_s = b->quota_window_s,
-		.over = b->quota_over,
-		.slack = b->quota_slack,
-	};
-	struct qt_bucket *bucket;
+	const struct qt_limit limit = gw_quota_limit(g, q->customer);
+	const double units = units_of(q);
+	struct qt_view *view;
 	struct qt_answer a;
 
-	if (q->customer->rate_per_s <= 0)
+	if (limit.rate_per_s <= 0)
 		return true;
-	bucket = g_hash_table_lookup(g->quotas, q->customer->name);
-	if (bucket == NULL) {
-		gw_fail(q, 503, GW_NOT_READY_US, "no share of the quota yet");
+	view = g_hash_table_lookup(g->quotas, q->customer->name);
+	if (view == NULL) {
+		gw_fail(q, 503, GW_NOT_READY_US, "no word on the quota yet");
 		return false;
 	}
-	a = qt_take(bucket, &limit, q->arrived_us, units_of(q));
-	if (a.outcome == QT_TAKEN)
+	a = qt_take(view, &limit, q->arrived_us, g->n_gateways, units);
+	if (a.outcome == QT_TAKEN) {
+		if (qt_should_tell(view, &limit))
+			gw_report_soon(g);
 		return true;
+	}
+	lg_event(LG_INFO, "quota.over",
+	    "request=%s customer=%s units=%.0f left=%.0f told_ms=%" PRIu64
+	    " rate=%.0f burst=%.0f",
+	    q->call.id, q->customer->name, units,
+	    qt_level(view, &limit, q->arrived_us, g->n_gateways),
+	    (q->arrived_us - view->told_us) / TM_US_PER_MS, limit.rate_per_s,
+	    limit.burst);
 	gw_fail(q, 429, a.wait_us, "over the customer's quota");
 	return false;
 }
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -63,7 +63,7 @@
 	uint64_t led_us;  ///< when the leader's word came last
 	uint64_t lease_until_us;
 	uint64_t next_report_us;
-	uint64_t demand_us; ///< when demand was taken last
+	uint64_t reported_us;
 	uint32_t n_gateways;
 	struct fc *config; ///< NULL: none known yet
 	int64_t clock_us;  ///< time since 1970 less the steady clock
@@ -79,7 +79,7 @@
 	hd_t list_call;
 
 	/// Customers and services.
-	GHashTable *quotas; ///< customer -> struct qt_bucket
+	GHashTable *quotas; ///< customer -> struct qt_view
 	GHashTable *loads;  ///< service -> struct gw_load
 	GHashTable *usage;  ///< "window customer" -> struct lm_usage
 
@@ -155,6 +155,9 @@
 enum st gw_link_start(struct gw *g);
 void gw_link_tick(struct gw *g, uint64_t now_us);
 void gw_count_usage(struct gw_request *q);
+struct qt_limit gw_quota_limit(
+    const struct gw *g, const struct fc_customer *c);
+void gw_report_soon(struct gw *g);
 
 /// gw_list.c: backend servers
 void gw_list_tick(struct gw *g, uint64_t now_us);
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -8,6 +8,7 @@
 #include "platform/pf_manifest.h"
 
 #define GW_REPORT_US (400 * TM_US_PER_MS)
+#define GW_REPORT_LEAST_US (100 * TM_US_PER_MS)
 /// A control process that answers nothing for so long is dialled anew.
 #define GW_SILENT_US (1500 * TM_US_PER_MS)
 #define GW_MAX_QUEUE_BYTES (1UL << 20)
@@ -22,7 +23,6 @@
 #define GW_USAGE_WINDOWS 6
 /// A difference to control's time that is taken for a wrong clock.
 #define GW_CLOCK_US (50 * (int64_t)TM_US_PER_MS)
-#define PPM 1e6
 
 static struct gw_hub *
 hub_of(struct gw *g, uint32_t slot)
@@ -99,25 +99,41 @@
 	}
 }
 
-static void
-report_demand(struct gw *g, struct lm_report *r, uint64_t now_us)
+/// What a customer's quota allows, as configured.
+struct qt_limit
+gw_quota_limit(const struct gw *g, const struct fc_customer *c)
 {
-	const double s = (double)(now_us - g->demand_us) / TM_US_PER_S;
-	GHashTableIter it;
-	gpointer name;
-	gpointer value;
+	const struct ds_bounds *b = &g->settings.bounds;
+	const struct qt_limit limit = {
+		.rate_per_s = c->rate_per_s,
+		.burst = c->burst,
+		.window_s = b->quota_window_s,
+		.over = b->quota_over,
+		.slack = b->quota_slack,
+	};
 
-	g_hash_table_iter_init(&it, g->quotas);
-	while (g_hash_table_iter_next(&it, &name, &value)) {
-		const double asked = qt_demand(value);
-		struct lm_demand d = { .units_per_s = 0 };
+	return limit;
+}
 
-		(void)g_strlcpy(d.customer, name, sizeof(d.customer));
-		if (s > 0)
-			d.units_per_s = (uint64_t)(asked / s);
-		g_array_append_val(r->demand, d);
+static void
+report_quotas(struct gw *g, struct lm_report *r, uint64_t now_us)
+{
+	for (size_t i = 0;
+	     g->config != NULL && i < fc_n_customers(g->config); i++) {
+		const struct fc_customer *c = fc_customer(g->config, i);
+		const struct qt_limit limit = gw_quota_limit(g, c);
+		const struct qt_view *v =
+		    g_hash_table_lookup(g->quotas, c->name);
+		struct lm_quota q = { .spent = 0 };
+
+		if (v == NULL)
+			continue;
+		(void)g_strlcpy(q.customer, c->name, sizeof(q.customer));
+		q.spent = v->spent;
+		q.level =
+		    (int64_t)qt_level(v, &limit, now_us, g->n_gateways);
+		g_array_append_val(r->quotas, q);
 	}
-	g->demand_us = now_us;
 }
 
 static void
@@ -168,7 +184,7 @@
 	r.time_us = lp_wall_us();
 	r.stopping = g->stopping;
 	report_usage(g, &r);
-	report_demand(g, &r, now_us);
+	report_quotas(g, &r, now_us);
 	report_loads(g, &r);
 	lm_report_encode(&r, &bytes, &msg.evidence.len);
 	msg.evidence.at = bytes;
@@ -207,43 +223,20 @@
 	    fc_n_customers(config));
 }
 
-/// What a customer's quota allows, as configured.
-static struct qt_limit
-limit_of(const struct gw *g, const struct fc_customer *c)
-{
-	const struct ds_bounds *b = &g->settings.bounds;
-	const struct qt_limit limit = {
-		.rate_per_s = c->rate_per_s,
-		.burst = c->burst,
-		.window_s = b->quota_window_s,
-		.over = b->quota_over,
-		.slack = b->quota_slack,
-	};
-
-	return limit;
-}
-
 static void
-take_shares(struct gw *g, const struct lm_state *s, uint64_t now_us)
+take_quotas(struct gw *g, const struct lm_state *s, uint64_t now_us)
 {
-	for (guint i = 0; i < s->shares->len && g->config != NULL; i++) {
-		const struct lm_share *h =
-		    &g_array_index(s->shares, struct lm_share, i);
-		const struct fc_customer *c =
-		    fc_find_customer(g->config, h->customer);
-		struct qt_bucket *b =
-		    g_hash_table_lookup(g->quotas, h->customer);
-		struct qt_limit limit;
-
-		if (c == NULL || h->share_ppm > PPM)
-			continue;
-		if (b == NULL) {
-			b = g_new0(struct qt_bucket, 1);
+	for (guint i = 0; i < s->quotas->len; i++) {
+		const struct lm_quota *q =
+		    &g_array_index(s->quotas, struct lm_quota, i);
+		struct qt_view *v = g_hash_table_lookup(g->quotas, q->customer);
+
+		if (v == NULL) {
+			v = g_new0(struct qt_view, 1);
 			(void)g_hash_table_insert(
-			    g->quotas, g_strdup(h->customer), b);
+			    g->quotas, g_strdup(q->customer), v);
 		}
-		limit = limit_of(g, c);
-		qt_lease(b, &limit, now_us, h->share_ppm / PPM);
+		qt_told(v, now_us, (double)q->level, q->spent);
 	}
 }
 
@@ -295,7 +288,7 @@
 	// An older configuration than control's is no ground for a lease.
 	if (g->config == NULL || fc_version(g->config) < s->version)
 		return;
-	take_shares(g, s, now);
+	take_quotas(g, s, now);
 	take_time(g, s, now);
 	until = s->echo_us + (uint64_t)(GW_LEASE_SHARE * (double)revoke);
 	if (g->lease_until_us < now)
@@ -392,6 +385,14 @@
 	}
 }
 
+/// Reports earlier than usual.
+void
+gw_report_soon(struct gw *g)
+{
+	g->next_report_us = MIN(
+	    g->next_report_us, g->reported_us + GW_REPORT_LEAST_US);
+}
+
 /// Reports to control, and leaves what is silent.
 void
 gw_link_tick(struct gw *g, uint64_t now_us)
@@ -400,6 +401,7 @@
 	if (now_us < g->next_report_us)
 		return;
 	g->next_report_us = now_us + GW_REPORT_US;
+	g->reported_us = now_us;
 	dial_seeds(g);
 	send_report(g, now_us);
 }
--- a/src/hub/hb.c
+++ b/src/hub/hb.c
@@ -87,7 +87,7 @@
 	struct hb_gateway *g = p;
 
 	g_array_unref(g->usage);
-	g_array_unref(g->demand);
+	g_array_unref(g->quotas);
 	g_array_unref(g->loads);
 	g_free(g);
 }
@@ -114,6 +114,12 @@
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	h->gateways =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, gateway_free);
+	h->pools =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	h->orders =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	h->list = g_array_new(FALSE, TRUE, sizeof(struct sv));
+	h->page = g_array_new(FALSE, TRUE, sizeof(struct sv));
 	h->tick = tm_subscribe(lp_timers(loop), on_tick, h);
 	h->push = tm_subscribe(lp_timers(loop), on_push, h);
 	h->end = tm_subscribe(lp_timers(loop), on_end, h);
@@ -173,6 +179,10 @@
 	tm_unsubscribe(h->end);
 	g_hash_table_destroy(h->peers);
 	g_hash_table_destroy(h->gateways);
+	g_hash_table_destroy(h->pools);
+	g_hash_table_destroy(h->orders);
+	g_array_unref(h->list);
+	g_array_unref(h->page);
 	fc_unref(h->config);
 	hs_free(h->state);
 	g_free(h);
--- a/src/hub/hb_duty.c
+++ b/src/hub/hb_duty.c
@@ -45,6 +45,7 @@
 	h->taking = false;
 	if (status != ST_OK || hs_duty(h->state).holder != h->slot)
 		return;
+	hb_scale_reset(h);
 	h->duty_from_us = lp_now_us(h->loop);
 	if (new_holder)
 		h->duty_from_us += lease + HB_LEASE_MARGIN_US;
@@ -85,4 +86,6 @@
 		take(h);
 	if (hb_duty_holds(h) && h->settings.reports_usage)
 		hb_usage_tick(h, now_us);
+	if (hb_duty_holds(h) && h->settings.scales)
+		hb_scale_tick(h, now_us);
 }
--- a/src/hub/hb_internal.h
+++ b/src/hub/hb_internal.h
@@ -35,7 +35,8 @@
 	int64_t clock_us; ///< its time since 1970 less our steady clock
 	bool stopping;
 	GArray *usage;  ///< struct lm_usage
-	GArray *demand; ///< struct lm_demand
+	GArray *quotas; ///< struct lm_quota
+	bool counted;   ///< its quotas, by this leader
 	GArray *loads;  ///< struct lm_load, the newest report's
 };
 
@@ -52,6 +53,7 @@
 	struct fc *config;    ///< of the state; NULL: none yet
 	GHashTable *peers;    ///< slot -> struct hb_peer
 	GHashTable *gateways; ///< name -> struct hb_gateway
+	GHashTable *pools;    ///< customer -> struct qt_pool, of the leader
 	struct tm_timer *tick;
 	struct tm_timer *push; ///< tell the gateways soon
 	struct tm_timer *end;
@@ -68,6 +70,14 @@
 	uint64_t told_to;      ///< windows before this one were accepted
 	uint64_t next_tell_us;
 
+	/// Servers that are ordered from the cloud (hb_scale.c).
+	GHashTable *orders; ///< "service zone kind" -> struct hb_order
+	GArray *list;       ///< struct sv, of the newest whole reading
+	GArray *page;       ///< of the reading under way
+	bool listing;
+	uint64_t next_list_us;
+	uint64_t listed_us; ///< 0: never
+
 	struct ct_value *n_orders;
 	struct ct_value *n_invalid;
 	struct ct_hist *ack_latency;
@@ -92,6 +102,11 @@
 void hb_push(struct hb *h);
 bool hb_gateway_lives(const struct hb *h, const struct hb_gateway *g);
 
+/// hb_quota.c: customers' quotas (leader)
+void hb_quota_reset(struct hb *h);
+void hb_quota_take(struct hb *h, struct hb_gateway *g, const GArray *quotas);
+void hb_quota_fill(struct hb *h, const struct hb_gateway *g, GArray *quotas);
+
 /// hb_operators.c: operators' HTTP
 enum st hb_operators_start(struct hb *h);
 
@@ -104,4 +119,8 @@
 /// hb_usage.c
 void hb_usage_tick(struct hb *h, uint64_t now_us);
 
+/// hb_scale.c
+void hb_scale_reset(struct hb *h);
+void hb_scale_tick(struct hb *h, uint64_t now_us);
+
 #endif
--- a/src/hub/hb_link.c
+++ b/src/hub/hb_link.c
@@ -5,14 +5,12 @@
 #include <string.h>
 
 #include "fleet/ps.h"
-#include "fleet/qt.h"
 
 #define HB_MAX_QUEUE_BYTES (16UL << 20)
 /// A gateway that reports nothing for so long counts as gone.
 #define HB_GATEWAY_LOST_US (2500 * TM_US_PER_MS)
 /// What a gone gateway had counted is kept for so long.
 #define HB_GATEWAY_KEPT_US (60 * TM_US_PER_S)
-#define PPM 1e6
 
 /// A process of control by its slot; the first call dials it.
 ///
@@ -70,7 +68,7 @@
 	    g->data_centre, hello->data_centre, sizeof(g->data_centre));
 	g->incarnation = hello->incarnation;
 	g->usage = g_array_new(FALSE, TRUE, sizeof(struct lm_usage));
-	g->demand = g_array_new(FALSE, TRUE, sizeof(struct lm_demand));
+	g->quotas = g_array_new(FALSE, TRUE, sizeof(struct lm_quota));
 	g->loads = g_array_new(FALSE, TRUE, sizeof(struct lm_load));
 	(void)g_hash_table_insert(h->gateways, g->name, g);
 	lg_event(LG_INFO, "gateway.known", "gateway=%s zone=%s", g->name,
@@ -78,51 +76,6 @@
 	return g;
 }
 
-static double
-demand_of(const struct hb_gateway *g, const char *customer)
-{
-	for (guint i = 0; i < g->demand->len; i++) {
-		const struct lm_demand *d =
-		    &g_array_index(g->demand, struct lm_demand, i);
-
-		if (strcmp(d->customer, customer) == 0)
-			return (double)d->units_per_s;
-	}
-	return 0;
-}
-
-/// A gateway's share of a customer's quota, by the demand of all.
-static uint32_t
-share_of(const struct hb *h, const struct hb_gateway *own, const char *customer)
-{
-	const guint most = g_hash_table_size(h->gateways);
-	double *demand = g_new0(double, most + 1);
-	double *shares = g_new0(double, most + 1);
-	size_t n = 0;
-	size_t at = most;
-	uint32_t ppm = 0;
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, h->gateways);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct hb_gateway *g = value;
-
-		if (!hb_gateway_lives(h, g))
-			continue;
-		if (g == own)
-			at = n;
-		demand[n++] = demand_of(g, customer);
-	}
-	if (at < n) {
-		qt_split(demand, n, shares);
-		ppm = (uint32_t)(shares[at] * PPM);
-	}
-	g_free(demand);
-	g_free(shares);
-	return ppm;
-}
-
 static uint32_t
 count_gateways(const struct hb *h)
 {
@@ -151,23 +104,6 @@
 	}
 }
 
-static void
-fill_shares(const struct hb *h, const struct hb_gateway *g, struct lm_state *s)
-{
-	for (size_t i = 0; h->config != NULL && i < fc_n_customers(h->config);
-	     i++) {
-		const struct fc_customer *c = fc_customer(h->config, i);
-		struct lm_share share = { .share_ppm = 0 };
-
-		if (c->rate_per_s <= 0)
-			continue;
-		(void)g_strlcpy(
-		    share.customer, c->name, sizeof(share.customer));
-		share.share_ppm = share_of(h, g, c->name);
-		g_array_append_val(s->shares, share);
-	}
-}
-
 /// Tells a gateway what is in force. Only the leader says so; others say who
 /// leads.
 static void
@@ -190,7 +126,7 @@
 		s.n_gateways = count_gateways(h);
 		if (g->version < s.version)
 			s.manifest = hs_manifest(h->state, &s.manifest_len);
-		fill_shares(h, g, &s);
+		hb_quota_fill(h, g, s.quotas);
 	}
 	lm_state_encode(&s, &bytes, &msg.evidence.len);
 	msg.evidence.at = bytes;
@@ -246,8 +182,9 @@
 	g->version = r.version;
 	g->stopping = r.stopping;
 	g->clock_us = (int64_t)r.time_us - (int64_t)g->heard_us;
+	hb_quota_take(h, g, r.quotas);
 	swap_arrays(&g->usage, &r.usage);
-	swap_arrays(&g->demand, &r.demand);
+	swap_arrays(&g->quotas, &r.quotas);
 	swap_arrays(&g->loads, &r.loads);
 	lm_report_clear(&r);
 	send_state(h, g);
--- /dev/null
+++ b/src/hub/hb_quota.c
@@ -0,0 +1,137 @@
+#include "hub/hb_internal.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "fleet/qt.h"
+
+static struct qt_limit
+limit_of(const struct hb *h, const struct fc_customer *c)
+{
+	const struct ds_bounds *b = &h->settings.bounds;
+	const struct qt_limit limit = {
+		.rate_per_s = c->rate_per_s,
+		.burst = c->burst,
+		.window_s = b->quota_window_s,
+		.over = b->quota_over,
+		.slack = b->quota_slack,
+	};
+
+	return limit;
+}
+
+static const struct lm_quota *
+find(const GArray *quotas, const char *customer)
+{
+	for (guint i = 0; i < quotas->len; i++) {
+		const struct lm_quota *q =
+		    &g_array_index(quotas, struct lm_quota, i);
+
+		if (strcmp(q->customer, customer) == 0)
+			return q;
+	}
+	return NULL;
+}
+
+/// Least level that a gateway knows: what an earlier leader had counted.
+static double
+known_level(const struct hb *h, const char *customer)
+{
+	double level = NAN;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct hb_gateway *g = value;
+		const struct lm_quota *q = find(g->quotas, customer);
+
+		if (q != NULL && hb_gateway_lives(h, g))
+			level = fmin((double)q->level, level);
+	}
+	return level;
+}
+
+static struct qt_pool *
+pool_of(struct hb *h, const struct fc_customer *c)
+{
+	struct qt_pool *p = g_hash_table_lookup(h->pools, c->name);
+	const struct qt_limit limit = limit_of(h, c);
+
+	if (p != NULL)
+		return p;
+	p = g_new0(struct qt_pool, 1);
+	qt_pool_start(
+	    p, &limit, lp_now_us(h->loop), known_level(h, c->name));
+	(void)g_hash_table_insert(h->pools, g_strdup(c->name), p);
+	return p;
+}
+
+/// Forgets the buckets: another process leads.
+void
+hb_quota_reset(struct hb *h)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_remove_all(h->pools);
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct hb_gateway *)value)->counted = false;
+}
+
+/// Takes what a gateway spent since its last report to this leader.
+///
+/// @param quotas  of the new report; g->quotas are those of the last one
+void
+hb_quota_take(struct hb *h, struct hb_gateway *g, const GArray *quotas)
+{
+	const uint64_t now = lp_now_us(h->loop);
+
+	if (!hb_leads(h) || h->config == NULL)
+		return;
+	for (guint i = 0; i < quotas->len; i++) {
+		const struct lm_quota *q =
+		    &g_array_index(quotas, struct lm_quota, i);
+		const struct fc_customer *c =
+		    fc_find_customer(h->config, q->customer);
+		const struct lm_quota *last = find(g->quotas, q->customer);
+		struct qt_limit limit;
+		uint64_t before = last != NULL ? last->spent : 0;
+
+		if (c == NULL || c->rate_per_s <= 0)
+			continue;
+		// What an earlier leader counted is in the level already.
+		if (!g->counted || before > q->spent)
+			before = q->spent;
+		limit = limit_of(h, c);
+		qt_pool_spend(
+		    pool_of(h, c), &limit, now, (double)(q->spent - before));
+	}
+	g->counted = true;
+}
+
+/// What a gateway is told of the quotas.
+void
+hb_quota_fill(struct hb *h, const struct hb_gateway *g, GArray *quotas)
+{
+	const uint64_t now = lp_now_us(h->loop);
+
+	for (size_t i = 0; h->config != NULL && i < fc_n_customers(h->config);
+	     i++) {
+		const struct fc_customer *c = fc_customer(h->config, i);
+		const struct lm_quota *last = find(g->quotas, c->name);
+		const struct qt_limit limit = limit_of(h, c);
+		struct lm_quota out = { .spent = 0 };
+		struct qt_pool *p;
+
+		if (c->rate_per_s <= 0)
+			continue;
+		p = pool_of(h, c);
+		qt_pool_spend(p, &limit, now, 0);
+		(void)g_strlcpy(out.customer, c->name, sizeof(out.customer));
+		out.level = (int64_t)p->level;
+		out.spent = last != NULL ? last->spent : 0;
+		g_array_append_val(quotas, out);
+	}
+}
--- /dev/null
+++ b/src/hub/hb_scale.c
@@ -0,0 +1,250 @@
+#include "hub/hb_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/sp.h"
+#include "platform/pf_cloud.h"
+#include "platform/pf_names.h"
+
+#define HB_LIST_US (1 * TM_US_PER_S)
+#define HB_LIST_TIMEOUT_US (1 * TM_US_PER_S)
+#define HB_ORDER_TIMEOUT_US (1500 * TM_US_PER_MS)
+/// An order is repeated when the list doesn't show it by then.
+#define HB_ORDER_AGAIN_US (8 * TM_US_PER_S)
+/// An order that was refused for want of servers is tried again after this.
+#define HB_DRY_US (3 * TM_US_PER_S)
+#define HB_CONFLICT 409
+#define HB_MAX_LIST_BYTES (4UL << 20)
+
+/// Orders for one service, data centre and kind of server.
+struct hb_order {
+	struct hb *hb;
+	bool spot;
+	uint32_t wanted; ///< ordered last
+	bool ordered;    ///< at least once by this holder
+	bool calling;
+	uint64_t sent_us;
+	uint64_t dry_until_us;
+	char service[FC_NAME_BYTES];
+	char zone[FC_NAME_BYTES];
+};
+
+static void
+on_ordered(void *arg, const struct hc_result *result)
+{
+	struct hb_order *o = arg;
+	struct hb *h = o->hb;
+	const uint64_t now = lp_now_us(h->loop);
+
+	o->calling = false;
+	lg_event(LG_INFO, "servers.ordered",
+	    "service=%s zone=%s spot=%d n=%u status=%s http=%d", o->service,
+	    o->zone, o->spot, o->wanted, st_name(result->status),
+	    result->http_status);
+	if (result->status == ST_OK && result->http_status == 200)
+		return;
+	if (result->http_status == HB_CONFLICT)
+		o->dry_until_us = now + HB_DRY_US;
+	o->ordered = false;
+	o->sent_us = now;
+}
+
+static struct hb_order *
+order_of(struct hb *h, const char *service, const char *zone, bool spot)
+{
+	char *key = g_strdup_printf("%s %s %d", service, zone, spot);
+	struct hb_order *o = g_hash_table_lookup(h->orders, key);
+
+	if (o != NULL) {
+		g_free(key);
+		return o;
+	}
+	o = g_new0(struct hb_order, 1);
+	o->hb = h;
+	o->spot = spot;
+	(void)g_strlcpy(o->service, service, sizeof(o->service));
+	(void)g_strlcpy(o->zone, zone, sizeof(o->zone));
+	(void)g_hash_table_insert(h->orders, key, o);
+	return o;
+}
+
+static void
+send_order(struct hb *h, struct hb_order *o, uint32_t n)
+{
+	char *body = pf_scale_body(o->service, o->zone, n, o->spot);
+	const struct pf_duty_call call = {
+		.host = h->settings.cloud.host,
+		.port = h->settings.cloud.port,
+		.path = PF_SCALE_PATH,
+		.body = body,
+		.holder = h->settings.node,
+		.fence = hs_duty(h->state).fence,
+		.timeout_us = HB_ORDER_TIMEOUT_US,
+		.on_end = on_ordered,
+		.arg = o,
+	};
+
+	o->wanted = n;
+	o->ordered = true;
+	o->sent_us = lp_now_us(h->loop);
+	o->calling = pf_duty_send(h->http, &call) != HD_NONE;
+	free(body);
+}
+
+/// Servers of a kind that take work or will soon.
+static uint32_t
+count(const struct hb *h, const char *service, const char *zone, bool spot)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < h->list->len; i++) {
+		const struct sv *s = &g_array_index(h->list, struct sv, i);
+
+		n += !s->leaving && s->spot == spot &&
+		    strcmp(s->service, service) == 0 &&
+		    strcmp(s->zone, zone) == 0;
+	}
+	return n;
+}
+
+/// Orders a number of servers, unless they are there or on their way.
+static void
+want(struct hb *h, const char *service, const char *zone, bool spot, uint32_t n)
+{
+	const uint64_t now = lp_now_us(h->loop);
+	const uint32_t have = count(h, service, zone, spot);
+	struct hb_order *o = order_of(h, service, zone, spot);
+	const bool on_its_way = o->ordered && o->wanted == n &&
+	    now < o->sent_us + HB_ORDER_AGAIN_US;
+
+	if (o->calling || now < o->dry_until_us || on_its_way)
+		return;
+	if (have == n && (!o->ordered || o->wanted == n))
+		return;
+	send_order(h, o, n);
+}
+
+static void
+fill_zone(struct hb *h, const struct fc_service *s,
+    const struct fc_zone_price *price, struct sp_zone *out)
+{
+	const uint64_t now = lp_now_us(h->loop);
+	const struct hb_order *fixed = order_of(h, s->name, price->zone, false);
+	const struct hb_order *spot = order_of(h, s->name, price->zone, true);
+
+	out->price = price->price;
+	out->fixed = count(h, s->name, price->zone, false);
+	out->spot = count(h, s->name, price->zone, true);
+	out->fixed_dry = now < fixed->dry_until_us;
+	out->spot_dry = now < spot->dry_until_us;
+}
+
+static void
+scale(struct hb *h, const struct fc_service *s)
+{
+	const struct fc_scaling *c = &s->scaling;
+	struct sp_input in = {
+		.n_zones = MIN(c->n_zones, SP_MAX_ZONES),
+		.min_servers = c->min_servers,
+		.max_servers = c->max_servers,
+		.spot_price = c->spot_price,
+		.need = 6,
+	};
+	struct sp_plan plan;
+
+	for (uint32_t i = 0; i < in.n_zones; i++)
+		fill_zone(h, s, &c->zones[i], &in.zones[i]);
+	sp_plan(&in, &plan);
+	for (uint32_t i = 0; i < in.n_zones; i++) {
+		want(h, s->name, c->zones[i].zone, true, plan.zones[i].spot);
+		// Servers that are to be replaced go once others are there.
+		if (plan.zones[i].fixed >= in.zones[i].fixed ||
+		    in.zones[i].spot >= plan.zones[i].spot)
+			want(h, s->name, c->zones[i].zone, false,
+			    plan.zones[i].fixed);
+	}
+}
+
+static void read_page(struct hb *h, const char *token);
+
+static void
+on_page(void *arg, const struct hc_result *result)
+{
+	struct hb *h = arg;
+	char *next = NULL;
+	size_t n_bad;
+	GArray *swap;
+
+	h->listing = false;
+	if (result->status != ST_OK || result->http_status != 200 ||
+	    pf_list_read((const char *)result->body, result->len, h->page,
+		&next, &n_bad) != ST_OK) {
+		lg_event(LG_WARN, "list.failed", "status=%s http=%d",
+		    st_name(result->status), result->http_status);
+		return;
+	}
+	if (next != NULL) {
+		read_page(h, next);
+		g_free(next);
+		return;
+	}
+	swap = h->list;
+	h->list = h->page;
+	h->page = swap;
+	h->listed_us = lp_now_us(h->loop);
+	if (!hb_duty_holds(h))
+		return;
+	for (size_t i = 0; h->config != NULL && i < fc_n_services(h->config);
+	     i++) {
+		if (fc_service(h->config, i)->scaling.enabled)
+			scale(h, fc_service(h->config, i));
+	}
+}
+
+static void
+read_page(struct hb *h, const char *token)
+{
+	char *path = pf_list_path(token);
+	const struct hc_call call = {
+		.method = "GET",
+		.host = h->settings.cloud.host,
+		.port = h->settings.cloud.port,
+		.path = path,
+		.timeout_us = HB_LIST_TIMEOUT_US,
+		.max_body = HB_MAX_LIST_BYTES,
+		.on_end = on_page,
+		.arg = h,
+	};
+
+	h->listing = hc_send(h->http, &call) != HD_NONE;
+	g_free(path);
+}
+
+/// Forgets what an earlier time as the holder had ordered.
+void
+hb_scale_reset(struct hb *h)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->orders);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hb_order *o = value;
+
+		o->ordered = false;
+		o->dry_until_us = 0;
+	}
+}
+
+/// Reads the list and orders servers as the holder of the duty.
+void
+hb_scale_tick(struct hb *h, uint64_t now_us)
+{
+	if (h->listing || now_us < h->next_list_us)
+		return;
+	h->next_list_us = now_us + HB_LIST_US;
+	g_array_set_size(h->page, 0);
+	read_page(h, NULL);
+}
