Quotas survive a leader's loss; idle connections end at a stop

Change: between two words of control a gateway spends twice its even part at most and refills its part; a new leader starts from what all gateways report as level and as spent beyond it.

--- a/src/fleet/lm.c
+++ b/src/fleet/lm.c
@@ -38,6 +38,7 @@
 
 	mp_str(m, q->customer, sizeof(q->customer));
 	mp_u64(m, &q->spent);
+	mp_u64(m, &q->counted);
 	mp_u64(m, &level);
 	q->level = (int64_t)level - LEVEL_BIAS;
 }
--- a/src/fleet/lm.h
+++ b/src/fleet/lm.h
@@ -19,8 +19,9 @@
 /// Units of a customer's quota.
 struct lm_quota {
 	char customer[FC_NAME_BYTES];
-	uint64_t spent; ///< by the gateway, since its start
-	int64_t level;  ///< what is left for all
+	uint64_t spent;   ///< by the gateway, since its start
+	uint64_t counted; ///< part of that which `level` takes into account
+	int64_t level;    ///< what is left for all
 };
 
 /// Work of a service that this gateway has at servers, and what it had to
--- a/src/fleet/qt.c
+++ b/src/fleet/qt.c
@@ -7,14 +7,15 @@
 /// Part of the slack above the quota that is let through; the rest covers
 /// what gateways spend before they hear of each other.
 #define SLACK_USED 0.4
-/// Part of what is left that one gateway may spend until control's next word.
-#define PART 0.4
-/// A request larger than that passes while the bucket is so full, and leaves a
-/// debt: otherwise the largest would never pass.
+/// Until control's next word a gateway may spend so many times its even part of
+/// what is left: not all are asked for much at the same time.
+#define OVERCOMMIT 2.0
+/// A request larger than that passes as the first one since control's last
+/// word while the bucket is so full, and leaves a debt: otherwise the largest
+/// would never pass.
 #define DEBT_LEVEL 0.25
-/// Control's word is fresh for so long: until then the whole rate is added to
-/// it, later a gateway's part.
-#define FRESH_S 0.6
+/// Such a first request passes when so many times its units are left.
+#define FIRST_FACTOR 1.25
 /// Units spent that control should hear of at once, as a part of the bucket.
 #define TELL_PART 0.1
 /// A wait is told up to this; callers don't wait longer.
@@ -41,19 +42,21 @@
 	p->last_us = now_us;
 }
 
-/// Starts control's bucket.
-///
-/// @param level  as gateways last knew it; NAN: nobody does
+/// Starts control's bucket, full.
 void
-qt_pool_start(struct qt_pool *p, const struct qt_limit *limit, uint64_t now_us,
-    double level)
+qt_pool_start(struct qt_pool *p, const struct qt_limit *limit, uint64_t now_us)
 {
-	const double most = qt_capacity(limit);
-
-	p->level = isnan(level) ? most : fmin(level, most);
+	p->level = qt_capacity(limit);
 	p->last_us = now_us;
 }
 
+/// Takes over the level that a gateway was told by an earlier leader.
+void
+qt_pool_known(struct qt_pool *p, double level)
+{
+	p->level = fmin(p->level, level);
+}
+
 /// Takes what a gateway spent; what passed has passed, so the level may fall
 /// below zero.
 void
@@ -75,19 +78,16 @@
 	v->counted = counted < v->spent ? counted : v->spent;
 }
 
-/// What is left of the quota as far as this gateway knows.
+/// What is left of the quota as far as this gateway knows, without what it
+/// spent since control's last word.
 double
 qt_level(const struct qt_view *v, const struct qt_limit *limit, uint64_t now_us,
     uint32_t n_gateways)
 {
-	const double age = (double)(now_us - v->told_us) / US_PER_S;
-	const double fresh = fmin(age, FRESH_S);
-	const double part = 1.0 / fmax(n_gateways, 1);
-	double level = v->level;
-
-	level += limit->rate_per_s * (fresh + (age - fresh) * part);
-	level = fmin(level, qt_capacity(limit));
-	return level - (double)(v->spent - v->counted);
+	const double age_s = (double)(now_us - v->told_us) / US_PER_S;
+	const double part = limit->rate_per_s / fmax(n_gateways, 1);
+
+	return fmin(v->level + part * age_s, qt_capacity(limit));
 }
 
 /// Takes a request's units, if they fit.
@@ -95,22 +95,29 @@
 qt_take(struct qt_view *v, const struct qt_limit *limit, uint64_t now_us,
     uint32_t n_gateways, double units)
 {
-	struct qt_answer a = { .outcome = QT_TAKEN };
+	const double part = fmin(OVERCOMMIT / fmax(n_gateways, 1), 1);
 	const double most = qt_capacity(limit);
+	const double own = (double)(v->spent - v->counted);
+	struct qt_answer a = { .outcome = QT_TAKEN };
 	double level;
 	double enough;
 
 	if (limit->rate_per_s <= 0)
 		return a;
 	level = qt_level(v, limit, now_us, n_gateways);
-	enough = fmin(units / PART, DEBT_LEVEL * most);
+	enough = (own + units) / part;
+	if (v->spent == v->counted)
+		enough = fmin(
+		    enough, fmin(FIRST_FACTOR * units, DEBT_LEVEL * most));
 	if (level >= enough) {
 		v->spent += (uint64_t)units;
 		return a;
 	}
 	a.outcome = QT_OVER;
+	enough = fmin(enough, DEBT_LEVEL * most);
 	a.wait_us = (uint64_t)(
-	    fmin((enough - level) / limit->rate_per_s, MAX_WAIT_S) * US_PER_S);
+	    fmin(fmax(enough - level, 0) / limit->rate_per_s, MAX_WAIT_S) *
+	    US_PER_S);
 	return a;
 }
 
@@ -118,5 +125,6 @@
 bool
 qt_should_tell(const struct qt_view *v, const struct qt_limit *limit)
 {
-	return (double)(v->spent - v->counted) > TELL_PART * qt_capacity(limit);
+	return (double)(v->spent - v->counted) >
+	    TELL_PART * qt_capacity(limit);
 }
--- a/src/fleet/qt.h
+++ b/src/fleet/qt.h
@@ -45,8 +45,9 @@
 
 double qt_capacity(const struct qt_limit *limit);
 
-void qt_pool_start(struct qt_pool *p, const struct qt_limit *limit,
-    uint64_t now_us, double level);
+void qt_pool_start(
+    struct qt_pool *p, const struct qt_limit *limit, uint64_t now_us);
+void qt_pool_known(struct qt_pool *p, double level);
 void qt_pool_spend(struct qt_pool *p, const struct qt_limit *limit,
     uint64_t now_us, double units);
 
--- a/src/fleet/sp.c
+++ b/src/fleet/sp.c
@@ -16,9 +16,27 @@
 	return a < b ? a : b;
 }
 
-/// The cheapest data centre that has room for another on-demand server.
+/// Whether another on-demand server is better there than in the best place so
+/// far: where one runs already, else where it is cheapest.
+static bool
+is_better(const struct sp_input *in, const struct sp_plan *plan, uint32_t at,
+    uint32_t best)
+{
+	bool runs;
+	bool best_runs;
+
+	if (best == in->n_zones)
+		return true;
+	runs = plan->zones[at].fixed < in->zones[at].fixed;
+	best_runs = plan->zones[best].fixed < in->zones[best].fixed;
+	if (runs != best_runs)
+		return runs;
+	return in->zones[at].price < in->zones[best].price;
+}
+
+/// The data centre for another on-demand server.
 static uint32_t
-cheapest(const struct sp_input *in, const struct sp_plan *plan)
+place_fixed(const struct sp_input *in, const struct sp_plan *plan)
 {
 	uint32_t best = in->n_zones;
 
@@ -29,8 +47,7 @@
 			continue;
 		if (in->zones[i].fixed_dry && o->fixed >= in->zones[i].fixed)
 			continue;
-		if (best == in->n_zones ||
-		    in->zones[i].price < in->zones[best].price)
+		if (is_better(in, plan, i, best))
 			best = i;
 	}
 	return best;
@@ -57,8 +74,8 @@
 	return best;
 }
 
-/// Servers that the plan would have now, with reclaimable ones only as far as
-/// they can be had.
+/// Servers that the plan would have soon. Reclaimable ones count once they are
+/// there or their order was accepted.
 static uint32_t
 count(const struct sp_input *in, const struct sp_plan *plan)
 {
@@ -68,8 +85,7 @@
 		const struct sp_zone *z = &in->zones[i];
 		const struct sp_order *o = &plan->zones[i];
 
-		n += o->fixed;
-		n += z->spot_dry ? least(o->spot, z->spot) : o->spot;
+		n += o->fixed + least(o->spot, z->spot + z->starting);
 	}
 	return n;
 }
@@ -90,7 +106,7 @@
 		n += in->min_servers;
 	}
 	for (; n < fixed; n++) {
-		const uint32_t at = cheapest(in, out);
+		const uint32_t at = place_fixed(in, out);
 
 		if (at == in->n_zones)
 			break;
@@ -107,7 +123,7 @@
 	}
 	// What reclaimable servers can't carry now, on-demand ones must.
 	while (count(in, out) < need) {
-		const uint32_t at = cheapest(in, out);
+		const uint32_t at = place_fixed(in, out);
 
 		if (at == in->n_zones)
 			break;
--- a/src/front/fr.c
+++ b/src/front/fr.c
@@ -24,6 +24,7 @@
 	GHashTable *connections; ///< evhtp_free() would leave them
 	size_t unsent;           ///< answers that are whole but not yet written
 	bool listening;
+	bool draining; ///< no connection outlives its next answer
 };
 
 /// One request not yet answered whole.
@@ -270,6 +271,23 @@
 	f->listening = false;
 }
 
+/// Closes the connections that are idle now, and each other one behind the
+/// answer that it waits for.
+void
+fr_drain(struct fr *f)
+{
+	GList *all = g_hash_table_get_keys(f->connections);
+
+	f->draining = true;
+	for (const GList *l = all; l != NULL; l = l->next) {
+		evhtp_connection_t *conn = l->data;
+
+		if (conn->request == NULL)
+			evhtp_connection_free(conn);
+	}
+	g_list_free(all);
+}
+
 /// Value of a request's header, or NULL.
 const char *
 fr_header(struct fr *f, hd_t handle, const char *name)
@@ -390,6 +408,8 @@
 	if (open == NULL)
 		return NULL;
 	req = open->req;
+	if (f->draining)
+		evhtp_request_set_keepalive(req, 0);
 	(void)evhtp_request_unset_hook(req, evhtp_hook_on_request_fini);
 	(void)evhtp_request_set_hook(
 	    req, evhtp_hook_on_request_fini, (evhtp_hook)on_sent, f);
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -57,6 +57,7 @@
 void fr_free(struct fr *f);
 enum st fr_listen(struct fr *f, const char *host, uint16_t port);
 void fr_stop_listening(struct fr *f);
+void fr_drain(struct fr *f);
 /// Header by header, in the order in which they came.
 typedef void (*fr_header_cb)(void *arg, const char *name, const char *value);
 
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -5,7 +5,9 @@
 
 #define GW_TICK_US (50 * TM_US_PER_MS)
 #define GW_END_CHECK_US (20 * TM_US_PER_MS)
-/// New connections still come until the balancer has noticed.
+/// Kept connections are given up after this,
+#define GW_DRAIN_US (1000 * TM_US_PER_MS)
+/// and new ones come until the balancer has noticed.
 #define GW_LISTEN_US (2500 * TM_US_PER_MS)
 /// Time left of the grace period when the process ends at the latest.
 #define GW_STOP_MARGIN_US (700 * TM_US_PER_MS)
@@ -112,6 +114,8 @@
 	    hd_count(g->requests) == 0 && fr_open(g->callers) == 0;
 
 	tm_arm_in(g->end, GW_END_CHECK_US);
+	if (now_us >= g->stop_us + MIN(GW_DRAIN_US, grace / 4))
+		fr_drain(g->callers);
 	if (now_us < g->stop_us + MIN(GW_LISTEN_US, grace / 2))
 		return;
 	fr_stop_listening(g->callers);
--- a/src/gateway/gw_accept.c
+++ b/src/gateway/gw_accept.c
@@ -75,11 +75,13 @@
 			gw_report_soon(g);
 		return true;
 	}
+	gw_report_soon(g);
 	lg_event(LG_INFO, "quota.over",
-	    "request=%s customer=%s units=%.0f left=%.0f told_ms=%" PRIu64
-	    " rate=%.0f burst=%.0f",
+	    "request=%s customer=%s units=%.0f left=%.0f spent=%" PRIu64
+	    " told_ms=%" PRIu64 " rate=%.0f burst=%.0f",
 	    q->call.id, q->customer->name, units,
 	    qt_level(view, &limit, q->arrived_us, g->n_gateways),
+	    view->spent - view->counted,
 	    (q->arrived_us - view->told_us) / TM_US_PER_MS, limit.rate_per_s,
 	    limit.burst);
 	gw_fail(q, 429, a.wait_us, "over the customer's quota");
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -130,6 +130,7 @@
 			continue;
 		(void)g_strlcpy(q.customer, c->name, sizeof(q.customer));
 		q.spent = v->spent;
+		q.counted = v->counted;
 		q.level =
 		    (int64_t)qt_level(v, &limit, now_us, g->n_gateways);
 		g_array_append_val(r->quotas, q);
@@ -236,7 +237,7 @@
 			(void)g_hash_table_insert(
 			    g->quotas, g_strdup(q->customer), v);
 		}
-		qt_told(v, now_us, (double)q->level, q->spent);
+		qt_told(v, now_us, (double)q->level, q->counted);
 	}
 }
 
--- a/src/hub/hb_internal.h
+++ b/src/hub/hb_internal.h
@@ -60,6 +60,7 @@
 	bool stopping;
 	uint64_t stop_us;
 	bool changing; ///< members
+	bool led;      ///< at the last change of role
 
 	/// Duties, while this process leads.
 	bool taking; ///< a command that takes the duties is on its way
@@ -103,7 +104,7 @@
 bool hb_gateway_lives(const struct hb *h, const struct hb_gateway *g);
 
 /// hb_quota.c: customers' quotas (leader)
-void hb_quota_reset(struct hb *h);
+void hb_quota_start(struct hb *h);
 void hb_quota_take(struct hb *h, struct hb_gateway *g, const GArray *quotas);
 void hb_quota_fill(struct hb *h, const struct hb_gateway *g, GArray *quotas);
 
--- a/src/hub/hb_log.c
+++ b/src/hub/hb_log.c
@@ -117,10 +117,11 @@
 	lg_event(LG_INFO, "group.role",
 	    "role=%s leader=%s term=%" PRIu64 " ready=%s", role_name(role),
 	    host, term, hb_leads(h) ? "yes" : "no");
-	if (!hb_leads(h)) {
+	if (!hb_leads(h))
 		hb_duty_reset(h);
-		hb_quota_reset(h);
-	}
+	else if (!h->led)
+		hb_quota_start(h);
+	h->led = hb_leads(h);
 	tm_arm_in(h->push, 0);
 }
 
--- a/src/hub/hb_quota.c
+++ b/src/hub/hb_quota.c
@@ -1,6 +1,5 @@
 #include "hub/hb_internal.h"
 
-#include <math.h>
 #include <string.h>
 
 #include "fleet/qt.h"
@@ -33,25 +32,6 @@
 	return NULL;
 }
 
-/// Least level that a gateway knows: what an earlier leader had counted.
-static double
-known_level(const struct hb *h, const char *customer)
-{
-	double level = NAN;
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, h->gateways);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct hb_gateway *g = value;
-		const struct lm_quota *q = find(g->quotas, customer);
-
-		if (q != NULL && hb_gateway_lives(h, g))
-			level = fmin((double)q->level, level);
-	}
-	return level;
-}
-
 static struct qt_pool *
 pool_of(struct hb *h, const struct fc_customer *c)
 {
@@ -61,23 +41,49 @@
 	if (p != NULL)
 		return p;
 	p = g_new0(struct qt_pool, 1);
-	qt_pool_start(
-	    p, &limit, lp_now_us(h->loop), known_level(h, c->name));
+	qt_pool_start(p, &limit, lp_now_us(h->loop));
 	(void)g_hash_table_insert(h->pools, g_strdup(c->name), p);
 	return p;
 }
 
-/// Forgets the buckets: another process leads.
+/// Takes over what a gateway knew of a customer from an earlier leader, and
+/// what it spent beyond.
+static void
+take_over(struct hb *h, const struct fc_customer *c, const struct lm_quota *q)
+{
+	const struct qt_limit limit = limit_of(h, c);
+	struct qt_pool *p = pool_of(h, c);
+
+	qt_pool_known(p, (double)q->level);
+	qt_pool_spend(p, &limit, lp_now_us(h->loop),
+	    (double)(q->spent - MIN(q->counted, q->spent)));
+}
+
+/// Starts the buckets from what gateways reported lately: this process leads
+/// from now on.
 void
-hb_quota_reset(struct hb *h)
+hb_quota_start(struct hb *h)
 {
 	GHashTableIter it;
 	gpointer value;
 
 	g_hash_table_remove_all(h->pools);
 	g_hash_table_iter_init(&it, h->gateways);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		((struct hb_gateway *)value)->counted = false;
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hb_gateway *g = value;
+
+		g->counted = hb_gateway_lives(h, g);
+		for (guint i = 0; g->counted && i < g->quotas->len; i++) {
+			const struct lm_quota *q =
+			    &g_array_index(g->quotas, struct lm_quota, i);
+			const struct fc_customer *c = h->config == NULL ?
+			    NULL :
+			    fc_find_customer(h->config, q->customer);
+
+			if (c != NULL && c->rate_per_s > 0)
+				take_over(h, c, q);
+		}
+	}
 }
 
 /// Takes what a gateway spent since its last report to this leader.
@@ -96,17 +102,18 @@
 		const struct fc_customer *c =
 		    fc_find_customer(h->config, q->customer);
 		const struct lm_quota *last = find(g->quotas, q->customer);
+		const uint64_t before = last != NULL ? last->spent : 0;
 		struct qt_limit limit;
-		uint64_t before = last != NULL ? last->spent : 0;
 
 		if (c == NULL || c->rate_per_s <= 0)
 			continue;
-		// What an earlier leader counted is in the level already.
-		if (!g->counted || before > q->spent)
-			before = q->spent;
+		if (!g->counted) {
+			take_over(h, c, q);
+			continue;
+		}
 		limit = limit_of(h, c);
-		qt_pool_spend(
-		    pool_of(h, c), &limit, now, (double)(q->spent - before));
+		qt_pool_spend(pool_of(h, c), &limit, now,
+		    (double)(q->spent - MIN(before, q->spent)));
 	}
 	g->counted = true;
 }
@@ -131,7 +138,7 @@
 		qt_pool_spend(p, &limit, now, 0);
 		(void)g_strlcpy(out.customer, c->name, sizeof(out.customer));
 		out.level = (int64_t)p->level;
-		out.spent = last != NULL ? last->spent : 0;
+		out.counted = last != NULL ? last->spent : 0;
 		g_array_append_val(quotas, out);
 	}
 }
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -137,6 +137,9 @@
 	out->price = price->price;
 	out->fixed = count(h, s->name, price->zone, false);
 	out->spot = count(h, s->name, price->zone, true);
+	if (spot->ordered && !spot->calling && spot->wanted > out->spot &&
+	    now < spot->sent_us + HB_ORDER_AGAIN_US)
+		out->starting = spot->wanted - out->spot;
 	out->fixed_dry = now < fixed->dry_until_us;
 	out->spot_dry = now < spot->dry_until_us;
 }
