Needed servers are found from late answers

Change: a new holder watches the list for three seconds, guesses two thirds of what is there, and then steps by the share of answers that took half of their target; the need is kept in the replicated state.

--- a/src/fleet/lm.h
+++ b/src/fleet/lm.h
@@ -32,7 +32,8 @@
 	uint32_t refused; ///< since the last report
 	uint32_t arrived; ///< since the last report
 	uint64_t work_us; ///< spent at servers since the last report
-	uint32_t late;    ///< answers later than their target, since then
+	uint32_t answered; ///< first answers since the last report
+	uint32_t slow;     ///< of these, those that took half of the target
 };
 
 /// Gateway to control.
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -39,7 +39,8 @@
 	uint32_t running;
 	uint32_t refused;
 	uint32_t arrived;
-	uint32_t late;
+	uint32_t answered;
+	uint32_t slow; ///< answers that took half of their target or more
 	uint64_t work_us;
 	struct rt *retries; ///< this gateway's part of the retry budget
 };
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -151,14 +151,16 @@
 			.running = l->running,
 			.refused = l->refused,
 			.arrived = l->arrived,
-			.late = l->late,
+			.answered = l->answered,
+			.slow = l->slow,
 			.work_us = l->work_us,
 		};
 
 		(void)g_strlcpy(out.service, name, sizeof(out.service));
 		l->refused = 0;
 		l->arrived = 0;
-		l->late = 0;
+		l->answered = 0;
+		l->slow = 0;
 		l->work_us = 0;
 		g_array_append_val(r->loads, out);
 	}
--- a/src/hub/hb.c
+++ b/src/hub/hb.c
@@ -116,6 +116,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, gateway_free);
 	h->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	h->needs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->orders =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->list = g_array_new(FALSE, TRUE, sizeof(struct sv));
@@ -180,6 +182,7 @@
 	g_hash_table_destroy(h->peers);
 	g_hash_table_destroy(h->gateways);
 	g_hash_table_destroy(h->pools);
+	g_hash_table_destroy(h->needs);
 	g_hash_table_destroy(h->orders);
 	g_array_unref(h->list);
 	g_array_unref(h->page);
--- a/src/hub/hb_internal.h
+++ b/src/hub/hb_internal.h
@@ -73,6 +73,7 @@
 
 	/// Servers that are ordered from the cloud (hb_scale.c).
 	GHashTable *orders; ///< "service zone kind" -> struct hb_order
+	GHashTable *needs;  ///< service -> struct sn
 	GArray *list;       ///< struct sv, of the newest whole reading
 	GArray *page;       ///< of the reading under way
 	bool listing;
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/sn.h"
 #include "fleet/sp.h"
 #include "platform/pf_cloud.h"
 #include "platform/pf_names.h"
@@ -16,6 +17,13 @@
 /// An order that was refused for want of servers is tried again after this.
 #define HB_DRY_US (3 * TM_US_PER_S)
 #define HB_CONFLICT 409
+/// First guess of what a service needs, as a share of the servers it has.
+#define HB_FIRST_NEED (2.0 / 3)
+/// A new holder watches the list for so long before its first guess.
+#define HB_WATCH_US (3 * TM_US_PER_S)
+/// A change of the need that is worth a record.
+#define HB_NEED_CHANGE 0.02
+#define MILLI 1000
 #define HB_MAX_LIST_BYTES (4UL << 20)
 
 /// Orders for one service, data centre and kind of server.
@@ -144,6 +152,87 @@
 	out->spot_dry = now < spot->dry_until_us;
 }
 
+/// Adds up what gateways reported of a service since the last call.
+static struct sn_sample
+sample_of(struct hb *h, const char *service)
+{
+	struct sn_sample sample = { .servers = 0 };
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hb_gateway *g = value;
+
+		for (guint i = 0; i < g->loads->len; i++) {
+			struct lm_load *l =
+			    &g_array_index(g->loads, struct lm_load, i);
+
+			if (strcmp(l->service, service) != 0)
+				continue;
+			sample.answered += l->answered + l->refused;
+			sample.slow += l->slow + l->refused;
+			l->answered = 0;
+			l->slow = 0;
+			l->refused = 0;
+		}
+	}
+	for (guint i = 0; i < h->list->len; i++) {
+		const struct sv *s = &g_array_index(h->list, struct sv, i);
+
+		sample.servers +=
+		    !s->leaving && strcmp(s->service, service) == 0;
+	}
+	return sample;
+}
+
+static void
+on_recorded(void *arg, enum st status, const uint8_t *result, size_t len)
+{
+	(void)arg;
+	(void)result;
+	(void)len;
+	if (status != ST_OK)
+		lg_event(LG_WARN, "need.not_recorded", "status=%s",
+		    st_name(status));
+}
+
+/// Servers that a service needs, found from what is recorded and from what
+/// its callers see.
+///
+/// @return 0 while nothing is known
+static double
+need_of(struct hb *h, const char *service)
+{
+	const uint64_t now = lp_now_us(h->loop);
+	const struct sn_sample sample = sample_of(h, service);
+	const double recorded = (double)hs_need(h->state, service) / MILLI;
+	struct sn *s = g_hash_table_lookup(h->needs, service);
+	struct hs_command c = { .kind = HS_NEED };
+
+	if (s == NULL) {
+		s = g_new0(struct sn, 1);
+		(void)g_hash_table_insert(h->needs, g_strdup(service), s);
+	}
+	if (s->need <= 0 && recorded > 0)
+		sn_start(s, now, recorded);
+	else if (sample.servers * HB_FIRST_NEED > s->need && recorded <= 0)
+		sn_start(s, now, sample.servers * HB_FIRST_NEED);
+	if (now < h->duty_from_us + HB_WATCH_US)
+		return 0;
+	sn_step(s, now, &sample);
+	if (s->need > recorded * (1 - HB_NEED_CHANGE) &&
+	    s->need < recorded * (1 + HB_NEED_CHANGE))
+		return s->need;
+	lg_event(LG_INFO, "servers.need",
+	    "service=%s need=%.2f slow=%.3f servers=%u", service, s->need,
+	    s->slow, sample.servers);
+	(void)g_strlcpy(c.service, service, sizeof(c.service));
+	c.need_milli = (uint32_t)(s->need * MILLI);
+	hb_propose(h, &c, on_recorded, h);
+	return s->need;
+}
+
 static void
 scale(struct hb *h, const struct fc_service *s)
 {
@@ -153,10 +242,12 @@
 		.min_servers = c->min_servers,
 		.max_servers = c->max_servers,
 		.spot_price = c->spot_price,
-		.need = 6,
+		.need = need_of(h, s->name),
 	};
 	struct sp_plan plan;
 
+	if (in.need <= 0)
+		return;
 	for (uint32_t i = 0; i < in.n_zones; i++)
 		fill_zone(h, s, &c->zones[i], &in.zones[i]);
 	sp_plan(&in, &plan);
@@ -232,6 +323,7 @@
 	GHashTableIter it;
 	gpointer value;
 
+	g_hash_table_remove_all(h->needs);
 	g_hash_table_iter_init(&it, h->orders);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct hb_order *o = value;
--- a/src/hub/hs.c
+++ b/src/hub/hs.c
@@ -15,6 +15,13 @@
 	size_t len;
 	struct hs_duty duty;
 	GQueue *usage; ///< struct hs_usage, oldest first
+	GArray *needs; ///< struct need
+};
+
+/// Servers that a service needs, as control found out.
+struct need {
+	char service[FC_NAME_BYTES];
+	uint32_t milli;
 };
 
 static void
@@ -33,6 +40,7 @@
 	struct hs *s = g_new0(struct hs, 1);
 
 	s->usage = g_queue_new();
+	s->needs = g_array_new(FALSE, TRUE, sizeof(struct need));
 	return s;
 }
 
@@ -43,6 +51,7 @@
 	if (s == NULL)
 		return;
 	g_queue_free_full(s->usage, usage_free);
+	g_array_unref(s->needs);
 	g_free(s->text);
 	g_free(s);
 }
@@ -86,6 +95,10 @@
 	case HS_USAGE:
 		code_usage(m, &c->usage);
 		break;
+	case HS_NEED:
+		mp_str(m, c->service, sizeof(c->service));
+		mp_u32(m, &c->need_milli);
+		break;
 	case HS_KINDS:
 		mp_fail(m);
 		break;
@@ -131,6 +144,41 @@
 		usage_free(g_queue_pop_head(s->usage));
 }
 
+static struct need *
+find_need(const struct hs *s, const char *service)
+{
+	for (guint i = 0; i < s->needs->len; i++) {
+		struct need *n = &g_array_index(s->needs, struct need, i);
+
+		if (strcmp(n->service, service) == 0)
+			return n;
+	}
+	return NULL;
+}
+
+static void
+set_need(struct hs *s, const struct hs_command *c)
+{
+	struct need *n = find_need(s, c->service);
+	struct need new = { .milli = c->need_milli };
+
+	if (n != NULL) {
+		n->milli = c->need_milli;
+		return;
+	}
+	(void)g_strlcpy(new.service, c->service, sizeof(new.service));
+	g_array_append_val(s->needs, new);
+}
+
+/// Thousandths of a server that a service needs; 0: not known yet.
+uint32_t
+hs_need(const struct hs *s, const char *service)
+{
+	const struct need *n = find_need(s, service);
+
+	return n == NULL ? 0 : n->milli;
+}
+
 /// Applies a committed command.
 ///
 /// @param index  of its entry in the log: grows with each command
@@ -158,6 +206,9 @@
 		case HS_USAGE:
 			settle_usage(s, &c.usage);
 			break;
+		case HS_NEED:
+			set_need(s, &c);
+			break;
 		case HS_KINDS:
 			break;
 		}
@@ -192,6 +243,19 @@
 		g_queue_push_tail(s->usage, u);
 		code_usage(m, u);
 	}
+	n = s->needs->len;
+	mp_u32(m, &n);
+	if (!mp_writing(m)) {
+		if (n > HS_MAX_COUNTS)
+			mp_fail(m);
+		g_array_set_size(s->needs, mp_bad(m) ? 0 : n);
+	}
+	for (guint i = 0; i < s->needs->len; i++) {
+		struct need *need = &g_array_index(s->needs, struct need, i);
+
+		mp_str(m, need->service, sizeof(need->service));
+		mp_u32(m, &need->milli);
+	}
 }
 
 /// Encodes the whole state.
--- a/src/hub/hs.h
+++ b/src/hub/hs.h
@@ -15,6 +15,7 @@
 	HS_CONFIG, ///< A whole configuration; the highest version wins.
 	HS_DUTY,   ///< A process takes the duties over.
 	HS_USAGE,  ///< Counts of a window; the first ones are final.
+	HS_NEED,   ///< Servers that a service needs.
 	HS_KINDS,
 };
 
@@ -31,6 +32,8 @@
 	size_t len;
 	uint32_t holder; ///< slot
 	struct hs_usage usage;
+	char service[FC_NAME_BYTES];
+	uint32_t need_milli; ///< thousandths of a server
 };
 
 /// Who may make the calls of the duties, under which fencing number.
@@ -50,6 +53,7 @@
 uint64_t hs_version(const struct hs *s);
 const uint8_t *hs_manifest(const struct hs *s, size_t *len);
 struct hs_duty hs_duty(const struct hs *s);
+uint32_t hs_need(const struct hs *s, const char *service);
 const struct hs_usage *hs_usage(const struct hs *s, uint64_t window);
 
 #endif
