Services move to versions; shared prompts have a home; shorter elections

Cause: rollouts were not spoken at all; each gateway learned by itself where a shared prompt is held, so parts were read again; recovery after a loss of power waited 1.2 s for an election. Change: moves are kept in the replicated state and decided by the product's judge, with one share until shortly before the time is over. A prompt's shared parts have one server that all gateways prefer. Elections take 600 ms.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -36,9 +36,9 @@
 	state wire conf base
 	LIBS ${GLIB} ${EVENT} PkgConfig::jansson PkgConfig::msgpack
 	PkgConfig::libxxhash)
-ac_library(gateway DEPS platform fleet route loop front back wire conf base
+ac_library(gateway DEPS platform fleet route rollout loop front back wire conf base
 	LIBS ${GLIB} ${EVENT} PkgConfig::libxxhash)
-ac_library(hub DEPS platform fleet loop front back placement replog wire codec
+ac_library(hub DEPS platform fleet loop front back placement rollout replog wire codec
 	conf base LIBS ${GLIB} ${EVENT})
 ac_library(app DEPS hub gateway platform fleet control entry cli load loop keys conf base
 	LIBS ${GLIB} PkgConfig::argtable2)
--- a/src/fleet/lm.c
+++ b/src/fleet/lm.c
@@ -79,6 +79,17 @@
 		code_load(m, &g_array_index(r->loads, struct lm_load, i));
 }
 
+static void
+code_move(struct mp *m, struct lm_move *v)
+{
+	mp_str(m, v->service, sizeof(v->service));
+	mp_str(m, v->target, sizeof(v->target));
+	mp_str(m, v->base, sizeof(v->base));
+	mp_u32(m, &v->permille);
+	mp_enum(m, &v->state, LM_MOVE_STATES);
+	mp_u64(m, &v->sequence);
+}
+
 static void
 code_state(struct mp *m, struct lm_state *s)
 {
@@ -93,6 +104,9 @@
 	for (guint i = 0; i < s->members->len; i++)
 		mp_u32(m, &g_array_index(s->members, uint32_t, i));
 	code_quotas(m, s->quotas);
+	items(m, s->moves);
+	for (guint i = 0; i < s->moves->len; i++)
+		code_move(m, &g_array_index(s->moves, struct lm_move, i));
 }
 
 /// Makes an empty report.
@@ -148,6 +162,7 @@
 	*s = (struct lm_state){
 		.members = g_array_new(FALSE, TRUE, sizeof(uint32_t)),
 		.quotas = g_array_new(FALSE, TRUE, sizeof(struct lm_quota)),
+		.moves = g_array_new(FALSE, TRUE, sizeof(struct lm_move)),
 	};
 }
 
@@ -157,6 +172,7 @@
 {
 	g_array_unref(s->members);
 	g_array_unref(s->quotas);
+	g_array_unref(s->moves);
 }
 
 /// Encodes a state.
--- a/src/fleet/lm.h
+++ b/src/fleet/lm.h
@@ -36,6 +36,23 @@
 	uint32_t slow;     ///< of these, those that took half of the target
 };
 
+/// Where a service's move to a version stands.
+enum lm_move_state {
+	LM_MOVING,    ///< the new version gets a share
+	LM_MOVED,     ///< it gets all
+	LM_TAKEN_BACK, ///< it gets nothing
+	LM_MOVE_STATES,
+};
+
+struct lm_move {
+	char service[FC_NAME_BYTES];
+	char target[FC_NAME_BYTES];
+	char base[FC_NAME_BYTES];
+	uint32_t permille;
+	enum lm_move_state state;
+	uint64_t sequence; ///< grows with each change
+};
+
 /// Gateway to control.
 struct lm_report {
 	uint64_t sent_us; ///< the gateway's steady clock; comes back
@@ -59,6 +76,7 @@
 	size_t manifest_len;
 	GArray *members; ///< uint32_t: slots of control processes
 	GArray *quotas;  ///< struct lm_quota
+	GArray *moves;   ///< struct lm_move
 };
 
 void lm_report_init(struct lm_report *r);
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -82,6 +82,7 @@
 	tm_arm_in(g->tick, GW_TICK_US);
 	gw_link_tick(g, now_us);
 	gw_list_tick(g, now_us);
+	gw_moves_tick(g, now_us);
 	if (g->listed_us != 0 && now_us - g->listed_us > GW_LIST_OLD_US &&
 	    now_us - g->listed_us < GW_LIST_OLD_US + GW_TICK_US)
 		lg_event(LG_WARN, "list.old", "age_ms=%" PRIu64,
@@ -144,12 +145,17 @@
 }
 
 static void
-make_router(struct gw *g)
+make_cores(struct gw *g)
 {
+	const struct vo_entry_settings versions = {
+		.entry = vo_key(g->settings.node),
+		.incarnation = lp_incarnation(g->loop),
+	};
 	struct ro_params params = ro_defaults;
 
 	params.max_blocks = GW_MAX_BELIEFS;
 	g->router = ro_new(&params);
+	g->versions = vo_entry_new(&versions);
 }
 
 /// Starts a gateway on a loop.
@@ -174,6 +180,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, load_free);
 	g->usage =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->moves =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->page = g_array_new(FALSE, TRUE, sizeof(struct sv));
 	g->requests = hd_new(sizeof(struct gw_request));
 	g->by_caller =
@@ -181,7 +189,7 @@
 	g->tick = tm_subscribe(lp_timers(loop), on_tick, g);
 	g->end = tm_subscribe(lp_timers(loop), on_end, g);
 	g->clock_us = (int64_t)lp_wall_us() - (int64_t)lp_now_us(loop);
-	make_router(g);
+	make_cores(g);
 	make_counters(g);
 	status = gw_accept_start(g);
 	if (status == ST_OK)
@@ -239,6 +247,8 @@
 	tm_unsubscribe(g->tick);
 	tm_unsubscribe(g->end);
 	ro_free(g->router);
+	vo_entry_free(g->versions);
+	g_hash_table_destroy(g->moves);
 	g_hash_table_destroy(g->hubs);
 	g_hash_table_destroy(g->servers);
 	g_hash_table_destroy(g->quotas);
--- a/src/gateway/gw_accept.c
+++ b/src/gateway/gw_accept.c
@@ -31,6 +31,10 @@
 	for (uint32_t i = 0; i < c->n_parts; i++) {
 		const uint32_t n = MAX(1, c->parts[i].tokens / GW_BLOCK_TOKENS);
 
+		if (i > 0 && i + 1 == c->n_parts)
+			q->shared_hash = chain;
+		if (i + 1 < c->n_parts)
+			q->shared_tokens += c->parts[i].tokens;
 		chain = XXH64(&c->parts[i].id, sizeof(c->parts[i].id), chain);
 		for (uint32_t k = 0; k < n && q->n_blocks < GW_MAX_BLOCKS;
 		     k++) {
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -14,6 +14,7 @@
 #include "front/fr.h"
 #include "gateway/gw.h"
 #include "platform/pf_call.h"
+#include "rollout/vo.h"
 #include "route/ro.h"
 #include "route/rt.h"
 #include "wire/lk.h"
@@ -84,6 +85,12 @@
 	GHashTable *loads;  ///< service -> struct gw_load
 	GHashTable *usage;  ///< "window customer" -> struct lm_usage
 
+	/// Moves of services to other versions (gw_moves.c).
+	struct vo_entry *versions;
+	GHashTable *moves; ///< service -> struct lm_move
+	uint32_t evidence_leader;
+	uint64_t next_evidence_us;
+
 	struct hd_table *requests; ///< of struct gw_request
 	GHashTable *by_caller;     ///< caller's handle -> handle of the request
 
@@ -116,6 +123,8 @@
 	size_t n_headers;           ///< of the caller's own among them
 	uint64_t *blocks;           ///< hashes of the prompt's blocks
 	size_t n_blocks;
+	uint64_t shared_hash; ///< of all parts of the prompt but the last one
+	uint32_t shared_tokens;
 	uint32_t priority;
 
 	uint64_t arrived_us;
@@ -128,6 +137,7 @@
 	struct ro_choice choice;
 	char server[FC_NAME_BYTES];
 	uint64_t sent_us;
+	uint64_t first_us; ///< first event of the attempt; 0: none yet
 	uint32_t sent;       ///< attempts sent so far
 	uint32_t ran;        ///< of these, those that may have run
 	bool dispatched_ran; ///< the attempt under way is known to run
@@ -164,6 +174,14 @@
 void gw_list_tick(struct gw *g, uint64_t now_us);
 void gw_list_gone(struct gw *g, const char *id);
 
+/// gw_moves.c: services move to other versions
+void gw_moves_take(struct gw *g, const GArray *moves);
+void gw_moves_choose(struct gw_request *q, struct ro_ask *ask);
+void gw_moves_fall_back(const struct gw_request *q, struct ro_ask *ask);
+void gw_moves_answer(struct gw_request *q, bool failed);
+void gw_moves_tick(struct gw *g, uint64_t now_us);
+void gw_moves_confirmed(struct gw *g, const struct wr_bytes *b);
+
 /// gw_accept.c: requests as they come
 enum st gw_accept_start(struct gw *g);
 
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -292,6 +292,7 @@
 	if (g->config == NULL || fc_version(g->config) < s->version)
 		return;
 	take_quotas(g, s, now);
+	gw_moves_take(g, s->moves);
 	take_time(g, s, now);
 	until = s->echo_us + (uint64_t)(GW_LEASE_SHARE * (double)revoke);
 	if (g->lease_until_us < now)
@@ -309,6 +310,8 @@
 	struct lm_state s;
 
 	(void)link;
+	if (msg->kind == WR_EVIDENCE)
+		gw_moves_confirmed(g, &msg->evidence);
 	if (msg->kind != WR_STATE)
 		return;
 	lm_state_init(&s);
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -68,6 +68,8 @@
 		.blocks = q->blocks,
 		.n_blocks = q->n_blocks,
 		.prompt_tokens = q->call.prompt_tokens,
+		.shared_hash = q->shared_hash,
+		.shared_tokens = q->shared_tokens,
 		.output_tokens = q->call.length_hint > 0
 		    ? q->call.length_hint
 		    : q->call.output_tokens,
@@ -85,8 +87,14 @@
 	enum st st;
 
 	make_ask(q, ask);
+	gw_moves_choose(q, ask);
 	rt_exclude(&q->attempts, ask);
 	st = ro_choose(g->router, now, lp_random(g->loop), ask, &q->choice);
+	if (st != ST_OK && ask->version != NULL) {
+		gw_moves_fall_back(q, ask);
+		st = ro_choose(
+		    g->router, now, lp_random(g->loop), ask, &q->choice);
+	}
 	if (st != ST_UNAVAILABLE || ask->n_servers == 0)
 		return st;
 	ask->n_servers = 0;
@@ -185,8 +193,10 @@
     struct gw_request *q, enum ro_end how, enum vd verdict, const char *why)
 {
 	end_attempt(q, how);
-	if (verdict != VD_NOT_RUN)
+	if (verdict != VD_NOT_RUN) {
 		q->ran++;
+		gw_moves_answer(q, true);
+	}
 	q->verdict = vd_join(q->verdict, verdict);
 	lg_event(LG_INFO, "attempt.failed",
 	    "request=%s attempt=%u server=%s verdict=\"%s\" reason=\"%s\"",
@@ -281,6 +291,8 @@
 	}
 	if (es_count(q->events) == before)
 		return;
+	if (q->first_us == 0)
+		q->first_us = lp_now_us(g->loop);
 	ro_first_token(g->router, lp_now_us(g->loop), q->dispatch);
 	gw_count_usage(q);
 	arm_stall(q);
@@ -307,6 +319,7 @@
 	ro_first_token(g->router, lp_now_us(g->loop), q->dispatch);
 	end_attempt(q, q->status >= 500 ? RO_FAILED : RO_DONE);
 	q->verdict = VD_RAN;
+	gw_moves_answer(q, q->status >= 500);
 	gw_count_usage(q);
 	gw_pass_on(q, q->status, body, len);
 }
@@ -345,6 +358,7 @@
 		}
 		end_attempt(q, RO_DONE);
 		q->verdict = VD_RAN;
+		gw_moves_answer(q, false);
 		gw_stream_end(q);
 		return;
 	}
@@ -419,6 +433,7 @@
 	q->dispatch = ro_begin(g->router, now_us, ask, &q->choice);
 	q->sent++;
 	q->sent_us = now_us;
+	q->first_us = 0;
 	q->streams = false;
 	q->stream_broken = false;
 	q->status = 0;
--- a/src/hub/hb.c
+++ b/src/hub/hb.c
@@ -61,6 +61,8 @@
 	if (!hb_leads(h))
 		return;
 	hb_members_tick(h, now_us);
+	hb_list_tick(h, now_us);
+	hb_moves_tick(h, now_us);
 	hb_duty_tick(h, now_us);
 }
 
@@ -186,6 +188,7 @@
 	g_hash_table_destroy(h->orders);
 	g_array_unref(h->list);
 	g_array_unref(h->page);
+	vo_control_free(h->mover);
 	fc_unref(h->config);
 	hs_free(h->state);
 	g_free(h);
--- a/src/hub/hb_duty.c
+++ b/src/hub/hb_duty.c
@@ -87,5 +87,5 @@
 	if (hb_duty_holds(h) && h->settings.reports_usage)
 		hb_usage_tick(h, now_us);
 	if (hb_duty_holds(h) && h->settings.scales)
-		hb_scale_tick(h, now_us);
+		hb_scale_tick(h);
 }
--- a/src/hub/hb_internal.h
+++ b/src/hub/hb_internal.h
@@ -12,6 +12,7 @@
 #include "hub/hb.h"
 #include "hub/hs.h"
 #include "replog/gp.h"
+#include "rollout/vo.h"
 #include "wire/lk.h"
 
 /// Another process of control.
@@ -79,6 +80,11 @@
 	bool listing;
 	uint64_t next_list_us;
 	uint64_t listed_us; ///< 0: never
+	uint64_t scaled_us; ///< reading that was acted on last
+
+	/// Moves of services to other versions (hb_moves.c).
+	struct vo_control *mover; ///< NULL: not built yet by this leader
+	bool moving;              ///< a decision is being committed
 
 	struct ct_value *n_orders;
 	struct ct_value *n_invalid;
@@ -109,6 +115,18 @@
 void hb_quota_take(struct hb *h, struct hb_gateway *g, const GArray *quotas);
 void hb_quota_fill(struct hb *h, const struct hb_gateway *g, GArray *quotas);
 
+/// hb_moves.c: services move to other versions (leader)
+void hb_moves_reset(struct hb *h);
+void hb_moves_tick(struct hb *h, uint64_t now_us);
+void hb_moves_evidence(struct hb *h, hd_t link, const struct wr_bytes *b);
+void hb_moves_fill(const struct hb *h, GArray *moves);
+void hb_moves_order(struct hb *h, const char *service, const char *target,
+    double duration_s, gp_done done, void *arg);
+const char *hb_moves_state(const struct hs_move *v);
+
+/// hb_list.c: the list of servers
+void hb_list_tick(struct hb *h, uint64_t now_us);
+
 /// hb_operators.c: operators' HTTP
 enum st hb_operators_start(struct hb *h);
 
@@ -123,6 +141,6 @@
 
 /// hb_scale.c
 void hb_scale_reset(struct hb *h);
-void hb_scale_tick(struct hb *h, uint64_t now_us);
+void hb_scale_tick(struct hb *h);
 
 #endif
--- a/src/hub/hb_link.c
+++ b/src/hub/hb_link.c
@@ -127,6 +127,7 @@
 		if (g->version < s.version)
 			s.manifest = hs_manifest(h->state, &s.manifest_len);
 		hb_quota_fill(h, g, s.quotas);
+		hb_moves_fill(h, s.moves);
 	}
 	lm_state_encode(&s, &bytes, &msg.evidence.len);
 	msg.evidence.at = bytes;
@@ -224,6 +225,10 @@
 		if (hello->role == WR_ROLE_ENTRY && h->group != NULL)
 			take_report(h, link, hello, &msg->evidence);
 		break;
+	case WR_EVIDENCE:
+		if (hello->role == WR_ROLE_ENTRY && h->group != NULL)
+			hb_moves_evidence(h, link, &msg->evidence);
+		break;
 	default:
 		lg_event(LG_WARN, "link.unexpected", "peer=%s kind=%d",
 		    hello->node, (int)msg->kind);
--- a/src/hub/hb_log.c
+++ b/src/hub/hb_log.c
@@ -8,8 +8,8 @@
 #include "platform/pf_manifest.h"
 
 #define HB_GROUP 1
-#define HB_ELECTION_US (900 * TM_US_PER_MS)
-#define HB_HEARTBEAT_US (200 * TM_US_PER_MS)
+#define HB_ELECTION_US (600 * TM_US_PER_MS)
+#define HB_HEARTBEAT_US (150 * TM_US_PER_MS)
 #define HB_FAILED_EXIT 1
 
 static void
@@ -63,6 +63,8 @@
 	if (hs_apply(h->state, index, cmd, len) != ST_OK)
 		lg_event(LG_ERROR, "log.unreadable", "index=%" PRIu64, index);
 	read_config(h);
+	if (hs_n_moves(h->state) > 0)
+		tm_arm_in(h->push, 0);
 }
 
 static enum st
@@ -119,8 +121,10 @@
 	    host, term, hb_leads(h) ? "yes" : "no");
 	if (!hb_leads(h))
 		hb_duty_reset(h);
-	else if (!h->led)
+	if (hb_leads(h) && !h->led) {
 		hb_quota_start(h);
+		hb_moves_reset(h);
+	}
 	h->led = hb_leads(h);
 	tm_arm_in(h->push, 0);
 }
--- /dev/null
+++ b/src/hub/hb_moves.c
@@ -0,0 +1,260 @@
+#include "hub/hb_internal.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "rollout/vo_codec.h"
+
+/// Part of the share that a bad version may get that a new one is given: what
+/// is on its way when it is stopped counts, too.
+#define HB_SHARE_PART 0.8
+/// A move ends so long before its deadline, at the latest a quarter of its
+/// time.
+#define HB_END_US (900 * TM_US_PER_MS)
+#define PERMILLE 1000
+
+/// Versions of different services may have equal names.
+static uint64_t
+version_key(const char *service, const char *version)
+{
+	char *name = g_strdup_printf("%s/%s", service, version);
+	const uint64_t key = vo_key(name);
+
+	g_free(name);
+	return key;
+}
+
+/// What operators read of a move.
+const char *
+hb_moves_state(const struct hs_move *v)
+{
+	switch (v->move.state) {
+	case VO_WAITING:
+	case VO_MOVING:
+		return "running";
+	case VO_WATCHING:
+	case VO_DONE:
+		return "done";
+	case VO_TAKEN_BACK:
+	case VO_WITHDRAWN:
+		return "rolled_back";
+	}
+	return "running";
+}
+
+/// Forgets what an earlier time as the leader had learned.
+void
+hb_moves_reset(struct hb *h)
+{
+	vo_control_free(h->mover);
+	h->mover = NULL;
+	h->moving = false;
+}
+
+static void
+build(struct hb *h)
+{
+	const struct vo_control_settings settings = {
+		.canary_permille = (uint32_t)(h->settings.bounds.canary_share *
+		    HB_SHARE_PART * PERMILLE),
+		.watch_us = 1,
+		.whole_before_us = HB_END_US,
+	};
+
+	h->mover = vo_control_new(&settings);
+	for (size_t i = 0; i < hs_n_moves(h->state); i++) {
+		const struct hs_move *v = hs_move_at(h->state, i);
+
+		vo_control_pool(h->mover, v->move.pool, v->move.replaces);
+		if (!vo_is_final(v->move.state))
+			vo_control_add(h->mover, &v->move);
+	}
+}
+
+static const struct hs_move *
+find(const struct hb *h, uint64_t version)
+{
+	for (size_t i = 0; i < hs_n_moves(h->state); i++) {
+		const struct hs_move *v = hs_move_at(h->state, i);
+
+		if (v->move.version == version)
+			return v;
+	}
+	return NULL;
+}
+
+static uint32_t
+servers_of(const struct hb *h, const char *service, const char *version)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < h->list->len; i++) {
+		const struct sv *s = &g_array_index(h->list, struct sv, i);
+
+		n += !s->leaving && strcmp(s->service, service) == 0 &&
+		    strcmp(s->version, version) == 0;
+	}
+	return n;
+}
+
+static void
+on_decided(void *arg, enum st status, const uint8_t *result, size_t len)
+{
+	struct hb *h = arg;
+
+	(void)result;
+	(void)len;
+	h->moving = false;
+	// What wasn't committed is decided again from the state.
+	if (status != ST_OK)
+		hb_moves_reset(h);
+}
+
+static void
+on_effect(void *arg, const struct vo_effect *effect)
+{
+	struct hb *h = arg;
+	const struct hs_move *v = find(h, effect->move.version);
+	struct hs_command c = { .kind = HS_MOVE };
+
+	if (v == NULL)
+		return;
+	c.move = *v;
+	c.move.move = effect->move;
+	h->moving = true;
+	lg_event(LG_INFO, "rollout.decided",
+	    "service=%s target=%s state=%s share=%u reason=%s", v->service,
+	    v->target, vo_state_name(effect->move.state),
+	    effect->move.share_permille, vo_reason_name(effect->move.reason));
+	hb_propose(h, &c, on_decided, h);
+}
+
+/// Decides on the moves under way.
+void
+hb_moves_tick(struct hb *h, uint64_t now_us)
+{
+	(void)now_us;
+	if (hs_n_moves(h->state) == 0 || h->moving)
+		return;
+	if (h->mover == NULL)
+		build(h);
+	for (size_t i = 0; i < hs_n_moves(h->state); i++) {
+		const struct hs_move *v = hs_move_at(h->state, i);
+		const uint32_t n = servers_of(h, v->service, v->target);
+
+		if (!vo_is_final(v->move.state))
+			vo_control_ready(h->mover, v->move.version,
+			    n > 0 ? VO_FULL_PERMILLE : 0);
+	}
+	vo_control_tick(h->mover, hb_true_us(h), on_effect, h);
+}
+
+/// Takes a gateway's evidence and confirms it.
+void
+hb_moves_evidence(struct hb *h, hd_t link, const struct wr_bytes *b)
+{
+	const struct wr_msg taken = { .kind = WR_EVIDENCE, .evidence = *b };
+	struct vo_message *m;
+
+	if (!hb_leads(h) || hs_n_moves(h->state) == 0)
+		return;
+	if (h->mover == NULL)
+		build(h);
+	m = g_new(struct vo_message, 1);
+	if (vo_decode(b->at, b->len, m) == ST_OK) {
+		(void)vo_control_report(h->mover, &m->report);
+		for (uint32_t i = 0; i < m->n_stopped; i++)
+			vo_control_stopped(h->mover, m->stopped[i]);
+		(void)lk_send(h->links, link, &taken);
+	} else {
+		lg_event(LG_WARN, "evidence.unreadable", "reason=\"%s\"",
+		    st_last());
+	}
+	g_free(m);
+}
+
+static enum lm_move_state
+state_of(const struct hs_move *v)
+{
+	switch (v->move.state) {
+	case VO_WAITING:
+	case VO_MOVING:
+		return LM_MOVING;
+	case VO_WATCHING:
+	case VO_DONE:
+		return LM_MOVED;
+	case VO_TAKEN_BACK:
+	case VO_WITHDRAWN:
+		return LM_TAKEN_BACK;
+	}
+	return LM_TAKEN_BACK;
+}
+
+/// What gateways are told of the moves.
+void
+hb_moves_fill(const struct hb *h, GArray *moves)
+{
+	for (size_t i = 0; i < hs_n_moves(h->state); i++) {
+		const struct hs_move *v = hs_move_at(h->state, i);
+		struct lm_move out = {
+			.permille = v->move.state == VO_MOVING ?
+			    v->move.share_permille :
+			    0,
+			.state = state_of(v),
+			.sequence = v->sequence,
+		};
+
+		(void)g_strlcpy(out.service, v->service, sizeof(out.service));
+		(void)g_strlcpy(out.target, v->target, sizeof(out.target));
+		(void)g_strlcpy(out.base, v->base, sizeof(out.base));
+		g_array_append_val(moves, out);
+	}
+}
+
+/// The version, other than the target, that most servers of a service have.
+static void
+find_base(const struct hb *h, const char *service, const char *target,
+    char *out, size_t size)
+{
+	uint32_t most = 0;
+
+	out[0] = '\0';
+	for (guint i = 0; i < h->list->len; i++) {
+		const struct sv *s = &g_array_index(h->list, struct sv, i);
+		uint32_t n;
+
+		if (strcmp(s->service, service) != 0 ||
+		    strcmp(s->version, target) == 0)
+			continue;
+		n = servers_of(h, service, s->version);
+		if (n > most) {
+			most = n;
+			(void)g_strlcpy(out, s->version, size);
+		}
+	}
+}
+
+/// Records an operator's order to move a service.
+void
+hb_moves_order(struct hb *h, const char *service, const char *target,
+    double duration_s, gp_done done, void *arg)
+{
+	const uint64_t now = hb_true_us(h);
+	struct hs_command c = { .kind = HS_MOVE };
+
+	(void)g_strlcpy(
+	    c.move.service, service, sizeof(c.move.service));
+	(void)g_strlcpy(c.move.target, target, sizeof(c.move.target));
+	find_base(h, service, target, c.move.base, sizeof(c.move.base));
+	c.move.move = (struct vo_move){
+		.pool = vo_key(service),
+		.version = version_key(service, target),
+		.replaces = version_key(service, c.move.base),
+		.added_us = now,
+		.step_us = now,
+		.deadline_us = now + (uint64_t)(duration_s * TM_US_PER_S),
+		.state = VO_WAITING,
+	};
+	hb_moves_reset(h);
+	hb_propose(h, &c, done, arg);
+}
--- a/src/hub/hb_operators.c
+++ b/src/hub/hb_operators.c
@@ -122,29 +122,118 @@
 }
 
 static void
-on_request(void *arg, hd_t handle, const struct fr_request *req)
+on_rollout_done(void *arg, enum st status, const uint8_t *result, size_t len)
 {
-	struct hb *h = arg;
-	const bool config = strcmp(req->path, PF_CONFIG_PATH) == 0;
-	const bool put = config && req->method == FR_PUT;
+	struct pending *p = arg;
 
-	h->n_orders->n++;
-	if (!config) {
-		reply(h, handle, 404, "no such call");
+	(void)result;
+	(void)len;
+	ct_observe(
+	    p->hb->ack_latency, lp_now_us(p->hb->loop) - p->asked_us);
+	reply(p->hb, p->handle, status == ST_OK ? 200 : 503, st_name(status));
+	g_free(p);
+}
+
+static void
+post_rollout(struct hb *h, hd_t handle, const struct fr_request *req)
+{
+	struct pf_rollout order;
+	const struct hs_move *now;
+	struct pending *p;
+
+	if (pf_rollout_read((const char *)req->body, req->len, &order) !=
+	    ST_OK) {
+		h->n_invalid->n++;
+		reply(h, handle, 400, st_last());
 		return;
 	}
-	if (!put && req->method != FR_GET) {
-		reply(h, handle, 405, "no such method");
+	if (h->config == NULL) {
+		reply(h, handle, 503, "no configuration yet");
 		return;
 	}
-	if (!hb_leads(h)) {
-		redirect(h, handle, req);
+	if (fc_find_service(h->config, order.service) < 0) {
+		h->n_invalid->n++;
+		reply(h, handle, 400, "no such service");
+		return;
+	}
+	now = hs_move(h->state, order.service);
+	if (now != NULL && strcmp(now->target, order.target) == 0 &&
+	    !vo_is_final(now->move.state)) {
+		reply(h, handle, 200, "it is under way");
 		return;
 	}
-	if (put)
+	p = g_new0(struct pending, 1);
+	p->hb = h;
+	p->handle = handle;
+	p->asked_us = lp_now_us(h->loop);
+	lg_event(LG_INFO, "order.rollout",
+	    "service=%s target=%s duration_s=%.1f", order.service,
+	    order.target, order.duration_s);
+	hb_moves_order(h, order.service, order.target, order.duration_s,
+	    on_rollout_done, p);
+}
+
+static void
+get_rollout(struct hb *h, hd_t handle, const char *service)
+{
+	const struct hs_move *v = hs_move(h->state, service);
+	char *body;
+
+	if (v == NULL) {
+		reply(h, handle, 404, "the service never moved");
+		return;
+	}
+	body = pf_rollout_body(hb_moves_state(v), v->target);
+	fr_reply(h->operators, handle, 200, NULL, "application/json", body,
+	    strlen(body));
+	free(body);
+}
+
+/// Carries a call out that only the leader may answer.
+static void
+lead(struct hb *h, hd_t handle, const struct fr_request *req)
+{
+	static const char one_rollout[] = PF_ROLLOUTS_PATH "/";
+
+	if (strcmp(req->path, PF_CONFIG_PATH) == 0 && req->method == FR_PUT)
 		put_config(h, handle, req);
-	else
+	else if (strcmp(req->path, PF_CONFIG_PATH) == 0)
 		get_config(h, handle);
+	else if (strcmp(req->path, PF_ROLLOUTS_PATH) == 0)
+		post_rollout(h, handle, req);
+	else
+		get_rollout(h, handle, req->path + strlen(one_rollout));
+}
+
+/// Status of a call that doesn't exist, else 0.
+static int
+check_call(const struct fr_request *req)
+{
+	static const char one_rollout[] = PF_ROLLOUTS_PATH "/";
+	const bool get = req->method == FR_GET;
+
+	if (strcmp(req->path, PF_CONFIG_PATH) == 0)
+		return get || req->method == FR_PUT ? 0 : 405;
+	if (strcmp(req->path, PF_ROLLOUTS_PATH) == 0)
+		return req->method == FR_POST ? 0 : 405;
+	if (g_str_has_prefix(req->path, one_rollout))
+		return get ? 0 : 405;
+	return 404;
+}
+
+static void
+on_request(void *arg, hd_t handle, const struct fr_request *req)
+{
+	struct hb *h = arg;
+	const int status = check_call(req);
+
+	h->n_orders->n++;
+	if (status != 0)
+		reply(h, handle, status, "no such call");
+	else if (!hb_leads(h))
+		redirect(h, handle, req);
+	else
+		lead(h, handle, req);
 }
 
 static void
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -9,8 +9,6 @@
 #include "platform/pf_cloud.h"
 #include "platform/pf_names.h"
 
-#define HB_LIST_US (1 * TM_US_PER_S)
-#define HB_LIST_TIMEOUT_US (1 * TM_US_PER_S)
 #define HB_ORDER_TIMEOUT_US (1500 * TM_US_PER_MS)
 /// An order is repeated when the list doesn't show it by then.
 #define HB_ORDER_AGAIN_US (8 * TM_US_PER_S)
@@ -24,7 +22,6 @@
 /// A change of the need that is worth a record.
 #define HB_NEED_CHANGE 0.02
 #define MILLI 1000
-#define HB_MAX_LIST_BYTES (4UL << 20)
 
 /// Orders for one service, data centre and kind of server.
 struct hb_order {
@@ -261,61 +258,6 @@
 	}
 }
 
-static void read_page(struct hb *h, const char *token);
-
-static void
-on_page(void *arg, const struct hc_result *result)
-{
-	struct hb *h = arg;
-	char *next = NULL;
-	size_t n_bad;
-	GArray *swap;
-
-	h->listing = false;
-	if (result->status != ST_OK || result->http_status != 200 ||
-	    pf_list_read((const char *)result->body, result->len, h->page,
-		&next, &n_bad) != ST_OK) {
-		lg_event(LG_WARN, "list.failed", "status=%s http=%d",
-		    st_name(result->status), result->http_status);
-		return;
-	}
-	if (next != NULL) {
-		read_page(h, next);
-		g_free(next);
-		return;
-	}
-	swap = h->list;
-	h->list = h->page;
-	h->page = swap;
-	h->listed_us = lp_now_us(h->loop);
-	if (!hb_duty_holds(h))
-		return;
-	for (size_t i = 0; h->config != NULL && i < fc_n_services(h->config);
-	     i++) {
-		if (fc_service(h->config, i)->scaling.enabled)
-			scale(h, fc_service(h->config, i));
-	}
-}
-
-static void
-read_page(struct hb *h, const char *token)
-{
-	char *path = pf_list_path(token);
-	const struct hc_call call = {
-		.method = "GET",
-		.host = h->settings.cloud.host,
-		.port = h->settings.cloud.port,
-		.path = path,
-		.timeout_us = HB_LIST_TIMEOUT_US,
-		.max_body = HB_MAX_LIST_BYTES,
-		.on_end = on_page,
-		.arg = h,
-	};
-
-	h->listing = hc_send(h->http, &call) != HD_NONE;
-	g_free(path);
-}
-
 /// Forgets what an earlier time as the holder had ordered.
 void
 hb_scale_reset(struct hb *h)
@@ -333,13 +275,15 @@
 	}
 }
 
-/// Reads the list and orders servers as the holder of the duty.
+/// Orders servers as the holder of the duty, after each reading of the list.
 void
-hb_scale_tick(struct hb *h, uint64_t now_us)
+hb_scale_tick(struct hb *h)
 {
-	if (h->listing || now_us < h->next_list_us)
+	if (h->scaled_us == h->listed_us || h->config == NULL)
 		return;
-	h->next_list_us = now_us + HB_LIST_US;
-	g_array_set_size(h->page, 0);
-	read_page(h, NULL);
+	h->scaled_us = h->listed_us;
+	for (size_t i = 0; i < fc_n_services(h->config); i++) {
+		if (fc_service(h->config, i)->scaling.enabled)
+			scale(h, fc_service(h->config, i));
+	}
 }
--- a/src/hub/hs.c
+++ b/src/hub/hs.c
@@ -16,6 +16,7 @@
 	struct hs_duty duty;
 	GQueue *usage; ///< struct hs_usage, oldest first
 	GArray *needs; ///< struct need
+	GArray *moves; ///< struct hs_move
 };
 
 /// Servers that a service needs, as control found out.
@@ -41,6 +42,7 @@
 
 	s->usage = g_queue_new();
 	s->needs = g_array_new(FALSE, TRUE, sizeof(struct need));
+	s->moves = g_array_new(FALSE, TRUE, sizeof(struct hs_move));
 	return s;
 }
 
@@ -52,6 +54,7 @@
 		return;
 	g_queue_free_full(s->usage, usage_free);
 	g_array_unref(s->needs);
+	g_array_unref(s->moves);
 	g_free(s->text);
 	g_free(s);
 }
@@ -80,6 +83,25 @@
 	}
 }
 
+static void
+code_move(struct mp *m, struct hs_move *v)
+{
+	mp_str(m, v->service, sizeof(v->service));
+	mp_str(m, v->target, sizeof(v->target));
+	mp_str(m, v->base, sizeof(v->base));
+	mp_u64(m, &v->sequence);
+	mp_u64(m, &v->move.pool);
+	mp_u64(m, &v->move.version);
+	mp_u64(m, &v->move.replaces);
+	mp_u64(m, &v->move.deadline_us);
+	mp_u64(m, &v->move.added_us);
+	mp_u64(m, &v->move.step_us);
+	mp_u64(m, &v->move.done_us);
+	mp_u32(m, &v->move.share_permille);
+	mp_enum(m, &v->move.state, VO_WITHDRAWN + 1);
+	mp_enum(m, &v->move.reason, VO_BY_NOTE + 1);
+}
+
 static void
 code_command(struct mp *m, struct hs_command *c)
 {
@@ -99,6 +121,9 @@
 		mp_str(m, c->service, sizeof(c->service));
 		mp_u32(m, &c->need_milli);
 		break;
+	case HS_MOVE:
+		code_move(m, &c->move);
+		break;
 	case HS_KINDS:
 		mp_fail(m);
 		break;
@@ -170,6 +195,57 @@
 	g_array_append_val(s->needs, new);
 }
 
+static struct hs_move *
+find_move(const struct hs *s, const char *service)
+{
+	for (guint i = 0; i < s->moves->len; i++) {
+		struct hs_move *v = &g_array_index(s->moves, struct hs_move, i);
+
+		if (strcmp(v->service, service) == 0)
+			return v;
+	}
+	return NULL;
+}
+
+/// A decision about a move that another one replaced comes too late.
+static void
+set_move(struct hs *s, uint64_t index, const struct hs_move *new)
+{
+	struct hs_move *v = find_move(s, new->service);
+
+	if (v == NULL) {
+		g_array_append_val(s->moves, *new);
+		v = &g_array_index(
+		    s->moves, struct hs_move, s->moves->len - 1);
+	} else if (strcmp(v->target, new->target) != 0 &&
+	    new->move.added_us < v->move.added_us) {
+		return;
+	}
+	*v = *new;
+	v->sequence = index;
+}
+
+/// A service's newest move, or NULL.
+const struct hs_move *
+hs_move(const struct hs *s, const char *service)
+{
+	return find_move(s, service);
+}
+
+/// Number of services that ever moved.
+size_t
+hs_n_moves(const struct hs *s)
+{
+	return s->moves->len;
+}
+
+/// A move by its index.
+const struct hs_move *
+hs_move_at(const struct hs *s, size_t i)
+{
+	return &g_array_index(s->moves, struct hs_move, i);
+}
+
 /// Thousandths of a server that a service needs; 0: not known yet.
 uint32_t
 hs_need(const struct hs *s, const char *service)
@@ -209,6 +285,9 @@
 		case HS_NEED:
 			set_need(s, &c);
 			break;
+		case HS_MOVE:
+			set_move(s, index, &c.move);
+			break;
 		case HS_KINDS:
 			break;
 		}
@@ -256,6 +335,15 @@
 		mp_str(m, need->service, sizeof(need->service));
 		mp_u32(m, &need->milli);
 	}
+	n = s->moves->len;
+	mp_u32(m, &n);
+	if (!mp_writing(m)) {
+		if (n > HS_MAX_COUNTS)
+			mp_fail(m);
+		g_array_set_size(s->moves, mp_bad(m) ? 0 : n);
+	}
+	for (guint i = 0; i < s->moves->len; i++)
+		code_move(m, &g_array_index(s->moves, struct hs_move, i));
 }
 
 /// Encodes the whole state.
--- a/src/hub/hs.h
+++ b/src/hub/hs.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "fleet/lm.h"
+#include "rollout/vo.h"
 
 /// Replicated state of a deployment: the configuration in force, who holds the
 /// duties, usage that was settled. A core without I/O: equal commands in equal
@@ -16,6 +17,7 @@
 	HS_DUTY,   ///< A process takes the duties over.
 	HS_USAGE,  ///< Counts of a window; the first ones are final.
 	HS_NEED,   ///< Servers that a service needs.
+	HS_MOVE,   ///< Where a service's move to a version stands.
 	HS_KINDS,
 };
 
@@ -25,6 +27,15 @@
 	GArray *counts; ///< struct lm_usage
 };
 
+/// A service's newest move to a version.
+struct hs_move {
+	char service[FC_NAME_BYTES];
+	char target[FC_NAME_BYTES];
+	char base[FC_NAME_BYTES]; ///< version that most of its servers had
+	struct vo_move move;
+	uint64_t sequence; ///< grows with each change
+};
+
 struct hs_command {
 	enum hs_kind kind;
 	uint64_t version;
@@ -34,6 +45,7 @@
 	struct hs_usage usage;
 	char service[FC_NAME_BYTES];
 	uint32_t need_milli; ///< thousandths of a server
+	struct hs_move move;
 };
 
 /// Who may make the calls of the duties, under which fencing number.
@@ -54,6 +66,9 @@
 const uint8_t *hs_manifest(const struct hs *s, size_t *len);
 struct hs_duty hs_duty(const struct hs *s);
 uint32_t hs_need(const struct hs *s, const char *service);
+const struct hs_move *hs_move(const struct hs *s, const char *service);
+size_t hs_n_moves(const struct hs *s);
+const struct hs_move *hs_move_at(const struct hs *s, size_t i);
 const struct hs_usage *hs_usage(const struct hs *s, uint64_t window);
 
 #endif
--- a/src/rollout/vo.h
+++ b/src/rollout/vo.h
@@ -166,6 +166,10 @@
 	uint32_t answers_a_step; ///< wanted before the share is raised
 	double hold_level;       ///< e-value that holds the share
 	double take_back_level;  ///< e-value that takes a version back
+	/// A version keeps its first share until so long before its deadline
+	/// and then gets all: what a bad one is given stays small however late
+	/// it shows. 0: in steps.
+	uint64_t whole_before_us;
 };
 
 typedef void (*vo_effect_cb)(void *arg, const struct vo_effect *effect);
--- a/src/rollout/vo_control.c
+++ b/src/rollout/vo_control.c
@@ -383,6 +383,9 @@
 	const uint64_t answers = jd_answers(v->judge) - v->answers_before_step;
 	const uint64_t held_us = t->now_us - v->m.step_us;
 
+	if (s->whole_before_us != 0 && v->m.deadline_us != VO_NO_TIME)
+		return jd_value(v->judge) < s->hold_level &&
+		    t->now_us + s->whole_before_us >= v->m.deadline_us;
 	if (held_us < s->step_us || jd_value(v->judge) >= s->hold_level)
 		return false;
 	return answers >= s->answers_a_step || held_us >= slot_us(t->c, v);
@@ -422,8 +425,10 @@
 static void
 raise_share(const struct tick *t, struct mover *v)
 {
+	const bool whole = t->c->settings.whole_before_us != 0;
 	const uint32_t old = v->m.share_permille;
-	const uint32_t next = MIN(old * SHARE_GROWTH, VO_FULL_PERMILLE);
+	const uint32_t next =
+	    whole ? VO_FULL_PERMILLE : MIN(old * SHARE_GROWTH, VO_FULL_PERMILLE);
 	const uint32_t share = MIN(next, v->ready_permille);
 
 	if (share <= old)
--- a/src/route/ro.h
+++ b/src/route/ro.h
@@ -62,9 +62,14 @@
 struct ro_ask {
 	const char *pool;
 	const char *version;    ///< NULL or "": any.
+	const char *not_version; ///< NULL: none is excluded.
 	const uint64_t *blocks; ///< Chained hashes of the prompt's blocks.
 	size_t n_blocks;
 	uint32_t prompt_tokens;
+	/// Begin of the prompt that other entries' requests share: the server
+	/// that all of them prefer for it counts as holding it.
+	uint64_t shared_hash; ///< 0: none
+	uint32_t shared_tokens;
 	uint32_t output_tokens; ///< Expected; 0: the pool's mean so far.
 	uint32_t priority;      ///< 0 first, below RO_PRIORITIES.
 	uint32_t n_servers;     ///< Excluded: tried before by this request.
--- a/src/route/ro_choose.c
+++ b/src/route/ro_choose.c
@@ -20,6 +20,9 @@
 #define PACE_MOST 4.0
 #define PACE_MIN_SAMPLES 4
 
+/// Part of a shared prompt that the server preferred for it is taken to hold.
+#define SHARED_HELD 0.9
+
 /// A choice under way.
 struct search {
 	struct ro *r;
@@ -27,17 +30,22 @@
 	struct ro_pool *pool;
 	uint64_t now_us;
 	uint32_t version; ///< 0: any.
+	uint32_t not_version; ///< 0: none.
 	bool any_version;
 	uint32_t n; ///< Servers in r->usable.
 	double sum; ///< Of their loads.
 	bool panic;
 	double tokens_per_block;
 	uint64_t spread; ///< Decides among servers of near equal cost.
+	const struct ro_peer *home; ///< Preferred for the shared prompt.
 };
 
 static bool
 serves(const struct search *s, const struct ro_peer *p)
 {
+	if (s->not_version != 0 && p->conf.n_versions == 1 &&
+	    p->versions[0] == s->not_version)
+		return false;
 	if (s->any_version || p->conf.n_versions == 0)
 		return true;
 	for (uint32_t i = 0; i < p->conf.n_versions; i++) {
@@ -153,12 +161,15 @@
 cached_tokens(const struct search *s, const struct ro_peer *p)
 {
 	const struct ro_match *m = &s->r->matches[p->slot];
+	const double held =
+	    p == s->home ? s->ask->shared_tokens * SHARED_HELD : 0;
 	double doubt;
 
 	if (s->ask->n_blocks == 0 || m->blocks == 0)
-		return 0;
+		return held;
 	doubt = ro__lost(s->r, p, s->now_us) - (double)m->stamp;
-	return m->blocks * s->tokens_per_block * exp(-MAX(doubt, 0));
+	return MAX(
+	    m->blocks * s->tokens_per_block * exp(-MAX(doubt, 0)), held);
 }
 
 /// How much slower a server is than the median of its pool.
@@ -196,9 +207,9 @@
 /// Rendezvous hashing: entries that don't know of each other send the same
 /// new prefix to the same server.
 static uint64_t
-preference(const struct search *s, const struct ro_peer *p)
+preference(uint64_t hash, const struct ro_peer *p)
 {
-	uint64_t x = s->spread ^ p->name_hash;
+	uint64_t x = hash ^ p->name_hash;
 
 	x ^= x >> 32;
 	x *= 0x9e3779b97f4a7c15ULL;
@@ -207,6 +218,23 @@
 	return x ^ (x >> 32);
 }
 
+/// Finds the server that all entries prefer for the shared prompt.
+static void
+find_home(struct search *s)
+{
+	uint64_t most = 0;
+
+	for (uint32_t i = 0; i < s->n && s->ask->shared_hash != 0; i++) {
+		const struct ro_peer *p = s->r->usable[i];
+		const uint64_t x = preference(s->ask->shared_hash, p);
+
+		if (s->home != NULL && x <= most)
+			continue;
+		s->home = p;
+		most = x;
+	}
+}
+
 static struct ro_peer *
 pick(const struct search *s)
 {
@@ -230,7 +258,7 @@
 
 		if (r->costs[i] > near || r->costs[i] == DBL_MAX)
 			continue;
-		x = preference(s, r->usable[i]);
+		x = preference(s->spread, r->usable[i]);
 		if (chosen != NULL && x <= most)
 			continue;
 		chosen = r->usable[i];
@@ -320,6 +348,9 @@
 	if (!s.any_version)
 		s.version = GPOINTER_TO_UINT(
 		    g_hash_table_lookup(r->versions, ask->version));
+	if (ask->not_version != NULL)
+		s.not_version = GPOINTER_TO_UINT(
+		    g_hash_table_lookup(r->versions, ask->not_version));
 	s.pool = g_hash_table_lookup(r->pools, ask->pool);
 	if (s.pool == NULL)
 		return st_fail(ST_NOT_FOUND, "no pool %s", ask->pool);
@@ -329,6 +360,7 @@
 	if (st != ST_OK)
 		return st;
 	match_prompt(&s, rnd);
+	find_home(&s);
 	p = s.panic ? NULL : due_probe(&s);
 	if (p != NULL) {
 		fill(&s, p, true, out);
