Needed servers follow the work that arrives

Ruled out: another threshold for late answers (80 % of the target): the need still rose to 26 of 18 after a reclaim. Change: gateways count the tokens of prompts to be computed and learn how fast a server with little to do computes them; half of that speed is planned for.

--- a/src/fleet/lm.c
+++ b/src/fleet/lm.c
@@ -59,8 +59,8 @@
 	mp_u32(m, &l->refused);
 	mp_u32(m, &l->arrived);
 	mp_u64(m, &l->work_us);
-	mp_u32(m, &l->answered);
-	mp_u32(m, &l->slow);
+	mp_u64(m, &l->tokens);
+	mp_u64(m, &l->tokens_per_s);
 }
 
 static void
--- a/src/fleet/lm.h
+++ b/src/fleet/lm.h
@@ -32,8 +32,8 @@
 	uint32_t refused; ///< since the last report
 	uint32_t arrived; ///< since the last report
 	uint64_t work_us; ///< spent at servers since the last report
-	uint32_t answered; ///< first answers since the last report
-	uint32_t slow;     ///< of these, those that took half of the target
+	uint64_t tokens;       ///< of prompts to compute, since the last report
+	uint64_t tokens_per_s; ///< that one server computes; 0: not known
 };
 
 /// Where a service's move to a version stands.
--- a/src/fleet/sn.c
+++ b/src/fleet/sn.c
@@ -3,51 +3,65 @@
 #include <math.h>
 
 #define US_PER_S 1e6
-/// Time over which the share of late answers is smoothed.
-#define SMOOTH_S 2.0
-/// Shares of late answers above and below which the need is changed.
-#define SLOW_HIGH 0.08
-#define SLOW_LOW 0.02
-#define STEP_UP 1.15
-/// With most answers late the need is far from what is there.
-#define SLOW_MOST 0.4
-#define STEP_FAR_UP 1.4
-#define STEP_DOWN 0.97
-/// Servers that were ordered take work after about this.
-#define STEP_UP_US 3000000
-#define STEP_DOWN_US 4000000
-/// The need isn't raised far beyond what is there: these couldn't come either.
-#define MOST_BEYOND 1.5
+#define FAST_S 2.5
+#define SLOW_S 12.0
+/// Share of its time that a server should be busy with prompts; a burst and
+/// the tokens of streams take the rest.
+#define TARGET_USE 0.5
+/// A need is known once work was seen for so long.
+#define KNOWN_US 3000000
+/// A smaller need is followed by this share a second, a greater one at once.
+#define FALL_A_SECOND 0.02
 
-/// Starts with a first guess.
+/// Starts with a guess.
 void
-sn_start(struct sn *s, uint64_t now_us, double need)
+sn_start(struct sn *s, double need)
 {
-	*s = (struct sn){
-		.need = need,
-		.stepped_us = now_us,
-		.last_us = now_us,
-	};
+	*s = (struct sn){ .need = need };
 }
 
-/// Takes what happened since the last step into account.
+static void
+smooth(double *value, double sample, double age_s, double over_s)
+{
+	*value += (1 - exp(-age_s / over_s)) * (sample - *value);
+}
+
+/// Servers that the work of a sample kept busy.
+static double
+busy(const struct sn_sample *sample, double age_s)
+{
+	if (sample->tokens_per_s > 0)
+		return sample->tokens / sample->tokens_per_s / age_s;
+	if (sample->requests_at_once > 0)
+		return sample->busy_s / sample->requests_at_once / age_s;
+	return 0;
+}
+
+/// Takes what arrived since the last step into account.
 void
 sn_step(struct sn *s, uint64_t now_us, const struct sn_sample *sample)
 {
-	const double age_s = (double)(now_us - s->last_us) / US_PER_S;
-	const double weight = 1 - exp(-age_s / SMOOTH_S);
+	double age_s;
+	double want;
 
-	s->last_us = now_us;
-	if (sample->answered > 0)
-		s->slow += weight *
-		    ((double)sample->slow / sample->answered - s->slow);
-	if (s->slow > SLOW_HIGH && now_us >= s->stepped_us + STEP_UP_US &&
-	    s->need < MOST_BEYOND * sample->servers) {
-		s->need *= s->slow > SLOW_MOST ? STEP_FAR_UP : STEP_UP;
-		s->stepped_us = now_us;
-	} else if (s->slow < SLOW_LOW &&
-	    now_us >= s->stepped_us + STEP_DOWN_US && s->need > 1) {
-		s->need *= STEP_DOWN;
-		s->stepped_us = now_us;
+	if (s->start_us == 0) {
+		if (busy(sample, 1) <= 0)
+			return;
+		s->start_us = now_us;
+		s->last_us = now_us;
+		return;
 	}
+	age_s = (double)(now_us - s->last_us) / US_PER_S;
+	if (age_s <= 0)
+		return;
+	s->last_us = now_us;
+	smooth(&s->fast, busy(sample, age_s), age_s, FAST_S);
+	smooth(&s->slow, busy(sample, age_s), age_s, SLOW_S);
+	if (now_us < s->start_us + KNOWN_US)
+		return;
+	want = fmax(s->fast, s->slow) / TARGET_USE;
+	if (want >= s->need)
+		s->need = want;
+	else
+		s->need = fmax(want, s->need * (1 - FALL_A_SECOND * age_s));
 }
--- a/src/fleet/sn.h
+++ b/src/fleet/sn.h
@@ -3,24 +3,26 @@
 
 #include <stdint.h>
 
-/// How many backend servers a service needs, found from how late its answers
-/// are: a core without I/O.
+/// How many backend servers a service needs, from the work that arrives and
+/// from how fast servers do it: a core without I/O.
 
 struct sn {
-	double need;         ///< servers; 0: not known yet
-	double slow;         ///< smoothed share of late answers
-	uint64_t stepped_us; ///< when `need` was changed last
+	double need;       ///< servers; 0: not known yet
+	double fast;       ///< servers kept busy, over the last seconds
+	double slow;       ///< the same over a longer time
+	uint64_t start_us; ///< 0: no sample yet
 	uint64_t last_us;
 };
 
-/// What happened since the last step.
+/// What arrived since the last step.
 struct sn_sample {
-	uint32_t answered; ///< first answers, and refusals for want of places
-	uint32_t slow;     ///< of these, those that took too long
-	uint32_t servers;  ///< that take work now
+	double tokens;          ///< of prompts, to be computed
+	double tokens_per_s;    ///< that one server computes; 0: not known
+	double busy_s;          ///< seconds that requests spent at servers
+	double requests_at_once; ///< that one server works on
 };
 
-void sn_start(struct sn *s, uint64_t now_us, double need);
+void sn_start(struct sn *s, double need);
 void sn_step(struct sn *s, uint64_t now_us, const struct sn_sample *sample);
 
 #endif
--- a/src/fleet/sp.c
+++ b/src/fleet/sp.c
@@ -5,10 +5,10 @@
 
 /// Reclaimable servers are held for so many times the need, so that the loss
 /// of a data centre's leaves enough.
-#define SPOT_FACTOR 1.5
+#define SPOT_FACTOR 2.0
 /// On-demand servers carry this share of the need by themselves: it is what is
 /// left when all reclaimable ones go.
-#define FIXED_SHARE 0.5
+#define FIXED_SHARE 0.33
 
 static uint32_t
 least(uint32_t a, uint32_t b)
--- a/src/gateway/gw_answer.c
+++ b/src/gateway/gw_answer.c
@@ -99,11 +99,7 @@
 {
 	struct gw *g = q->gw;
 	const uint64_t took = lp_now_us(g->loop) - q->arrived_us;
-	struct gw_load *l = gw_load(g, q->service->name);
-
 	ct_observe(g->first, took);
-	l->answered++;
-	l->slow += took > q->route->target_ms * TM_US_PER_MS / 2;
 }
 
 /// Passes a backend server's whole answer on; its headers were kept.
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -40,8 +40,8 @@
 	uint32_t running;
 	uint32_t refused;
 	uint32_t arrived;
-	uint32_t answered;
-	uint32_t slow; ///< answers that took half of their target or more
+	uint64_t tokens;      ///< of prompts, to be computed by servers
+	double tokens_per_ms; ///< that a server computes, smoothed; 0: unknown
 	uint64_t work_us;
 	struct rt *retries; ///< this gateway's part of the retry budget
 };
@@ -137,8 +137,9 @@
 	struct ro_choice choice;
 	char server[FC_NAME_BYTES];
 	uint64_t sent_us;
-	uint64_t first_us; ///< first event of the attempt; 0: none yet
-	uint32_t sent;       ///< attempts sent so far
+	uint64_t first_us; ///< first event of the attempt; 0: none yet	bool weighed;      ///< its prompt is counted as work
+	bool weighed; ///< its prompt is counted as work
+	uint32_t sent;     ///< attempts sent so far
 	uint32_t ran;        ///< of these, those that may have run
 	bool dispatched_ran; ///< the attempt under way is known to run
 	struct rt_attempts attempts;
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -151,16 +151,15 @@
 			.running = l->running,
 			.refused = l->refused,
 			.arrived = l->arrived,
-			.answered = l->answered,
-			.slow = l->slow,
+			.tokens = l->tokens,
+			.tokens_per_s = (uint64_t)(l->tokens_per_ms * 1000),
 			.work_us = l->work_us,
 		};
 
 		(void)g_strlcpy(out.service, name, sizeof(out.service));
 		l->refused = 0;
 		l->arrived = 0;
-		l->answered = 0;
-		l->slow = 0;
+		l->tokens = 0;
 		l->work_us = 0;
 		g_array_append_val(r->loads, out);
 	}
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -15,6 +15,12 @@
 #define GW_STALL_US (1500 * TM_US_PER_MS)
 #define GW_MAX_ERROR_BYTES (1U << 20)
 #define GW_MISDIRECTED 421
+/// Prompts from which on their time says how fast a server computes.
+#define GW_LEARN_TOKENS 1000
+/// Steps up and down; their ratio sets which quantile is learned. The speed of
+/// servers with little to do is wanted, so it is a high one.
+#define GW_LEARN_UP 0.02
+#define GW_LEARN_DOWN 0.005
 
 static void on_end(void *arg, const struct hc_result *result);
 
@@ -264,6 +270,35 @@
 	tm_arm_in(q->timer, MAX(pause, GW_STALL_US));
 }
 
+/// Counts a request's prompt as work for the service, once.
+static void
+weigh(struct gw_request *q)
+{
+	if (!q->weighed)
+		gw_load(q->gw, q->service->name)->tokens +=
+		    q->choice.recompute_tokens;
+	q->weighed = true;
+}
+
+/// Learns how fast servers compute prompts.
+static void
+learn_speed(const struct gw_request *q, uint64_t now_us)
+{
+	struct gw_load *l = gw_load(q->gw, q->service->name);
+	const double ms = (double)(now_us - q->sent_us) / TM_US_PER_MS;
+	double speed;
+
+	if (q->choice.recompute_tokens < GW_LEARN_TOKENS || ms <= 0)
+		return;
+	speed = q->choice.recompute_tokens / ms;
+	if (l->tokens_per_ms <= 0)
+		l->tokens_per_ms = speed;
+	if (speed > l->tokens_per_ms)
+		l->tokens_per_ms *= 1 + GW_LEARN_UP;
+	else
+		l->tokens_per_ms *= 1 - GW_LEARN_DOWN;
+}
+
 static void
 on_data(void *arg, const uint8_t *bytes, size_t len)
 {
@@ -291,8 +326,10 @@
 	}
 	if (es_count(q->events) == before)
 		return;
-	if (q->first_us == 0)
+	if (q->first_us == 0) {
 		q->first_us = lp_now_us(g->loop);
+		learn_speed(q, q->first_us);
+	}
 	ro_first_token(g->router, lp_now_us(g->loop), q->dispatch);
 	gw_count_usage(q);
 	arm_stall(q);
@@ -514,6 +551,7 @@
 		give_up(q, "no backend server to be had");
 		return;
 	}
+	weigh(q);
 	conf = ro_get(g->router, q->choice.server);
 	s = g_hash_table_lookup(g->servers, conf->name);
 	g_assert(s != NULL);
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -20,7 +20,7 @@
 /// A new holder watches the list for so long before its first guess.
 #define HB_WATCH_US (3 * TM_US_PER_S)
 /// A change of the need that is worth a record.
-#define HB_NEED_CHANGE 0.02
+#define HB_NEED_CHANGE 0.05
 #define MILLI 1000
 
 /// Orders for one service, data centre and kind of server.
@@ -149,13 +149,15 @@
 	out->spot_dry = now < spot->dry_until_us;
 }
 
-/// Adds up what gateways reported of a service since the last call.
+/// Adds up what gateways reported of a service since the last call. The speed
+/// is the mean of what they learned.
 static struct sn_sample
-sample_of(struct hb *h, const char *service)
+sample_of(struct hb *h, const struct fc_service *service)
 {
-	struct sn_sample sample = { .servers = 0 };
+	struct sn_sample sample = { .tokens = 0 };
 	GHashTableIter it;
 	gpointer value;
+	uint32_t n = 0;
 
 	g_hash_table_iter_init(&it, h->gateways);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -165,22 +167,33 @@
 			struct lm_load *l =
 			    &g_array_index(g->loads, struct lm_load, i);
 
-			if (strcmp(l->service, service) != 0)
+			if (strcmp(l->service, service->name) != 0)
 				continue;
-			sample.answered += l->answered + l->refused;
-			sample.slow += l->slow + l->refused;
-			l->answered = 0;
-			l->slow = 0;
-			l->refused = 0;
+			sample.tokens += (double)l->tokens;
+			sample.busy_s += (double)l->work_us / TM_US_PER_S;
+			sample.tokens_per_s += (double)l->tokens_per_s;
+			n += l->tokens_per_s > 0;
+			l->tokens = 0;
+			l->work_us = 0;
 		}
 	}
+	if (n > 0)
+		sample.tokens_per_s /= n;
+	sample.requests_at_once = service->engine.slots;
+	return sample;
+}
+
+static uint32_t
+count_servers(const struct hb *h, const char *service)
+{
+	uint32_t n = 0;
+
 	for (guint i = 0; i < h->list->len; i++) {
 		const struct sv *s = &g_array_index(h->list, struct sv, i);
 
-		sample.servers +=
-		    !s->leaving && strcmp(s->service, service) == 0;
+		n += !s->leaving && strcmp(s->service, service) == 0;
 	}
-	return sample;
+	return n;
 }
 
 static void
@@ -194,27 +207,29 @@
 		    st_name(status));
 }
 
-/// Servers that a service needs, found from what is recorded and from what
-/// its callers see.
+/// Servers that a service needs, from what is recorded and the work that
+/// arrives.
 ///
 /// @return 0 while nothing is known
 static double
-need_of(struct hb *h, const char *service)
+need_of(struct hb *h, const struct fc_service *service)
 {
 	const uint64_t now = lp_now_us(h->loop);
 	const struct sn_sample sample = sample_of(h, service);
-	const double recorded = (double)hs_need(h->state, service) / MILLI;
-	struct sn *s = g_hash_table_lookup(h->needs, service);
+	const double recorded = (double)hs_need(h->state, service->name) / MILLI;
+	const double guess =
+	    count_servers(h, service->name) * HB_FIRST_NEED;
+	struct sn *s = g_hash_table_lookup(h->needs, service->name);
 	struct hs_command c = { .kind = HS_NEED };
 
 	if (s == NULL) {
 		s = g_new0(struct sn, 1);
-		(void)g_hash_table_insert(h->needs, g_strdup(service), s);
+		(void)g_hash_table_insert(h->needs, g_strdup(service->name), s);
 	}
 	if (s->need <= 0 && recorded > 0)
-		sn_start(s, now, recorded);
-	else if (sample.servers * HB_FIRST_NEED > s->need && recorded <= 0)
-		sn_start(s, now, sample.servers * HB_FIRST_NEED);
+		sn_start(s, recorded);
+	else if (guess > s->need && recorded <= 0)
+		sn_start(s, guess);
 	if (now < h->duty_from_us + HB_WATCH_US)
 		return 0;
 	sn_step(s, now, &sample);
@@ -222,9 +237,10 @@
 	    s->need < recorded * (1 + HB_NEED_CHANGE))
 		return s->need;
 	lg_event(LG_INFO, "servers.need",
-	    "service=%s need=%.2f slow=%.3f servers=%u", service, s->need,
-	    s->slow, sample.servers);
-	(void)g_strlcpy(c.service, service, sizeof(c.service));
+	    "service=%s need=%.2f busy=%.2f tokens_per_s=%.0f servers=%u",
+	    service->name, s->need, s->fast, sample.tokens_per_s,
+	    count_servers(h, service->name));
+	(void)g_strlcpy(c.service, service->name, sizeof(c.service));
 	c.need_milli = (uint32_t)(s->need * MILLI);
 	hb_propose(h, &c, on_recorded, h);
 	return s->need;
@@ -239,7 +255,7 @@
 		.min_servers = c->min_servers,
 		.max_servers = c->max_servers,
 		.spot_price = c->spot_price,
-		.need = need_of(h, s->name),
+		.need = need_of(h, s),
 	};
 	struct sp_plan plan;
 
