--- a/src/fleet/sp.c
+++ b/src/fleet/sp.c
@@ -74,59 +74,105 @@
 	return best;
 }
 
-/// Servers that the plan would have soon. Reclaimable ones count once they are
-/// there or their order was accepted.
+/// Reclaimable servers that are there or whose order was accepted, as far as
+/// the data centre has room for them.
+static uint32_t
+kept_spot(const struct sp_input *in, const struct sp_plan *plan, uint32_t i)
+{
+	const struct sp_zone *z = &in->zones[i];
+	const uint32_t room = in->max_servers - plan->zones[i].fixed;
+
+	return least(z->spot + z->starting, room);
+}
+
 static uint32_t
 count(const struct sp_input *in, const struct sp_plan *plan)
 {
 	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < in->n_zones; i++) {
-		const struct sp_zone *z = &in->zones[i];
-		const struct sp_order *o = &plan->zones[i];
+	for (uint32_t i = 0; i < in->n_zones; i++)
+		n += plan->zones[i].fixed + plan->zones[i].spot;
+	return n;
+}
+
+/// Gives the least and what must stay when all reclaimable servers go.
+static void
+plan_base(const struct sp_input *in, struct sp_plan *out)
+{
+	const uint32_t base = (uint32_t)ceil(in->need * FIXED_SHARE);
+
+	for (uint32_t i = 0; i < in->n_zones; i++)
+		out->zones[i].fixed = least(in->min_servers, in->max_servers);
+	while (count(in, out) < base) {
+		const uint32_t at = place_fixed(in, out);
 
-		n += o->fixed + least(o->spot, z->spot + z->starting);
+		if (at == in->n_zones)
+			return;
+		out->zones[at].fixed++;
 	}
-	return n;
 }
 
-/// Plans the servers of a service.
-void
-sp_plan(const struct sp_input *in, struct sp_plan *out)
+/// What reclaimable servers can't carry now, on-demand ones must.
+static void
+fill_up(const struct sp_input *in, struct sp_plan *out)
 {
 	const uint32_t need = (uint32_t)ceil(in->need);
-	const uint32_t fixed = (uint32_t)ceil(in->need * FIXED_SHARE);
-	uint32_t want = (uint32_t)ceil(in->need * SPOT_FACTOR);
-	uint32_t n = 0;
 
-	assert(in->n_zones <= SP_MAX_ZONES);
-	*out = (struct sp_plan){ 0 };
-	for (uint32_t i = 0; i < in->n_zones; i++) {
-		out->zones[i].fixed = in->min_servers;
-		n += in->min_servers;
-	}
-	for (; n < fixed; n++) {
+	while (count(in, out) < need) {
 		const uint32_t at = place_fixed(in, out);
 
 		if (at == in->n_zones)
-			break;
+			return;
 		out->zones[at].fixed++;
 	}
-	if (in->spot_price <= 0)
-		want = n;
-	for (; n < want; n++) {
+}
+
+static uint32_t
+fullest_spot(const struct sp_input *in, const struct sp_plan *plan)
+{
+	uint32_t best = in->n_zones;
+
+	for (uint32_t i = 0; i < in->n_zones; i++) {
+		if (plan->zones[i].spot > 0 &&
+		    (best == in->n_zones ||
+			plan->zones[i].spot > plan->zones[best].spot))
+			best = i;
+	}
+	return best;
+}
+
+/// Brings reclaimable servers to the number that is wanted in all.
+static void
+plan_spot(const struct sp_input *in, struct sp_plan *out)
+{
+	const uint32_t want = (uint32_t)ceil(in->need * SPOT_FACTOR);
+
+	while (count(in, out) < want) {
 		const uint32_t at = emptiest(in, out);
 
 		if (at == in->n_zones)
-			break;
+			return;
 		out->zones[at].spot++;
 	}
-	// What reclaimable servers can't carry now, on-demand ones must.
-	while (count(in, out) < need) {
-		const uint32_t at = place_fixed(in, out);
+	while (count(in, out) > want) {
+		const uint32_t at = fullest_spot(in, out);
 
 		if (at == in->n_zones)
-			break;
-		out->zones[at].fixed++;
+			return;
+		out->zones[at].spot--;
 	}
 }
+
+/// Plans the servers of a service.
+void
+sp_plan(const struct sp_input *in, struct sp_plan *out)
+{
+	assert(in->n_zones <= SP_MAX_ZONES);
+	*out = (struct sp_plan){ 0 };
+	plan_base(in, out);
+	for (uint32_t i = 0; i < in->n_zones && in->spot_price > 0; i++)
+		out->zones[i].spot = kept_spot(in, out, i);
+	fill_up(in, out);
+	if (in->spot_price > 0)
+		plan_spot(in, out);
+}
--- a/src/gateway/gw_list.c
+++ b/src/gateway/gw_list.c
@@ -13,22 +13,27 @@
 
 static void read_page(struct gw *g, const char *token);
 
-static bool
-serves_prompts(const struct gw *g, const char *service)
+/// What is configured of a service's engines, or NULL.
+static const struct fc_engine *
+engine_of(const struct gw *g, const char *service)
 {
 	const int i =
 	    g->config == NULL ? -1 : fc_find_service(g->config, service);
 
-	return i >= 0 && fc_service(g->config, (size_t)i)->engine.enabled;
+	if (i < 0 || !fc_service(g->config, (size_t)i)->engine.enabled)
+		return NULL;
+	return &fc_service(g->config, (size_t)i)->engine;
 }
 
 static void
 route_server(struct gw *g, struct gw_server *s, uint64_t now_us)
 {
+	const struct fc_engine *engine = engine_of(g, s->sv.service);
 	struct ro_server conf = {
 		.kind =
-		    serves_prompts(g, s->sv.service) ? RO_RUNNER : RO_SERVICE,
+		    engine != NULL ? RO_RUNNER : RO_SERVICE,
 		.n_versions = 1,
+		.kv_tokens = engine != NULL ? engine->kv_tokens : 0,
 	};
 
 	(void)g_strlcpy(conf.name, s->sv.id, sizeof(conf.name));
--- a/src/hub/hb.c
+++ b/src/hub/hb.c
@@ -90,7 +90,6 @@
 
 	g_array_unref(g->usage);
 	g_array_unref(g->quotas);
-	g_array_unref(g->loads);
 	g_free(g);
 }
 
@@ -118,6 +117,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, gateway_free);
 	h->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	h->work =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->needs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->orders =
@@ -184,6 +185,7 @@
 	g_hash_table_destroy(h->peers);
 	g_hash_table_destroy(h->gateways);
 	g_hash_table_destroy(h->pools);
+	g_hash_table_destroy(h->work);
 	g_hash_table_destroy(h->needs);
 	g_hash_table_destroy(h->orders);
 	g_array_unref(h->list);
--- a/src/hub/hb_internal.h
+++ b/src/hub/hb_internal.h
@@ -38,7 +38,6 @@
 	GArray *usage;  ///< struct lm_usage
 	GArray *quotas; ///< struct lm_quota
 	bool counted;   ///< its quotas, by this leader
-	GArray *loads;  ///< struct lm_load, the newest report's
 };
 
 struct hb {
@@ -75,6 +74,7 @@
 	/// Servers that are ordered from the cloud (hb_scale.c).
 	GHashTable *orders; ///< "service zone kind" -> struct hb_order
 	GHashTable *needs;  ///< service -> struct sn
+	GHashTable *work;   ///< service -> struct hb_work
 	GArray *list;       ///< struct sv, of the newest whole reading
 	GArray *page;       ///< of the reading under way
 	bool listing;
@@ -141,6 +141,7 @@
 
 /// hb_scale.c
 void hb_scale_reset(struct hb *h);
+void hb_scale_take(struct hb *h, const GArray *loads);
 void hb_scale_tick(struct hb *h);
 
 #endif
--- a/src/hub/hb_link.c
+++ b/src/hub/hb_link.c
@@ -69,7 +69,6 @@
 	g->incarnation = hello->incarnation;
 	g->usage = g_array_new(FALSE, TRUE, sizeof(struct lm_usage));
 	g->quotas = g_array_new(FALSE, TRUE, sizeof(struct lm_quota));
-	g->loads = g_array_new(FALSE, TRUE, sizeof(struct lm_load));
 	(void)g_hash_table_insert(h->gateways, g->name, g);
 	lg_event(LG_INFO, "gateway.known", "gateway=%s zone=%s", g->name,
 	    g->data_centre);
@@ -186,7 +185,7 @@
 	hb_quota_take(h, g, r.quotas);
 	swap_arrays(&g->usage, &r.usage);
 	swap_arrays(&g->quotas, &r.quotas);
-	swap_arrays(&g->loads, &r.loads);
+	hb_scale_take(h, r.loads);
 	lm_report_clear(&r);
 	send_state(h, g);
 }
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -149,37 +149,52 @@
 	out->spot_dry = now < spot->dry_until_us;
 }
 
-/// Adds up what gateways reported of a service since the last call. The speed
-/// is the mean of what they learned.
+/// Work of a service that gateways reported since it was looked at last.
+struct hb_work {
+	uint64_t tokens;
+	uint64_t work_us;
+	uint64_t speeds; ///< sum of tokens a second
+	uint32_t n_speeds;
+};
+
+/// Adds a gateway's report of its work.
+void
+hb_scale_take(struct hb *h, const GArray *loads)
+{
+	for (guint i = 0; i < loads->len; i++) {
+		const struct lm_load *l =
+		    &g_array_index(loads, struct lm_load, i);
+		struct hb_work *w = g_hash_table_lookup(h->work, l->service);
+
+		if (w == NULL) {
+			w = g_new0(struct hb_work, 1);
+			(void)g_hash_table_insert(
+			    h->work, g_strdup(l->service), w);
+		}
+		w->tokens += l->tokens;
+		w->work_us += l->work_us;
+		w->speeds += l->tokens_per_s;
+		w->n_speeds += l->tokens_per_s > 0;
+	}
+}
+
+/// What gateways reported of a service since the last call. The speed is the
+/// mean of what they learned.
 static struct sn_sample
 sample_of(struct hb *h, const struct fc_service *service)
 {
-	struct sn_sample sample = { .tokens = 0 };
-	GHashTableIter it;
-	gpointer value;
-	uint32_t n = 0;
+	struct hb_work *w = g_hash_table_lookup(h->work, service->name);
+	struct sn_sample sample = {
+		.requests_at_once = service->engine.slots,
+	};
 
-	g_hash_table_iter_init(&it, h->gateways);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct hb_gateway *g = value;
-
-		for (guint i = 0; i < g->loads->len; i++) {
-			struct lm_load *l =
-			    &g_array_index(g->loads, struct lm_load, i);
-
-			if (strcmp(l->service, service->name) != 0)
-				continue;
-			sample.tokens += (double)l->tokens;
-			sample.busy_s += (double)l->work_us / TM_US_PER_S;
-			sample.tokens_per_s += (double)l->tokens_per_s;
-			n += l->tokens_per_s > 0;
-			l->tokens = 0;
-			l->work_us = 0;
-		}
-	}
-	if (n > 0)
-		sample.tokens_per_s /= n;
-	sample.requests_at_once = service->engine.slots;
+	if (w == NULL)
+		return sample;
+	sample.tokens = (double)w->tokens;
+	sample.busy_s = (double)w->work_us / TM_US_PER_S;
+	if (w->n_speeds > 0)
+		sample.tokens_per_s = (double)w->speeds / w->n_speeds;
+	*w = (struct hb_work){ .tokens = 0 };
 	return sample;
 }
 
@@ -282,6 +297,7 @@
 	gpointer value;
 
 	g_hash_table_remove_all(h->needs);
+	g_hash_table_remove_all(h->work);
 	g_hash_table_iter_init(&it, h->orders);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct hb_order *o = value;
--- a/src/route/ro.c
+++ b/src/route/ro.c
@@ -38,6 +38,7 @@
 	.probe_successes = 3,
 	.belief_half_life_us = 120 * TM_US_PER_S,
 	.max_blocks = 1U << 18,
+	.entries = 1,
 };
 
 /// Makes a router that knows no server yet.
@@ -72,6 +73,13 @@
 	g_free(pool);
 }
 
+/// Tells how many entries send like work to the same servers.
+void
+ro_set_entries(struct ro *r, uint32_t n)
+{
+	r->params.entries = MAX(n, 1);
+}
+
 /// Releases a router; NULL is allowed.
 void
 ro_free(struct ro *r)
--- a/src/route/ro.h
+++ b/src/route/ro.h
@@ -42,6 +42,9 @@
 	enum ro_kind kind;
 	uint32_t n_versions; ///< 0: every version of its pool.
 	char versions[RO_MAX_VERSIONS][RO_NAME_BYTES];
+	/// Memory of its prefix cache, 0: unknown. What is computed there pushes
+	/// older prompts out.
+	uint64_t kv_tokens;
 	uint64_t incarnation; ///< Another one forgets loads, beliefs, leaving.
 	uint64_t tag;         ///< The caller's own; returned by a choice.
 };
@@ -116,12 +119,14 @@
 	uint32_t probe_successes;     ///< Good answers before full return.
 	uint64_t belief_half_life_us; ///< Without events from a server.
 	uint32_t max_blocks;          ///< Beliefs held, over all servers.
+	double entries; ///< That send like work to the same servers.
 };
 
 extern const struct ro_params ro_defaults;
 
 struct ro *ro_new(const struct ro_params *params);
 void ro_free(struct ro *r);
+void ro_set_entries(struct ro *r, uint32_t n);
 
 /// Configuration. Distances are one way, from the entry's data centre.
 void ro_set_data_centre(
--- a/src/route/ro_life.c
+++ b/src/route/ro_life.c
@@ -48,6 +48,15 @@
 	d->next = NULL;
 }
 
+/// Beliefs about a server become doubtful as its memory fills with other
+/// prompts. Other entries send as much as this one does.
+static void
+push_out(struct ro_peer *p, uint32_t tokens, double entries)
+{
+	if (p->conf.kv_tokens > 0)
+		p->lost += tokens * entries / (double)p->conf.kv_tokens;
+}
+
 /// Its prompt will be in the server's cache.
 static void
 believe(
@@ -88,6 +97,8 @@
 		.cached = choice->cached_tokens,
 		.predicted = choice->recompute_tokens + choice->queue_tokens,
 	};
+	push_out(p, choice->recompute_tokens + ask->output_tokens,
+	    r->params.entries);
 	add_pending(p, d);
 	ro__own_changed(p, now_us, 1);
 	believe(r, p, now_us, ask);
