--- a/src/fleet/sn.c
+++ b/src/fleet/sn.c
@@ -7,7 +7,7 @@
 #define SLOW_S 12.0
 /// Share of its time that a server should be busy with prompts; a burst and
 /// the tokens of streams take the rest.
-#define TARGET_USE 0.5
+#define TARGET_USE 0.6
 /// A need is known once work was seen for so long.
 #define KNOWN_US 3000000
 /// A smaller need is followed by this share a second, a greater one at once.
