--- a/src/fleet/lm.h
+++ b/src/fleet/lm.h
@@ -28,18 +28,18 @@
 /// refuse lately for want of places.
 struct lm_load {
 	char service[FC_NAME_BYTES];
-	uint32_t running; ///< requests at servers now
-	uint32_t refused; ///< since the last report
-	uint32_t arrived; ///< since the last report
-	uint64_t work_us; ///< spent at servers since the last report
+	uint32_t running;      ///< requests at servers now
+	uint32_t refused;      ///< since the last report
+	uint32_t arrived;      ///< since the last report
+	uint64_t work_us;      ///< spent at servers since the last report
 	uint64_t tokens;       ///< of prompts to compute, since the last report
 	uint64_t tokens_per_s; ///< that one server computes; 0: not known
 };
 
 /// Where a service's move to a version stands.
 enum lm_move_state {
-	LM_MOVING,    ///< the new version gets a share
-	LM_MOVED,     ///< it gets all
+	LM_MOVING,     ///< the new version gets a share
+	LM_MOVED,      ///< it gets all
 	LM_TAKEN_BACK, ///< it gets nothing
 	LM_MOVE_STATES,
 };
--- a/src/fleet/qt.c
+++ b/src/fleet/qt.c
@@ -36,8 +36,8 @@
 	const double most = qt_capacity(limit);
 
 	if (now_us > p->last_us)
-		p->level += limit->rate_per_s *
-		    (double)(now_us - p->last_us) / US_PER_S;
+		p->level += limit->rate_per_s * (double)(now_us - p->last_us) /
+		    US_PER_S;
 	p->level = fmin(p->level, most);
 	p->last_us = now_us;
 }
@@ -107,16 +107,16 @@
 	level = qt_level(v, limit, now_us, n_gateways);
 	enough = (own + units) / part;
 	if (v->spent == v->counted)
-		enough = fmin(
-		    enough, fmin(FIRST_FACTOR * units, DEBT_LEVEL * most));
+		enough =
+		    fmin(enough, fmin(FIRST_FACTOR * units, DEBT_LEVEL * most));
 	if (level >= enough) {
 		v->spent += (uint64_t)units;
 		return a;
 	}
 	a.outcome = QT_OVER;
 	enough = fmin(enough, DEBT_LEVEL * most);
-	a.wait_us = (uint64_t)(
-	    fmin(fmax(enough - level, 0) / limit->rate_per_s, MAX_WAIT_S) *
+	a.wait_us = (uint64_t)(fmin(fmax(enough - level, 0) / limit->rate_per_s,
+				   MAX_WAIT_S) *
 	    US_PER_S);
 	return a;
 }
@@ -125,6 +125,5 @@
 bool
 qt_should_tell(const struct qt_view *v, const struct qt_limit *limit)
 {
-	return (double)(v->spent - v->counted) >
-	    TELL_PART * qt_capacity(limit);
+	return (double)(v->spent - v->counted) > TELL_PART * qt_capacity(limit);
 }
--- a/src/fleet/qt.h
+++ b/src/fleet/qt.h
@@ -27,10 +27,10 @@
 
 /// A gateway's view of that bucket.
 struct qt_view {
-	double level;      ///< as control said
-	uint64_t told_us;  ///< when; 0: never
-	uint64_t spent;    ///< here, since the start
-	uint64_t counted;  ///< part of `spent` that `level` takes into account
+	double level;     ///< as control said
+	uint64_t told_us; ///< when; 0: never
+	uint64_t spent;   ///< here, since the start
+	uint64_t counted; ///< part of `spent` that `level` takes into account
 };
 
 enum qt_outcome {
--- a/src/fleet/sn.h
+++ b/src/fleet/sn.h
@@ -16,9 +16,9 @@
 
 /// What arrived since the last step.
 struct sn_sample {
-	double tokens;          ///< of prompts, to be computed
-	double tokens_per_s;    ///< that one server computes; 0: not known
-	double busy_s;          ///< seconds that requests spent at servers
+	double tokens;           ///< of prompts, to be computed
+	double tokens_per_s;     ///< that one server computes; 0: not known
+	double busy_s;           ///< seconds that requests spent at servers
 	double requests_at_once; ///< that one server works on
 };
 
--- a/src/front/fr.c
+++ b/src/front/fr.c
@@ -163,9 +163,12 @@
 	static const char refusal[] =
 	    "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n"
 	    "Connection: close\r\n\r\n";
+	const struct fr *f = arg;
 
 	(void)headers;
-	(void)arg;
+	// It crosses the close of an idle connection.
+	if (f->draining && (req->conn->flags & EVHTP_CONN_FLAG_KEEPALIVE))
+		return EVHTP_RES_ERROR;
 	if (framing_is_clear(req))
 		return EVHTP_RES_OK;
 	lg_event(LG_WARN, "caller.bad_framing", "answer=400");
@@ -284,6 +287,8 @@
 
 		if (conn->request == NULL)
 			evhtp_connection_free(conn);
+		else
+			evhtp_request_set_keepalive(conn->request, 0);
 	}
 	g_list_free(all);
 }
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -137,10 +137,11 @@
 	struct ro_choice choice;
 	char server[FC_NAME_BYTES];
 	uint64_t sent_us;
-	uint64_t first_us; ///< first event of the attempt; 0: none yet	bool weighed;      ///< its prompt is counted as work
-	bool weighed; ///< its prompt is counted as work
+	uint64_t first_us; ///< first event of the attempt; 0: none yet bool
+			   ///< weighed;      ///< its prompt is counted as work
+	bool weighed;      ///< its prompt is counted as work
 	uint32_t sent;     ///< attempts sent so far
-	uint32_t ran;        ///< of these, those that may have run
+	uint32_t ran;      ///< of these, those that may have run
 	bool dispatched_ran; ///< the attempt under way is known to run
 	struct rt_attempts attempts;
 	enum vd verdict; ///< of the attempts that ended
@@ -167,8 +168,7 @@
 enum st gw_link_start(struct gw *g);
 void gw_link_tick(struct gw *g, uint64_t now_us);
 void gw_count_usage(struct gw_request *q);
-struct qt_limit gw_quota_limit(
-    const struct gw *g, const struct fc_customer *c);
+struct qt_limit gw_quota_limit(const struct gw *g, const struct fc_customer *c);
 void gw_report_soon(struct gw *g);
 
 /// gw_list.c: backend servers
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -19,8 +19,8 @@
 /// Keys are held for valid for this share of the time in which a revoked one
 /// must be dead everywhere.
 #define GW_LEASE_SHARE 0.8
-/// Windows of usage that are told; control has settled older ones.
-#define GW_USAGE_WINDOWS 6
+/// Windows of usage are told for so long beyond the time in which they are due.
+#define GW_USAGE_SPARE 2
 /// A difference to control's time that is taken for a wrong clock.
 #define GW_CLOCK_US (50 * (int64_t)TM_US_PER_MS)
 
@@ -83,8 +83,11 @@
 static void
 report_usage(struct gw *g, struct lm_report *r)
 {
-	const uint64_t window = gw_true_us(g) /
-	    (uint64_t)(g->settings.bounds.usage_window_s * TM_US_PER_S);
+	const struct ds_bounds *b = &g->settings.bounds;
+	const uint64_t window =
+	    gw_true_us(g) / (uint64_t)(b->usage_window_s * TM_US_PER_S);
+	const uint64_t told =
+	    GW_USAGE_SPARE + (uint64_t)(b->usage_late_s / b->usage_window_s);
 	GHashTableIter it;
 	gpointer value;
 
@@ -92,7 +95,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct lm_usage *u = value;
 
-		if (u->window + GW_USAGE_WINDOWS < window)
+		if (u->window + told < window)
 			g_hash_table_iter_remove(&it);
 		else
 			g_array_append_val(r->usage, *u);
@@ -118,8 +121,8 @@
 static void
 report_quotas(struct gw *g, struct lm_report *r, uint64_t now_us)
 {
-	for (size_t i = 0;
-	     g->config != NULL && i < fc_n_customers(g->config); i++) {
+	for (size_t i = 0; g->config != NULL && i < fc_n_customers(g->config);
+	     i++) {
 		const struct fc_customer *c = fc_customer(g->config, i);
 		const struct qt_limit limit = gw_quota_limit(g, c);
 		const struct qt_view *v =
@@ -131,8 +134,7 @@
 		(void)g_strlcpy(q.customer, c->name, sizeof(q.customer));
 		q.spent = v->spent;
 		q.counted = v->counted;
-		q.level =
-		    (int64_t)qt_level(v, &limit, now_us, g->n_gateways);
+		q.level = (int64_t)qt_level(v, &limit, now_us, g->n_gateways);
 		g_array_append_val(r->quotas, q);
 	}
 }
@@ -395,8 +397,8 @@
 void
 gw_report_soon(struct gw *g)
 {
-	g->next_report_us = MIN(
-	    g->next_report_us, g->reported_us + GW_REPORT_LEAST_US);
+	g->next_report_us =
+	    MIN(g->next_report_us, g->reported_us + GW_REPORT_LEAST_US);
 }
 
 /// Reports to control, and leaves what is silent.
--- a/src/gateway/gw_list.c
+++ b/src/gateway/gw_list.c
@@ -30,8 +30,7 @@
 {
 	const struct fc_engine *engine = engine_of(g, s->sv.service);
 	struct ro_server conf = {
-		.kind =
-		    engine != NULL ? RO_RUNNER : RO_SERVICE,
+		.kind = engine != NULL ? RO_RUNNER : RO_SERVICE,
 		.n_versions = 1,
 		.kv_tokens = engine != NULL ? engine->kv_tokens : 0,
 	};
--- a/src/gateway/gw_moves.c
+++ b/src/gateway/gw_moves.c
@@ -50,7 +50,8 @@
 	for (guint i = 0; i < moves->len; i++) {
 		const struct lm_move *v =
 		    &g_array_index(moves, struct lm_move, i);
-		struct lm_move *kept = g_hash_table_lookup(g->moves, v->service);
+		struct lm_move *kept =
+		    g_hash_table_lookup(g->moves, v->service);
 
 		if (kept != NULL && kept->sequence >= v->sequence)
 			continue;
@@ -130,15 +131,15 @@
 	a.version = version_key(v->service, s->sv.version);
 	a.route = vo_key(q->route->name);
 	if (!failed)
-		a.first_token_us = MAX(
-		    (q->first_us != 0 ? q->first_us : now) - q->sent_us, 1);
+		a.first_token_us =
+		    MAX((q->first_us != 0 ? q->first_us : now) - q->sent_us, 1);
 	if (ro_view(g->router, now, s->route, &view))
-		a.load_permille = (uint32_t)MIN(
-		    view.load / GW_FULL_LOAD * VO_FULL_PERMILLE,
-		    VO_FULL_PERMILLE);
+		a.load_permille =
+		    (uint32_t)MIN(view.load / GW_FULL_LOAD * VO_FULL_PERMILLE,
+			VO_FULL_PERMILLE);
 	if (vo_entry_answer(g->versions, &a)) {
-		lg_event(LG_WARN, "version.stopped_here", "service=%s target=%s",
-		    v->service, v->target);
+		lg_event(LG_WARN, "version.stopped_here",
+		    "service=%s target=%s", v->service, v->target);
 		g->next_evidence_us = 0;
 	}
 }
--- a/src/hub/hb_log.c
+++ b/src/hub/hb_log.c
@@ -184,6 +184,7 @@
 		.self = h->slot,
 		.deployment = "fleet",
 		.node = s->node,
+		.late = !s->first_start,
 		.election_us = HB_ELECTION_US,
 		.heartbeat_us = HB_HEARTBEAT_US,
 		.tm = lp_timers(h->loop),
--- a/src/hub/hb_moves.c
+++ b/src/hub/hb_moves.c
@@ -167,8 +167,8 @@
 			vo_control_stopped(h->mover, m->stopped[i]);
 		(void)lk_send(h->links, link, &taken);
 	} else {
-		lg_event(LG_WARN, "evidence.unreadable", "reason=\"%s\"",
-		    st_last());
+		lg_event(
+		    LG_WARN, "evidence.unreadable", "reason=\"%s\"", st_last());
 	}
 	g_free(m);
 }
@@ -197,9 +197,9 @@
 	for (size_t i = 0; i < hs_n_moves(h->state); i++) {
 		const struct hs_move *v = hs_move_at(h->state, i);
 		struct lm_move out = {
-			.permille = v->move.state == VO_MOVING ?
-			    v->move.share_permille :
-			    0,
+			.permille = v->move.state == VO_MOVING
+			    ? v->move.share_permille
+			    : 0,
 			.state = state_of(v),
 			.sequence = v->sequence,
 		};
@@ -242,8 +242,7 @@
 	const uint64_t now = hb_true_us(h);
 	struct hs_command c = { .kind = HS_MOVE };
 
-	(void)g_strlcpy(
-	    c.move.service, service, sizeof(c.move.service));
+	(void)g_strlcpy(c.move.service, service, sizeof(c.move.service));
 	(void)g_strlcpy(c.move.target, target, sizeof(c.move.target));
 	find_base(h, service, target, c.move.base, sizeof(c.move.base));
 	c.move.move = (struct vo_move){
--- a/src/hub/hb_operators.c
+++ b/src/hub/hb_operators.c
@@ -128,8 +128,7 @@
 
 	(void)result;
 	(void)len;
-	ct_observe(
-	    p->hb->ack_latency, lp_now_us(p->hb->loop) - p->asked_us);
+	ct_observe(p->hb->ack_latency, lp_now_us(p->hb->loop) - p->asked_us);
 	reply(p->hb, p->handle, status == ST_OK ? 200 : 503, st_name(status));
 	g_free(p);
 }
@@ -167,8 +166,8 @@
 	p->handle = handle;
 	p->asked_us = lp_now_us(h->loop);
 	lg_event(LG_INFO, "order.rollout",
-	    "service=%s target=%s duration_s=%.1f", order.service,
-	    order.target, order.duration_s);
+	    "service=%s target=%s duration_s=%.1f", order.service, order.target,
+	    order.duration_s);
 	hb_moves_order(h, order.service, order.target, order.duration_s,
 	    on_rollout_done, p);
 }
--- a/src/hub/hb_quota.c
+++ b/src/hub/hb_quota.c
@@ -76,9 +76,9 @@
 		for (guint i = 0; g->counted && i < g->quotas->len; i++) {
 			const struct lm_quota *q =
 			    &g_array_index(g->quotas, struct lm_quota, i);
-			const struct fc_customer *c = h->config == NULL ?
-			    NULL :
-			    fc_find_customer(h->config, q->customer);
+			const struct fc_customer *c = h->config == NULL
+			    ? NULL
+			    : fc_find_customer(h->config, q->customer);
 
 			if (c != NULL && c->rate_per_s > 0)
 				take_over(h, c, q);
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -218,8 +218,8 @@
 	(void)result;
 	(void)len;
 	if (status != ST_OK)
-		lg_event(LG_WARN, "need.not_recorded", "status=%s",
-		    st_name(status));
+		lg_event(
+		    LG_WARN, "need.not_recorded", "status=%s", st_name(status));
 }
 
 /// Servers that a service needs, from what is recorded and the work that
@@ -231,9 +231,9 @@
 {
 	const uint64_t now = lp_now_us(h->loop);
 	const struct sn_sample sample = sample_of(h, service);
-	const double recorded = (double)hs_need(h->state, service->name) / MILLI;
-	const double guess =
-	    count_servers(h, service->name) * HB_FIRST_NEED;
+	const double recorded =
+	    (double)hs_need(h->state, service->name) / MILLI;
+	const double guess = count_servers(h, service->name) * HB_FIRST_NEED;
 	struct sn *s = g_hash_table_lookup(h->needs, service->name);
 	struct hs_command c = { .kind = HS_NEED };
 
--- a/src/hub/hb_usage.c
+++ b/src/hub/hb_usage.c
@@ -11,11 +11,6 @@
 #define HB_SETTLE_US (2500 * TM_US_PER_MS)
 #define HB_TELL_TIMEOUT_US (1500 * TM_US_PER_MS)
 #define HB_TELL_AGAIN_US (700 * TM_US_PER_MS)
-/// Windows before the newest that a new holder tells again: an exact repeat
-/// does no harm.
-#define HB_TELL_BACK 2
-/// A window is told until so long after its end.
-#define HB_TELL_WINDOWS 4
 #define HB_CONFLICT 409
 
 static uint64_t
@@ -24,6 +19,16 @@
 	return (uint64_t)(h->settings.bounds.usage_window_s * TM_US_PER_S);
 }
 
+/// Windows that ended and can still be told in time. A new holder tells them
+/// again: an exact repeat does no harm.
+static uint64_t
+windows_back(const struct hb *h)
+{
+	const struct ds_bounds *b = &h->settings.bounds;
+
+	return (uint64_t)(b->usage_late_s / b->usage_window_s);
+}
+
 static void
 add_count(GArray *counts, const struct lm_usage *u)
 {
@@ -147,14 +152,15 @@
 {
 	const uint64_t now = hb_true_us(h);
 	const uint64_t newest = (now - HB_SETTLE_US) / window_us(h);
+	const uint64_t back = windows_back(h);
 	const struct hs_usage *u;
 
 	if (h->config == NULL)
 		return;
-	if (h->settled_to + HB_TELL_WINDOWS < newest)
-		h->settled_to = newest - HB_TELL_BACK;
-	if (h->told_to + HB_TELL_WINDOWS < newest)
-		h->told_to = newest - HB_TELL_BACK;
+	if (h->settled_to + back < newest)
+		h->settled_to = newest - back;
+	if (h->told_to + back < newest)
+		h->told_to = newest - back;
 	while (
 	    h->settled_to < newest && hs_usage(h->state, h->settled_to) != NULL)
 		h->settled_to++;
--- a/src/hub/hs.c
+++ b/src/hub/hs.c
@@ -215,8 +215,7 @@
 
 	if (v == NULL) {
 		g_array_append_val(s->moves, *new);
-		v = &g_array_index(
-		    s->moves, struct hs_move, s->moves->len - 1);
+		v = &g_array_index(s->moves, struct hs_move, s->moves->len - 1);
 	} else if (strcmp(v->target, new->target) != 0 &&
 	    new->move.added_us < v->move.added_us) {
 		return;
--- a/src/replog/gp.c
+++ b/src/replog/gp.c
@@ -512,7 +512,7 @@
 		g->identity = loaded.identity;
 		g->self = loaded.identity.id;
 		// Until the disks are agreed the settings may still change.
-		if (g->identity.disks[0] == 0 &&
+		if (g->identity.disks[0] == 0 && !config->late &&
 		    g->identity.seat == DL_UNSEATED)
 			g->identity.initial = want.initial;
 		if (g->identity.seat == DL_UNSEATED)
--- a/src/replog/gp.h
+++ b/src/replog/gp.h
@@ -47,6 +47,9 @@
 	/// it was. A process that isn't among these joins as a learner.
 	uint32_t n_voters;
 	uint32_t voters[RL_MAX_MEMBERS];
+	/// The group is known to have started: this process, with an empty
+	/// disk, joins it even where it has the slot of an initial voter.
+	bool late;
 	/// Slots to ask when this process knows no leader, besides the voters.
 	uint32_t n_contacts;
 	uint32_t contacts[RL_MAX_MEMBERS];
--- a/src/replog/gp_join.c
+++ b/src/replog/gp_join.c
@@ -39,7 +39,7 @@
 static enum dl_seat
 told_seat(const struct gp *g)
 {
-	const bool outsider = position(g, g->self) < 0;
+	const bool outsider = position(g, g->self) < 0 && !g->config.late;
 
 	if (outsider && (g->core == NULL || rl_last_index(g->core) == 0))
 		return DL_UNSEATED;
--- a/src/rollout/vo_control.c
+++ b/src/rollout/vo_control.c
@@ -427,8 +427,8 @@
 {
 	const bool whole = t->c->settings.whole_before_us != 0;
 	const uint32_t old = v->m.share_permille;
-	const uint32_t next =
-	    whole ? VO_FULL_PERMILLE : MIN(old * SHARE_GROWTH, VO_FULL_PERMILLE);
+	const uint32_t next = whole ? VO_FULL_PERMILLE
+				    : MIN(old * SHARE_GROWTH, VO_FULL_PERMILLE);
 	const uint32_t share = MIN(next, v->ready_permille);
 
 	if (share <= old)
--- a/src/route/ro.h
+++ b/src/route/ro.h
@@ -42,8 +42,8 @@
 	enum ro_kind kind;
 	uint32_t n_versions; ///< 0: every version of its pool.
 	char versions[RO_MAX_VERSIONS][RO_NAME_BYTES];
-	/// Memory of its prefix cache, 0: unknown. What is computed there pushes
-	/// older prompts out.
+	/// Memory of its prefix cache, 0: unknown. What is computed there
+	/// pushes older prompts out.
 	uint64_t kv_tokens;
 	uint64_t incarnation; ///< Another one forgets loads, beliefs, leaving.
 	uint64_t tag;         ///< The caller's own; returned by a choice.
@@ -64,9 +64,9 @@
 /// What a request asks for.
 struct ro_ask {
 	const char *pool;
-	const char *version;    ///< NULL or "": any.
+	const char *version;     ///< NULL or "": any.
 	const char *not_version; ///< NULL: none is excluded.
-	const uint64_t *blocks; ///< Chained hashes of the prompt's blocks.
+	const uint64_t *blocks;  ///< Chained hashes of the prompt's blocks.
 	size_t n_blocks;
 	uint32_t prompt_tokens;
 	/// Begin of the prompt that other entries' requests share: the server
--- a/src/route/ro_choose.c
+++ b/src/route/ro_choose.c
@@ -29,7 +29,7 @@
 	const struct ro_ask *ask;
 	struct ro_pool *pool;
 	uint64_t now_us;
-	uint32_t version; ///< 0: any.
+	uint32_t version;     ///< 0: any.
 	uint32_t not_version; ///< 0: none.
 	bool any_version;
 	uint32_t n; ///< Servers in r->usable.
@@ -168,8 +168,7 @@
 	if (s->ask->n_blocks == 0 || m->blocks == 0)
 		return held;
 	doubt = ro__lost(s->r, p, s->now_us) - (double)m->stamp;
-	return MAX(
-	    m->blocks * s->tokens_per_block * exp(-MAX(doubt, 0)), held);
+	return MAX(m->blocks * s->tokens_per_block * exp(-MAX(doubt, 0)), held);
 }
 
 /// How much slower a server is than the median of its pool.
--- /dev/null
+++ b/test/standin/backend.c
@@ -0,0 +1,172 @@
+#include "sd.h"
+
+#include <glib.h>
+#include <string.h>
+
+/// A backend server as the platform has them: it answers for one id, vouches
+/// for its answers, and sends events under /stream/.
+struct backend {
+	struct sd_env *env;
+	int64_t runs;
+};
+
+/// A stream on its way.
+struct stream {
+	struct backend *b;
+	struct evhttp_request *req;
+	int64_t next;
+	bool closed;
+};
+
+static void *
+backend_start(struct sd_env *env)
+{
+	struct backend *b = g_new0(struct backend, 1);
+
+	b->env = env;
+	return b;
+}
+
+static void
+backend_changed(void *self)
+{
+	(void)self;
+}
+
+static void
+add_header(struct evhttp_request *req, const char *name, const char *value)
+{
+	(void)evhttp_add_header(
+	    evhttp_request_get_output_headers(req), name, value);
+}
+
+/// Sets what every answer of a server bears.
+static void
+vouch(const struct backend *b, struct evhttp_request *req)
+{
+	add_header(req, "X-Acaciahinge-Request-Id",
+	    sd_header(req, "X-Acaciahinge-Request-Id", ""));
+	add_header(req, "X-Acaciahinge-Server-Stamp",
+	    sd_str(b->env->settings, "id", ""));
+}
+
+static void
+on_closed(struct evhttp_connection *conn, void *arg)
+{
+	struct stream *s = arg;
+
+	(void)conn;
+	s->closed = true;
+}
+
+static void
+send_event(void *arg)
+{
+	struct stream *s = arg;
+	const json_t *settings = s->b->env->settings;
+	const int64_t cut = sd_int(settings, "cut_after", 0);
+	struct evbuffer *out;
+
+	if (s->closed) {
+		g_free(s);
+		return;
+	}
+	if (cut > 0 && s->next > cut) {
+		sd_unwatch(s->req);
+		sd_cut(s->req);
+		g_free(s);
+		return;
+	}
+	if (s->next > sd_int(settings, "events", 5)) {
+		sd_unwatch(s->req);
+		evhttp_send_reply_end(s->req);
+		g_free(s);
+		return;
+	}
+	out = evbuffer_new();
+	(void)evbuffer_add_printf(
+	    out, "id: %d\ndata: token%d\n\n", (int)s->next, (int)s->next);
+	evhttp_send_reply_chunk(s->req, out);
+	evbuffer_free(out);
+	s->next++;
+	sd_after(s->b->env, (uint64_t)sd_int(settings, "gap_ms", 20) * 1000,
+	    send_event, s);
+}
+
+static void
+start_stream(struct backend *b, struct evhttp_request *req)
+{
+	struct stream *s = g_new0(struct stream, 1);
+
+	s->b = b;
+	s->req = req;
+	s->next = 1 +
+	    (int64_t)g_ascii_strtoull(
+		sd_header(req, "Last-Event-Id", "0"), NULL, 10);
+	vouch(b, req);
+	add_header(req, "Content-Type", "text/event-stream");
+	evhttp_send_reply_start(req, 200, "OK");
+	sd_watch(req, on_closed, s);
+	send_event(s);
+}
+
+static void
+answer(struct backend *b, struct evhttp_request *req)
+{
+	struct evbuffer *out = evbuffer_new();
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	const size_t len = evbuffer_get_length(in);
+
+	vouch(b, req);
+	add_header(req, "Content-Type", "text/plain");
+	(void)evbuffer_add_printf(out,
+	    "%s customer=%s key=%s hold=%s body=%zu server=%s\n",
+	    evhttp_request_get_uri(req),
+	    sd_header(req, "X-Acaciahinge-Tenant", "-"),
+	    sd_header(req, "Authorization", "-"),
+	    sd_header(req, "X-Acaciahinge-Hold", "-"), len,
+	    sd_str(b->env->settings, "id", ""));
+	evhttp_send_reply(
+	    req, (int)sd_int(b->env->settings, "status", 200), "OK", out);
+	evbuffer_free(out);
+}
+
+static void
+backend_request(void *self, struct evhttp_request *req)
+{
+	struct backend *b = self;
+	const char *id = sd_str(b->env->settings, "id", "");
+
+	if (strcmp(sd_header(req, "X-Acaciahinge-Expect-Instance", id), id) !=
+	    0) {
+		sd_refuse(req, 421, "another server has the address");
+		return;
+	}
+	if (sd_int(b->env->settings, "full", 0) != 0) {
+		add_header(req, "X-Acaciahinge-Not-Run", "1");
+		sd_refuse(req, 503, "full");
+		return;
+	}
+	b->runs++;
+	if (strstr(sd_path(req), "/stream/") != NULL)
+		start_stream(b, req);
+	else
+		answer(b, req);
+}
+
+static json_t *
+backend_stats(void *self, struct evhttp_request *req)
+{
+	const struct backend *b = self;
+
+	(void)req;
+	return json_pack("{s:I}", "runs", (json_int_t)b->runs);
+}
+
+const struct sd_kind sd_backend = {
+	.name = "backend",
+	.start = backend_start,
+	.request = backend_request,
+	.changed = backend_changed,
+	.stats = backend_stats,
+};
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -22,6 +22,8 @@
 	&sd_cloud,
 	&sd_vm_list,
 	&sd_weight_store,
+	&sd_platform,
+	&sd_backend,
 	NULL,
 };
 
--- /dev/null
+++ b/test/standin/platform.c
@@ -0,0 +1,131 @@
+#include "sd.h"
+
+#include <glib.h>
+#include <string.h>
+
+/// The platform's list of backend servers and the calls of duties, with their
+/// fencing numbers. The list is the setting "instances".
+struct platform {
+	struct sd_env *env;
+	int64_t fence; ///< highest that was seen
+	int64_t usage_calls;
+	int64_t scale_calls;
+	int64_t refused;
+	json_t *usage; ///< of the newest window with requests
+	json_t *scale; ///< "zone kind" -> servers ordered
+};
+
+static void *
+platform_start(struct sd_env *env)
+{
+	struct platform *p = g_new0(struct platform, 1);
+
+	p->env = env;
+	p->usage = json_object();
+	p->scale = json_object();
+	return p;
+}
+
+static void
+platform_changed(void *self)
+{
+	struct platform *p = self;
+
+	p->fence = MAX(p->fence, sd_int(p->env->settings, "fence", 0));
+}
+
+/// Whether a call's fencing number isn't lower than one seen before.
+static bool
+take_fence(struct platform *p, struct evhttp_request *req)
+{
+	const int64_t fence = (int64_t)g_ascii_strtoull(
+	    sd_header(req, "X-Acaciahinge-Fence-Token", "0"), NULL, 10);
+
+	if (fence < p->fence) {
+		p->refused++;
+		sd_refuse(req, 409, "a higher fence was seen");
+		return false;
+	}
+	p->fence = fence;
+	return true;
+}
+
+static void
+take_usage(struct platform *p, struct evhttp_request *req)
+{
+	json_t *body = sd_body(req);
+	json_t *counts = json_object_get(body, "counts");
+	const char *name;
+	json_t *n;
+
+	if (take_fence(p, req)) {
+		p->usage_calls++;
+		json_object_foreach(counts, name, n)
+		{
+			const int64_t sum =
+			    sd_int(p->usage, name, 0) + json_integer_value(n);
+
+			(void)json_object_set_new(
+			    p->usage, name, json_integer(sum));
+		}
+		sd_reply(req, 200, json_pack("{s:b}", "done", 1));
+	}
+	json_decref(body);
+}
+
+static void
+take_scale(struct platform *p, struct evhttp_request *req)
+{
+	json_t *body = sd_body(req);
+	char key[128];
+
+	if (take_fence(p, req)) {
+		p->scale_calls++;
+		(void)g_snprintf(key, sizeof(key), "%s %s",
+		    sd_str(body, "zone", "-"),
+		    json_is_true(json_object_get(body, "spot")) ? "spot"
+								: "fixed");
+		(void)json_object_set_new(p->scale, key,
+		    json_integer(sd_int(body, "desired_count", 0)));
+		sd_reply(req, 200, json_pack("{s:b}", "done", 1));
+	}
+	json_decref(body);
+}
+
+static void
+platform_request(void *self, struct evhttp_request *req)
+{
+	struct platform *p = self;
+
+	if (sd_is(req, EVHTTP_REQ_GET, "/instances"))
+		sd_reply(req, 200,
+		    json_pack("{s:O, s:n}", "instances",
+			json_object_get(p->env->settings, "instances"),
+			"next"));
+	else if (sd_is(req, EVHTTP_REQ_POST, "/usage"))
+		take_usage(p, req);
+	else if (sd_is(req, EVHTTP_REQ_POST, "/scale"))
+		take_scale(p, req);
+	else
+		sd_refuse(req, 404, "no such call");
+}
+
+static json_t *
+platform_stats(void *self, struct evhttp_request *req)
+{
+	const struct platform *p = self;
+
+	(void)req;
+	return json_pack("{s:I, s:I, s:I, s:I, s:O, s:O}", "fence",
+	    (json_int_t)p->fence, "usage_calls", (json_int_t)p->usage_calls,
+	    "scale_calls", (json_int_t)p->scale_calls, "refused",
+	    (json_int_t)p->refused, "usage", p->usage, "scale", p->scale);
+}
+
+const struct sd_kind sd_platform = {
+	.name = "platform",
+	.start = platform_start,
+	.request = platform_request,
+	.changed = platform_changed,
+	.stats = platform_stats,
+};
--- a/test/standin/sd.h
+++ b/test/standin/sd.h
@@ -33,6 +33,8 @@
 extern const struct sd_kind sd_cloud;
 extern const struct sd_kind sd_vm_list;
 extern const struct sd_kind sd_weight_store;
+extern const struct sd_kind sd_platform;
+extern const struct sd_kind sd_backend;
 
 typedef void (*sd_cb)(void *arg);
 
--- /dev/null
+++ b/test/unit/fleet/test_config.cc
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "fleet/fc.h"
+#include "fleet/ps.h"
+}
+
+namespace
+{
+
+class Config : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		c = fc_new(7);
+		ASSERT_NE(fc_add_service(c, "app"), nullptr);
+		ASSERT_NE(fc_add_service(c, "llm"), nullptr);
+	}
+
+	void TearDown() override
+	{
+		fc_unref(c);
+	}
+
+	struct fc_route *Route(
+	    const char *name, const char *host, const char *prefix)
+	{
+		struct fc_route *r = fc_add_route(c, host, prefix);
+
+		if (r == nullptr)
+			return nullptr;
+		snprintf(r->name, sizeof(r->name), "%s", name);
+		r->timeout_ms = 1000;
+		EXPECT_EQ(fc_add_split(c, r, "app", 1), ST_OK);
+		return r;
+	}
+
+	struct fc *c;
+};
+
+TEST_F(Config, LongestPrefixOfTheHostWins)
+{
+	Route("short", "a.example", "/x/");
+	Route("long", "a.example", "/x/y/");
+	Route("other", "b.example", "/x/");
+	ASSERT_EQ(fc_check(c), ST_OK);
+	EXPECT_STREQ(fc_match(c, "a.example", "/x/y/z")->name, "long");
+	EXPECT_STREQ(fc_match(c, "a.example", "/x/yz")->name, "short");
+	EXPECT_STREQ(fc_match(c, "b.example", "/x/y/z")->name, "other");
+	EXPECT_EQ(fc_match(c, "a.example", "/x"), nullptr);
+	EXPECT_EQ(fc_match(c, "c.example", "/x/"), nullptr);
+}
+
+TEST_F(Config, EqualHostAndPrefixAreRefused)
+{
+	Route("one", "a.example", "/x/");
+	EXPECT_EQ(fc_add_route(c, "a.example", "/x/"), nullptr);
+	EXPECT_NE(fc_add_route(c, "b.example", "/x/"), nullptr);
+}
+
+TEST_F(Config, WeightsDecideTheService)
+{
+	struct fc_route *r = Route("split", "a.example", "/x/");
+	unsigned n[2] = { 0, 0 };
+
+	ASSERT_EQ(fc_add_split(c, r, "llm", 3), ST_OK);
+	EXPECT_EQ(fc_add_split(c, r, "none", 3), ST_INVALID);
+	for (uint64_t i = 0; i < 400; i++)
+		n[fc_pick(r, i)]++;
+	EXPECT_EQ(n[0], 100U);
+	EXPECT_EQ(n[1], 300U);
+}
+
+TEST_F(Config, NoWeightOrNoTimeoutIsRefused)
+{
+	struct fc_route *r = Route("zero", "a.example", "/x/");
+
+	r->splits[0].weight = 0;
+	EXPECT_EQ(fc_check(c), ST_INVALID);
+	r->splits[0].weight = 1;
+	r->timeout_ms = 0;
+	EXPECT_EQ(fc_check(c), ST_INVALID);
+}
+
+TEST_F(Config, KeysBelongToOneCustomer)
+{
+	struct fc_customer *u = fc_add_customer(c, "depot");
+	struct fc_customer *v = fc_add_customer(c, "hall");
+
+	ASSERT_EQ(fc_add_key(c, u, "k1"), ST_OK);
+	EXPECT_EQ(fc_add_key(c, v, "k1"), ST_INVALID);
+	EXPECT_EQ(fc_by_key(c, "k1"), u);
+	EXPECT_EQ(fc_by_key(c, "k2"), nullptr);
+}
+
+TEST_F(Config, OnlyStreamsThatResumeMayBeRepeated)
+{
+	struct fc_route *r = Route("r", "a.example", "/x/");
+
+	r->kind = FC_IDEMPOTENT;
+	EXPECT_TRUE(fc_may_repeat(r));
+	r->kind = FC_NON_IDEMPOTENT;
+	EXPECT_FALSE(fc_may_repeat(r));
+	r->kind = FC_STREAM;
+	EXPECT_FALSE(fc_may_repeat(r));
+	r->resumable = true;
+	EXPECT_TRUE(fc_may_repeat(r));
+}
+
+TEST(Slots, LeadBackToTheAddress)
+{
+	char host[32];
+
+	for (const char *at : { "10.1.0.17", "10.63.3.255", "10.0.0.1" }) {
+		ps_host("10.9.9.9", ps_slot(at), host, sizeof(host));
+		EXPECT_STREQ(host, at);
+	}
+	EXPECT_EQ(ps_slot("10.64.0.1"), 0U);
+	EXPECT_EQ(ps_slot("10.1.4.1"), 0U);
+	EXPECT_EQ(ps_slot("no address"), 0U);
+	EXPECT_EQ(ps_slot("10.1.0.1.5"), 0U);
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/fleet/test_events.cc
@@ -0,0 +1,109 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "fleet/es.h"
+}
+
+#include <random>
+#include <string>
+
+namespace
+{
+
+void
+gather(void *arg, const char *text, size_t len)
+{
+	static_cast<std::string *>(arg)->append(text, len);
+}
+
+std::string
+event(unsigned id)
+{
+	return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) +
+	    "\n\n";
+}
+
+enum es_status
+feed(struct es *s, const std::string &text, std::string *out)
+{
+	return es_feed(s, reinterpret_cast<const uint8_t *>(text.data()),
+	    text.size(), gather, out);
+}
+
+class Events : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		s = es_new();
+		es_begin(s, 0);
+	}
+
+	void TearDown() override
+	{
+		es_free(s);
+	}
+
+	struct es *s;
+	std::string out;
+};
+
+TEST_F(Events, HalfAnEventIsHeldBack)
+{
+	EXPECT_EQ(feed(s, event(1) + "id: 2\nda", &out), ES_GOOD);
+	EXPECT_EQ(out, event(1));
+	EXPECT_TRUE(es_partial(s));
+	EXPECT_EQ(feed(s, "ta: t2\n\n", &out), ES_GOOD);
+	EXPECT_EQ(out, event(1) + event(2));
+	EXPECT_FALSE(es_partial(s));
+}
+
+TEST_F(Events, AnyCutOfTheBytesGivesTheSame)
+{
+	std::mt19937 random(1);
+	std::string all;
+	std::string want;
+
+	for (unsigned i = 1; i <= 50; i++)
+		want += event(i);
+	for (size_t at = 0; at < want.size();) {
+		const size_t n = 1 + random() % 9;
+
+		EXPECT_EQ(feed(s, want.substr(at, n), &out), ES_GOOD);
+		at += n;
+	}
+	EXPECT_EQ(out, want);
+	EXPECT_EQ(es_last(s), 50U);
+	EXPECT_EQ(es_count(s), 50U);
+}
+
+TEST_F(Events, AResumedAnswerGoesOnWithoutRepeating)
+{
+	EXPECT_EQ(feed(s, event(1) + event(2) + "id: 3\n", &out), ES_GOOD);
+	es_begin(s, 0);
+	EXPECT_EQ(feed(s, event(2) + event(3) + event(4), &out), ES_GOOD);
+	EXPECT_EQ(out, event(1) + event(2) + event(3) + event(4));
+}
+
+TEST_F(Events, AMissingOrRepeatedPieceBreaksTheStream)
+{
+	EXPECT_EQ(feed(s, event(1) + event(3), &out), ES_BROKEN);
+	EXPECT_EQ(out, event(1));
+	es_begin(s, 0);
+	EXPECT_EQ(feed(s, event(2) + event(2), &out), ES_BROKEN);
+}
+
+TEST_F(Events, TheCallersOwnPositionCounts)
+{
+	es_begin(s, 12);
+	EXPECT_EQ(feed(s, event(12) + event(13), &out), ES_GOOD);
+	EXPECT_EQ(out, event(13));
+}
+
+TEST_F(Events, LinesMayEndWithCarriageReturns)
+{
+	EXPECT_EQ(feed(s, "id: 1\r\ndata: x\r\n\r\n", &out), ES_GOOD);
+	EXPECT_EQ(es_last(s), 1U);
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/fleet/test_quota.cc
@@ -0,0 +1,193 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "fleet/qt.h"
+}
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace
+{
+
+constexpr uint64_t MS = 1000;
+constexpr uint64_t S = 1000 * MS;
+
+/// Gateways and control with their delays, in time steps of ten milliseconds.
+struct World {
+	explicit World(unsigned n, const struct qt_limit &l) : limit(l)
+	{
+		views.resize(n);
+		last.resize(n);
+		for (auto &v : views)
+			qt_told(&v, now, qt_capacity(&limit), 0);
+		qt_pool_start(&pool, &limit, now);
+	}
+
+	/// A gateway reports and is told.
+	void Report(unsigned i)
+	{
+		struct qt_view &v = views[i];
+
+		qt_pool_spend(&pool, &limit, now, (double)(v.spent - last[i]));
+		last[i] = v.spent;
+		qt_told(&v, now, pool.level, last[i]);
+	}
+
+	/// Asks for units at a gateway.
+	bool Take(unsigned i, double units)
+	{
+		const struct qt_answer a = qt_take(
+		    &views[i], &limit, now, (uint32_t)views.size(), units);
+
+		if (a.outcome != QT_TAKEN)
+			return false;
+		passed.push_back({ now, units });
+		return true;
+	}
+
+	/// Most that passed within the window, against what is allowed.
+	double Worst() const
+	{
+		const auto window = (uint64_t)(limit.window_s * 1e6);
+		double worst = 0;
+
+		for (size_t i = 0; i < passed.size(); i++) {
+			double sum = 0;
+
+			for (size_t k = i; k < passed.size() &&
+			     passed[k].first < passed[i].first + window;
+			     k++)
+				sum += passed[k].second;
+			worst = std::max(worst, sum);
+		}
+		return worst;
+	}
+
+	double Allowed() const
+	{
+		return (limit.rate_per_s * limit.window_s + limit.burst) *
+		    (1 + limit.over) +
+		    limit.slack;
+	}
+
+	struct qt_limit limit;
+	struct qt_pool pool = {};
+	std::vector<struct qt_view> views;
+	std::vector<uint64_t> last;
+	std::vector<std::pair<uint64_t, double>> passed;
+	uint64_t now = S;
+};
+
+struct qt_limit
+tokens(double rate)
+{
+	return { rate, rate, 8, 0.1, 110000 };
+}
+
+/// A customer asks for `times` its quota at random gateways; control is lost
+/// from second 4 to second `lost_to`.
+double
+run(unsigned seed, double rate, double times, unsigned lost_to,
+    unsigned n_gateways, double *share_passed)
+{
+	World w(n_gateways, tokens(rate));
+	std::mt19937 random(seed);
+	std::exponential_distribution<double> size(1.0 / 5000);
+	double asked = 0;
+	double passed = 0;
+
+	for (unsigned step = 0; step < 3000; step++) {
+		double todo = rate * times / 100;
+
+		w.now += 10 * MS;
+		while (todo > 0) {
+			const double units = 200 + size(random);
+			const unsigned at = random() % n_gateways;
+
+			todo -= units;
+			if (todo < 0 &&
+			    (double)(random() % 1000) / 1000 >
+				(units + todo) / units)
+				break;
+			asked += units;
+			passed += w.Take(at, units) ? units : 0;
+		}
+		for (unsigned i = 0; i < n_gateways; i++) {
+			const bool lost = step >= 400 && step < lost_to * 100;
+
+			if (!lost && (step + 7 * i) % 40 == 0)
+				w.Report(i);
+		}
+	}
+	*share_passed = passed / asked;
+	return w.Worst() / w.Allowed();
+}
+
+TEST(Quota, OneCustomerAtSevenTimesItsRateStaysWithinTheBound)
+{
+	for (unsigned seed = 1; seed <= 5; seed++) {
+		double share;
+
+		EXPECT_LE(run(seed, 60000, 7, 4, 6, &share), 1.0)
+		    << "seed " << seed;
+		EXPECT_GE(share, 0.12) << "seed " << seed;
+	}
+}
+
+TEST(Quota, WithoutControlGatewaysStayWithinTheBound)
+{
+	for (unsigned seed = 1; seed <= 5; seed++) {
+		double share;
+
+		EXPECT_LE(run(seed, 90000, 6, 6, 6, &share), 1.0)
+		    << "seed " << seed;
+		EXPECT_LE(run(seed, 30000, 7, 7, 8, &share), 1.0)
+		    << "seed " << seed;
+	}
+}
+
+TEST(Quota, WhatIsWithinTheQuotaPasses)
+{
+	for (unsigned seed = 1; seed <= 5; seed++) {
+		double share;
+
+		(void)run(seed, 120000, 0.5, 4, 6, &share);
+		EXPECT_GE(share, 0.97) << "seed " << seed;
+	}
+}
+
+TEST(Quota, ARequestLargerThanTheRatePassesOnDebt)
+{
+	const struct qt_limit limit = tokens(24000);
+	struct qt_view v = {};
+
+	qt_told(&v, S, qt_capacity(&limit), 0);
+	EXPECT_EQ(qt_take(&v, &limit, S, 6, 45000).outcome, QT_TAKEN);
+	EXPECT_EQ(qt_take(&v, &limit, S, 6, 45000).outcome, QT_OVER);
+}
+
+TEST(Quota, WithoutALimitEverythingPasses)
+{
+	const struct qt_limit limit = { 0, 0, 8, 0.1, 0 };
+	struct qt_view v = {};
+
+	qt_told(&v, S, 0, 0);
+	EXPECT_EQ(qt_take(&v, &limit, S, 6, 1e9).outcome, QT_TAKEN);
+}
+
+TEST(Quota, TheWaitIsTruthful)
+{
+	const struct qt_limit limit = tokens(24000);
+	struct qt_view v = {};
+	struct qt_answer a;
+
+	qt_told(&v, S, -24000, 0);
+	a = qt_take(&v, &limit, S, 1, 1000);
+	EXPECT_EQ(a.outcome, QT_OVER);
+	EXPECT_GE(a.wait_us, S);
+	EXPECT_LE(a.wait_us, 2 * S);
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/fleet/test_servers.cc
@@ -0,0 +1,201 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "fleet/sn.h"
+#include "fleet/sp.h"
+}
+
+#include <cmath>
+
+namespace
+{
+
+constexpr uint64_t S = 1000000;
+
+struct sp_input
+three_zones(double need)
+{
+	struct sp_input in = {};
+
+	in.n_zones = 3;
+	in.zones[0].price = 0.85;
+	in.zones[1].price = 1.2;
+	in.zones[2].price = 1.0;
+	in.min_servers = 1;
+	in.max_servers = 6;
+	in.spot_price = 0.2;
+	in.need = need;
+	return in;
+}
+
+unsigned
+fixed(const struct sp_plan &p)
+{
+	return p.zones[0].fixed + p.zones[1].fixed + p.zones[2].fixed;
+}
+
+unsigned
+spot(const struct sp_plan &p)
+{
+	return p.zones[0].spot + p.zones[1].spot + p.zones[2].spot;
+}
+
+/// All that was planned is there.
+void
+arrive(struct sp_input *in, const struct sp_plan &p)
+{
+	for (unsigned i = 0; i < in->n_zones; i++) {
+		in->zones[i].fixed = p.zones[i].fixed;
+		in->zones[i].spot = p.zones[i].spot;
+		in->zones[i].starting = 0;
+	}
+}
+
+TEST(Plan, ReclaimableServersAreSpreadOverDataCentres)
+{
+	struct sp_input in = three_zones(6);
+	struct sp_plan p;
+
+	sp_plan(&in, &p);
+	arrive(&in, p);
+	sp_plan(&in, &p);
+	EXPECT_EQ(fixed(p) + spot(p), 12U);
+	for (unsigned i = 0; i < 3; i++)
+		EXPECT_LE(p.zones[i].spot, 3U);
+}
+
+TEST(Plan, AllRunnersOfADataCentreReclaimedWithNoneToBeHad)
+{
+	struct sp_input in = three_zones(9);
+	struct sp_plan before;
+	struct sp_plan p;
+
+	for (int i = 0; i < 3; i++) {
+		sp_plan(&in, &before);
+		arrive(&in, before);
+	}
+	in.zones[2].spot = 0;
+	for (unsigned i = 0; i < 3; i++)
+		in.zones[i].spot_dry = true;
+	sp_plan(&in, &p);
+	EXPECT_GE(fixed(p) + in.zones[0].spot + in.zones[1].spot, 9U);
+	// Nothing changes back and forth while none are to be had.
+	for (int i = 0; i < 6; i++) {
+		const unsigned last = fixed(p);
+
+		for (unsigned z = 0; z < 3; z++) {
+			in.zones[z].fixed = p.zones[z].fixed;
+			in.zones[z].spot_dry = i % 2 == 0;
+		}
+		sp_plan(&in, &p);
+		EXPECT_EQ(fixed(p), last);
+	}
+}
+
+TEST(Plan, OnDemandServersGoOnceReclaimableOnesAreBack)
+{
+	struct sp_input in = three_zones(9);
+	struct sp_plan p;
+
+	for (unsigned i = 0; i < 3; i++) {
+		in.zones[i].fixed = 3;
+		in.zones[i].spot = 3;
+	}
+	sp_plan(&in, &p);
+	EXPECT_EQ(fixed(p), 3U);
+	EXPECT_EQ(fixed(p) + spot(p), 18U);
+}
+
+TEST(Plan, LimitsOfADataCentreHold)
+{
+	for (double need = 0; need < 40; need += 1.7) {
+		struct sp_input in = three_zones(need);
+		struct sp_plan p;
+
+		in.zones[1].spot = 9;
+		in.zones[0].fixed = 7;
+		sp_plan(&in, &p);
+		for (unsigned i = 0; i < 3; i++) {
+			EXPECT_LE(p.zones[i].fixed + p.zones[i].spot, 6U);
+			EXPECT_GE(p.zones[i].fixed, 1U);
+		}
+	}
+}
+
+TEST(Plan, WithoutReclaimableServersOnlyTheNeedIsOrdered)
+{
+	struct sp_input in = three_zones(7.2);
+	struct sp_plan p;
+
+	in.spot_price = 0;
+	sp_plan(&in, &p);
+	EXPECT_EQ(spot(p), 0U);
+	EXPECT_EQ(fixed(p), 8U);
+	EXPECT_EQ(p.zones[0].fixed, 6U);
+}
+
+struct sn_sample
+prompts(double tokens)
+{
+	struct sn_sample s = {};
+
+	s.tokens = tokens;
+	s.tokens_per_s = 40000;
+	return s;
+}
+
+TEST(Need, FollowsABurstAtOnceAndFallsSlowly)
+{
+	struct sn n;
+	uint64_t now = 100 * S;
+	double calm;
+	double busy;
+
+	sn_start(&n, 6);
+	for (int i = 0; i < 60; i++) {
+		const struct sn_sample s = prompts(80000);
+
+		sn_step(&n, now += S, &s);
+	}
+	calm = n.need;
+	EXPECT_NEAR(calm, 2 / 0.6, 0.2);
+	for (int i = 0; i < 4; i++) {
+		const struct sn_sample s = prompts(200000);
+
+		sn_step(&n, now += S, &s);
+	}
+	busy = n.need;
+	EXPECT_GT(busy, 1.8 * calm);
+	for (int i = 0; i < 5; i++) {
+		const struct sn_sample s = prompts(80000);
+
+		sn_step(&n, now += S, &s);
+	}
+	EXPECT_GT(n.need, 0.85 * busy);
+}
+
+TEST(Need, IsKeptUntilWorkWasSeen)
+{
+	const struct sn_sample none = {};
+	struct sn n;
+
+	sn_start(&n, 6);
+	for (uint64_t i = 1; i < 30; i++)
+		sn_step(&n, i * S, &none);
+	EXPECT_EQ(n.need, 6);
+}
+
+TEST(Need, ServicesWithoutPromptsCountPlaces)
+{
+	struct sn_sample s = {};
+	struct sn n;
+
+	s.busy_s = 12;
+	s.requests_at_once = 6;
+	sn_start(&n, 1);
+	for (uint64_t i = 1; i < 60; i++)
+		sn_step(&n, i * S, &s);
+	EXPECT_NEAR(n.need, 2 / 0.6, 0.2);
+}
+
+} // namespace
--- a/test/unit/rollout/test_rollout.cc
+++ b/test/unit/rollout/test_rollout.cc
@@ -6,6 +6,8 @@
 #include "rollout/vo.h"
 }
 
+#include <cmath>
+#include <random>
 #include <vector>
 
 namespace
@@ -304,3 +306,144 @@
 	EXPECT_EQ(seen.list[1].move.reason, VO_EVIDENCE_FAILED);
 	vo_control_free(c);
 }
+
+namespace
+{
+
+/// How the answers of a version under trial differ from the usual ones.
+struct fault {
+	const char *name;
+	unsigned failed_percent;
+	double slower;
+	double from_s;
+	bool one_route;
+};
+
+/// A version gets its share at six entries for twelve seconds.
+struct trial {
+	unsigned exposed = 0;
+	unsigned all = 0;
+	unsigned bad = 0;
+	double fiftieth_s = -1;
+	double last_s = 0; ///< last request that the version got
+	vo_state state = VO_WAITING;
+};
+
+trial
+try_version(const fault &f, unsigned seed)
+{
+	vo_control_settings settings = {};
+	std::mt19937 random(seed);
+	std::lognormal_distribution<double> usual(std::log(90000.0), 0.6);
+	std::vector<vo_entry *> entries;
+	trial t;
+	effects seen;
+	vo_move m;
+
+	settings.canary_permille = 80;
+	settings.whole_before_us = 900000;
+	settings.watch_us = 1;
+	vo_control *c = vo_control_new(&settings);
+	const vo_move move = waiting(v2, v1, 1012 * second);
+	vo_control_pool(c, pool, v1);
+	vo_control_add(c, &move);
+	vo_control_ready(c, v2, 1000);
+	for (uint64_t i = 0; i < 6; i++) {
+		const vo_entry_settings s = { i + 1, 1, 0 };
+
+		entries.push_back(vo_entry_new(&s));
+	}
+	for (unsigned step = 0; step < 240; step++) {
+		const double at_s = step * 0.05;
+
+		for (unsigned k = 0; k < 3; k++) {
+			vo_entry *e = entries[random() % 6];
+			const uint64_t version =
+			    vo_entry_pick(e, pool, random());
+			vo_answer a = answer_of(version, false);
+			const bool second_route = random() % 2 == 0;
+			const bool wrong = version == v2 && at_s >= f.from_s &&
+			    (!f.one_route || second_route);
+
+			t.all++;
+			a.route = second_route ? route + 1 : route;
+			a.failed = wrong && random() % 100 < f.failed_percent;
+			a.first_token_us =
+			    (uint64_t)(usual(random) * (wrong ? f.slower : 1));
+			if (version == v2) {
+				t.exposed++;
+				t.last_s = at_s;
+				t.bad += a.failed || (wrong && f.slower > 1);
+				if (t.bad == 50 && t.fiftieth_s < 0)
+					t.fiftieth_s = at_s;
+			}
+			(void)vo_entry_answer(e, &a);
+		}
+		if (step % 5 != 0)
+			continue;
+		for (vo_entry *e : entries) {
+			const vo_report *r = vo_entry_report(e);
+			uint64_t stopped[VO_MAX_VERSIONS];
+			const size_t n =
+			    vo_entry_stopped(e, stopped, VO_MAX_VERSIONS);
+
+			if (r != nullptr) {
+				(void)vo_control_report(c, r);
+				vo_entry_acked(e, r->number);
+			}
+			for (size_t i = 0; i < n; i++)
+				vo_control_stopped(c, stopped[i]);
+		}
+		seen.list.clear();
+		vo_control_tick(c, 1000 * second + step * 50000, keep, &seen);
+		for (vo_entry *e : entries) {
+			vo_table table;
+
+			EXPECT_TRUE(vo_control_table(c, pool, &table));
+			table.sequence = step + 1;
+			vo_entry_set(e, &table);
+		}
+	}
+	EXPECT_TRUE(vo_control_move(c, v2, &m));
+	t.state = m.state;
+	for (vo_entry *e : entries)
+		vo_entry_free(e);
+	vo_control_free(c);
+	return t;
+}
+
+} // namespace
+
+TEST(Timed, AGoodVersionIsDoneInTime)
+{
+	const fault none = { "none", 0, 1, 0, false };
+
+	for (unsigned seed = 1; seed <= 8; seed++)
+		EXPECT_EQ(try_version(none, seed).state, VO_DONE)
+		    << "seed " << seed;
+}
+
+TEST(Timed, ABadVersionIsTakenBackAndGetsLittle)
+{
+	const fault faults[] = {
+		{ "failures", 40, 1, 0, false },
+		{ "slow", 0, 5, 0, false },
+		{ "late failures", 50, 1, 5, false },
+		{ "failures on one route", 60, 1, 0, true },
+	};
+
+	for (const fault &f : faults) {
+		for (unsigned seed = 1; seed <= 5; seed++) {
+			const trial t = try_version(f, seed);
+
+			EXPECT_EQ(t.state, VO_TAKEN_BACK)
+			    << f.name << " seed " << seed;
+			EXPECT_LE(t.exposed, 0.1 * t.all + 50)
+			    << f.name << " seed " << seed;
+			if (t.fiftieth_s >= 0) {
+				EXPECT_LE(t.last_s, t.fiftieth_s + 5)
+				    << f.name << " seed " << seed;
+			}
+		}
+	}
+}
--- a/test/unit/route/test_ro.cc
+++ b/test/unit/route/test_ro.cc
@@ -303,3 +303,93 @@
 		changed += kept.count(i) == 0;
 	EXPECT_LE(changed, 1);
 }
+
+TEST_F(Router, AVersionCanBeExcluded)
+{
+	const std::vector<uint64_t> blocks = { 1, 2 };
+	struct ro_ask a = ask_for(blocks);
+	struct ro_server s = {};
+	struct ro_choice c;
+
+	std::snprintf(s.pool, sizeof(s.pool), "desk");
+	std::snprintf(s.data_centre, sizeof(s.data_centre), "csepel");
+	s.n_versions = 1;
+	for (const char *v : { "v1", "v2" }) {
+		std::snprintf(s.name, sizeof(s.name), "server-%s", v);
+		std::snprintf(s.versions[0], sizeof(s.versions[0]), "%s", v);
+		(void)ro_set_server(r, now, &s);
+	}
+	a.not_version = "v1";
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(choose(a).server, ro_find(r, "server-v2"));
+	a.servers[a.n_servers++] = ro_find(r, "server-v2");
+	EXPECT_EQ(ro_choose(r, now, rnd, &a, &c), ST_UNAVAILABLE);
+}
+
+TEST_F(Router, OneHotPrefixGoesToOneServerFromEveryEntry)
+{
+	struct ro *other = ro_new(&ro_defaults);
+	struct ro *mine = r;
+	std::map<uint64_t, std::string> first;
+	int same = 0;
+
+	ro_set_data_centre(other, "csepel", 0, false);
+	for (struct ro *router : { mine, other }) {
+		r = router;
+		for (int i = 0; i < 9; i++)
+			add("runner-" + std::to_string(i));
+	}
+	for (uint64_t subject = 1; subject <= 72; subject++) {
+		const std::vector<uint64_t> blocks(60, subject * 1000);
+		std::string names[2];
+		int i = 0;
+
+		for (struct ro *router : { mine, other }) {
+			struct ro_ask a = ask_for(blocks);
+			struct ro_choice c;
+
+			r = router;
+			a.prompt_tokens = 9000;
+			a.shared_hash = subject * 0x9e3779b97f4a7c15ULL;
+			a.shared_tokens = 6000;
+			c = choose(a);
+			(void)ro_begin(router, now, &a, &c);
+			names[i++] = ro_get(router, c.server)->name;
+		}
+		same += names[0] == names[1];
+	}
+	r = mine;
+	ro_free(other);
+	EXPECT_GE(same, 60);
+}
+
+TEST_F(Router, BeliefsFadeAsTheMemoryOfAServerFills)
+{
+	std::vector<uint64_t> blocks(10);
+	struct ro_server s = {};
+	struct ro_ask a;
+	uint32_t before;
+
+	std::snprintf(s.name, sizeof(s.name), "small");
+	std::snprintf(s.pool, sizeof(s.pool), "desk");
+	std::snprintf(s.data_centre, sizeof(s.data_centre), "csepel");
+	s.kind = RO_RUNNER;
+	s.kv_tokens = 20000;
+	(void)ro_set_server(r, now, &s);
+	ro_set_entries(r, 2);
+	for (size_t i = 0; i < blocks.size(); i++)
+		blocks[i] = 100 + i;
+	a = ask_for(blocks);
+	a.prompt_tokens = 1000;
+	(void)serve(a, HD_NONE);
+	before = choose(a).cached_tokens;
+	EXPECT_GT(before, 900U);
+	for (uint64_t i = 0; i < 10; i++) {
+		const std::vector<uint64_t> one = { 5000 + i };
+		struct ro_ask b = ask_for(one);
+
+		b.prompt_tokens = 2000;
+		(void)serve(b, HD_NONE);
+	}
+	EXPECT_LT(choose(a).cached_tokens, before / 2);
+}
