--- a/src/control/co_orders.c
+++ b/src/control/co_orders.c
@@ -164,10 +164,11 @@
     const char *version)
 {
 	struct co *c = r->co;
+	const uint64_t deadline_ms =
+	    lp_wall_us() / TM_US_PER_MS + CO_ORDER_DEADLINE_MS;
 	json_t *o = json_pack("{s:I, s:s, s:s, s:I}", "fence",
 	    (json_int_t)c->fence, "order", what, "version", version,
-	    "deadline_ms",
-	    (json_int_t)(lp_wall_us() / TM_US_PER_MS + CO_ORDER_DEADLINE_MS));
+	    "deadline_ms", (json_int_t)deadline_ms);
 	char *text = json_dumps(o, JSON_COMPACT);
 	const struct hc_call call = {
 		.method = "POST",
--- a/src/fleet/fc.c
+++ b/src/fleet/fc.c
@@ -366,6 +366,7 @@
 
 	for (uint32_t i = 0; i < r->n_splits; i++)
 		sum += r->splits[i].weight;
+	g_assert(sum > 0);
 	at = hash % sum;
 	for (uint32_t i = 0; i < r->n_splits; i++) {
 		if (at < r->splits[i].weight)
--- a/src/rollout/vo_control.c
+++ b/src/rollout/vo_control.c
@@ -253,9 +253,13 @@
 static void
 set_share(const struct tick *t, struct mover *v, uint32_t permille)
 {
+	const struct vo_control_settings *s = &t->c->settings;
+	const uint32_t growth = s->whole_before_us != 0
+	    ? VO_FULL_PERMILLE
+	    : SHARE_GROWTH * v->m.share_permille;
+
 	inv_check(permille <= VO_FULL_PERMILLE &&
-		permille <= MAX(t->c->settings.canary_permille,
-				SHARE_GROWTH * v->m.share_permille),
+		permille <= MAX(s->canary_permille, growth),
 	    "vo_share_steps", "version=%llx from=%u to=%u",
 	    (unsigned long long)v->m.version, v->m.share_permille, permille);
 	v->m.share_permille = permille;
