--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -24,7 +24,7 @@
 	PkgConfig::libxxhash)
 ac_library(platform DEPS fleet front back conf base LIBS ${GLIB}
 	PkgConfig::jansson)
-ac_library(cli DEPS keys report back conf base LIBS ${GLIB} PkgConfig::argtable2
+ac_library(cli DEPS platform fleet keys report back conf base LIBS ${GLIB} PkgConfig::argtable2
 	PkgConfig::jansson)
 ac_library(load DEPS report back cli conf base LIBS ${GLIB} ${EVENT}
 	PkgConfig::argtable2 PkgConfig::jansson PkgConfig::libxxhash)
--- a/src/base/lg.c
+++ b/src/base/lg.c
@@ -1,19 +1,34 @@
 #define G_LOG_DOMAIN "acaciahinge"
 #include "base/lg.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
 #define LG_LINE_BYTES 2048
 #define LG_NODE_BYTES 64
+/// Bytes of lines in a second. Lines of requests that went well may use half
+/// of it, so that those of failed ones are kept.
+#define LG_BUDGET_BYTES 262144
+#define LG_ORDINARY_BYTES (LG_BUDGET_BYTES / 2)
 
 static char node_name[LG_NODE_BYTES] = "-";
 static enum lg_level max_level = LG_INFO;
 
+/// What was written and dropped in the second under way.
+static struct {
+	time_t second;
+	size_t bytes;
+	size_t ordinary;
+	unsigned long dropped;
+} budget;
+
 static GLogLevelFlags
 glib_level(enum lg_level level)
 {
@@ -68,8 +83,63 @@
 		len = sizeof(line) - 1;
 		line[len - 1] = '\n';
 	}
+	// A reader that stopped must not stop the process: the line is lost.
 	if (write(STDOUT_FILENO, line, (size_t)len) < 0)
+		budget.dropped++;
+	else
+		budget.bytes += (size_t)len;
+}
+
+/// Makes writes to a pipe fail rather than wait for its reader.
+static void
+never_block(void)
+{
+	struct stat sb;
+	int flags;
+
+	if (fstat(STDOUT_FILENO, &sb) != 0 || !S_ISFIFO(sb.st_mode))
+		return;
+	flags = fcntl(STDOUT_FILENO, F_GETFL);
+	if (flags >= 0)
+		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+/// Starts a new second of the budget, and tells what the last one dropped.
+static void
+next_second(void)
+{
+	struct timespec now;
+	unsigned long dropped;
+
+	(void)clock_gettime(CLOCK_MONOTONIC, &now);
+	if (now.tv_sec == budget.second)
 		return;
+	dropped = budget.dropped;
+	budget.second = now.tv_sec;
+	budget.bytes = 0;
+	budget.ordinary = 0;
+	budget.dropped = 0;
+	if (dropped > 0)
+		g_log(G_LOG_DOMAIN, G_LOG_LEVEL_WARNING,
+		    "event=log.dropped lines=%lu", dropped);
+}
+
+/// Whether the budget has room for a line.
+static bool
+has_room(const char *event, size_t len)
+{
+	const bool ordinary = strcmp(event, "request.done") == 0 ||
+	    strcmp(event, "attempt.sent") == 0;
+
+	next_second();
+	if (budget.bytes + len > LG_BUDGET_BYTES)
+		return false;
+	if (!ordinary)
+		return true;
+	if (budget.ordinary + len > LG_ORDINARY_BYTES)
+		return false;
+	budget.ordinary += len;
+	return true;
 }
 
 /// Starts logging to standard output, one key=value line per event.
@@ -81,6 +151,7 @@
 {
 	(void)g_strlcpy(node_name, node, sizeof(node_name));
 	max_level = level;
+	never_block();
 	(void)g_log_set_default_handler(write_line, NULL);
 }
 
@@ -124,6 +195,10 @@
 	va_start(ap, fmt);
 	(void)vsnprintf(pairs, sizeof(pairs), fmt, ap);
 	va_end(ap);
+	if (!has_room(event, strlen(pairs))) {
+		budget.dropped++;
+		return;
+	}
 	g_log(G_LOG_DOMAIN, glib_level(level), "event=%s %s", event, pairs);
 }
 
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -6,6 +6,7 @@
 /// Subcommands of operators; each gives an exit code (enum cmd_exit).
 /// argv[0] is the subcommand's name.
 int cli_check(int argc, char **argv);
+int cli_explain(int argc, char **argv);
 int cli_note(int argc, char **argv);
 int cli_status(int argc, char **argv);
 int cli_report(int argc, char **argv);
--- a/src/cli/cli_check.c
+++ b/src/cli/cli_check.c
@@ -1,6 +1,9 @@
 #include "cli/cli.h"
 #include "cli/problems.h"
 #include "conf/cf.h"
+#include "conf/ds.h"
+#include "conf/pb.h"
+#include "platform/pf_manifest.h"
 
 #include <argtable2.h>
 #include <glib.h>
@@ -55,6 +58,47 @@
 	    s.role == CF_ENTRY ? "entry" : "control", s.node, s.data_centre);
 }
 
+/// Whether a text has a key at its top.
+static bool
+has_key(const char *text, size_t len, const char *key)
+{
+	json_t *root = json_loadb(text, len, 0, NULL);
+	const bool found = json_object_get(root, key) != NULL;
+
+	json_decref(root);
+	return found;
+}
+
+static void
+check_fleet_settings(const char *text, size_t len, struct verdict *v)
+{
+	struct ds_settings s;
+
+	v->kind = "settings";
+	if (ds_parse(text, len, &s, &v->problems) != ST_OK)
+		return;
+	v->what = g_strdup_printf("settings of %s '%s' in %s, %u seeds",
+	    s.role == DS_GATEWAY ? "gateway" : "hub", s.node, s.data_centre,
+	    s.n_seeds);
+}
+
+static void
+check_manifest(const char *text, size_t len, struct verdict *v)
+{
+	struct fc *config;
+
+	v->kind = "manifest";
+	if (pf_manifest_read(text, len, &config) != ST_OK) {
+		pb_add(&v->problems, "$", 1, "%s", st_last());
+		return;
+	}
+	v->what = g_strdup_printf("manifest of version %" G_GUINT64_FORMAT
+				  ", %zu routes, %zu services, %zu customers",
+	    fc_version(config), fc_n_routes(config), fc_n_services(config),
+	    fc_n_customers(config));
+	fc_unref(config);
+}
+
 static void
 print_json(const char *file, const struct verdict *v)
 {
@@ -98,6 +142,10 @@
 	}
 	if (looks_like_note(text, len))
 		check_note(text, len, &v);
+	else if (has_key(text, len, "seeds"))
+		check_fleet_settings(text, len, &v);
+	else if (has_key(text, len, "routes"))
+		check_manifest(text, len, &v);
 	else
 		check_settings(text, len, &v);
 	if (json)
@@ -116,8 +164,8 @@
 {
 	(void)printf("usage: acaciahinge check");
 	arg_print_syntax(stdout, list, "\n");
-	(void)printf("\nChecks a settings file or a release note and names "
-		     "every mistake.\n\n");
+	(void)printf("\nChecks settings, a manifest or a release note and "
+		     "names every mistake.\n\n");
 	arg_print_glossary(stdout, list, "  %-22s %s\n");
 }
 
@@ -126,7 +174,7 @@
 cli_check(int argc, char **argv)
 {
 	struct arg_file *file =
-	    arg_file1(NULL, NULL, "FILE", "settings or a release note");
+	    arg_file1(NULL, NULL, "FILE", "settings, a manifest or a release note");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
 	struct arg_end *end = arg_end(MAX_ERRORS);
--- /dev/null
+++ b/src/cli/cli_explain.c
@@ -0,0 +1,174 @@
+#include "cli/cli.h"
+
+#include <argtable2.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+
+#define MAX_ERRORS 8
+#define MAX_FILES 256
+
+/// A line of a log with the time that orders it.
+struct line {
+	char *time;
+	char *text;
+};
+
+static void
+line_clear(gpointer p)
+{
+	struct line *l = p;
+
+	g_free(l->time);
+	g_free(l->text);
+}
+
+/// Value of a key in a line of key=value pairs, to be freed; NULL: none.
+static char *
+value_of(const char *line, const char *key)
+{
+	char *pattern = g_strdup_printf(" %s=", key);
+	const char *at = strstr(line, pattern);
+	const char *end;
+
+	if (at != NULL)
+		at += strlen(pattern);
+	else if (g_str_has_prefix(line, pattern + 1))
+		at = line + strlen(pattern) - 1;
+	g_free(pattern);
+	if (at == NULL)
+		return NULL;
+	if (*at == '"') {
+		at++;
+		end = strchr(at, '"');
+	} else {
+		end = strchr(at, ' ');
+	}
+	return end == NULL ? g_strdup(at) : g_strndup(at, (gsize)(end - at));
+}
+
+static void
+take_line(GArray *lines, const char *text, const char *id)
+{
+	const char *start = strstr(text, "t=");
+	char *request = value_of(text, "request");
+	struct line l;
+
+	if (start != NULL && request != NULL && strcmp(request, id) == 0) {
+		l.time = value_of(start, "t");
+		l.text = g_strdup(start);
+		g_array_append_val(lines, l);
+	}
+	g_free(request);
+}
+
+static bool
+read_file(const char *file, const char *id, GArray *lines)
+{
+	GError *error = NULL;
+	gchar *text;
+	gchar **all;
+
+	if (!g_file_get_contents(file, &text, NULL, &error)) {
+		(void)fprintf(stderr, "explain: %s\n", error->message);
+		g_error_free(error);
+		return false;
+	}
+	all = g_strsplit(text, "\n", -1);
+	for (gchar **l = all; *l != NULL; l++)
+		take_line(lines, *l, id);
+	g_strfreev(all);
+	g_free(text);
+	return true;
+}
+
+static gint
+by_time(gconstpointer a, gconstpointer b)
+{
+	return g_strcmp0(
+	    ((const struct line *)a)->time, ((const struct line *)b)->time);
+}
+
+static void
+print_end(const GArray *lines)
+{
+	static const char *const keys[] = { "event", "status", "verdict",
+		"reason", "attempts", "server", "config", "ms" };
+	const struct line *last =
+	    &g_array_index(lines, struct line, lines->len - 1);
+
+	(void)printf("\n");
+	for (guint i = lines->len; i > 0; i--) {
+		const struct line *l =
+		    &g_array_index(lines, struct line, i - 1);
+
+		if (strstr(l->text, "event=request.") == NULL)
+			continue;
+		last = l;
+		if (strstr(l->text, "verdict=") != NULL)
+			break;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		char *value = value_of(last->text, keys[i]);
+
+		if (value != NULL && value[0] != '\0')
+			(void)printf("%-9s %s\n", keys[i], value);
+		g_free(value);
+	}
+}
+
+static int
+explain(const char *id, const char *const *files, int n)
+{
+	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct line));
+	int code = CMD_DONE;
+
+	g_array_set_clear_func(lines, line_clear);
+	for (int i = 0; i < n; i++) {
+		if (!read_file(files[i], id, lines))
+			code = CMD_USAGE;
+	}
+	g_array_sort(lines, by_time);
+	for (guint i = 0; i < lines->len; i++)
+		(void)puts(g_array_index(lines, struct line, i).text);
+	if (lines->len > 0) {
+		print_end(lines);
+	} else {
+		(void)printf("no line names request %s\n", id);
+		code = CMD_REFUSED;
+	}
+	g_array_unref(lines);
+	return code;
+}
+
+/// Subcommand `explain`: the lines of one request from the logs of several
+/// processes, in order, and how it ended.
+int
+cli_explain(int argc, char **argv)
+{
+	struct arg_str *id =
+	    arg_str1(NULL, NULL, "ID", "the request's id, as its caller sent it");
+	struct arg_file *logs = arg_filen(
+	    NULL, "logs", "FILE", 1, MAX_FILES, "logs of processes, one each");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+	struct arg_end *end = arg_end(MAX_ERRORS);
+	void *list[] = { id, logs, help, end };
+	const int errors = arg_parse(argc, argv, list);
+	int code = CMD_USAGE;
+
+	if (help->count > 0) {
+		(void)printf("usage: acaciahinge explain");
+		arg_print_syntax(stdout, list, "\n");
+		(void)printf("\nPuts the lines of one request in order and says "
+			     "how it ended.\n\n");
+		arg_print_glossary(stdout, list, "  %-22s %s\n");
+		code = CMD_DONE;
+	} else if (errors > 0) {
+		arg_print_errors(stderr, end, "explain");
+	} else {
+		code = explain(id->sval[0], logs->filename, logs->count);
+	}
+	arg_freetable(list, G_N_ELEMENTS(list));
+	return code;
+}
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -508,7 +508,7 @@
 	set_headers(q, s, now_us);
 	call.more = pf_headers_all(q->headers);
 	call.n_more = pf_headers_count(q->headers);
-	lg_event(LG_DEBUG, "attempt.sent",
+	lg_event(LG_INFO, "attempt.sent",
 	    "request=%s attempt=%u server=%s recompute=%u queue=%.0f",
 	    q->call.id, q->sent, s->sv.id, q->choice.recompute_tokens,
 	    q->choice.queue_tokens);
