Control acts on the recorded need at once; callers come back after an election

Cause: a new holder of the duty watched the list for three seconds and the work for three more although the need was recorded, so a fleet of half the size met a burst for ten seconds; the first guess came from a list that was still filling up. Needs fell by 2 % a second, so on-demand servers stayed for half a minute. Callers refused for want of control came back, once, while the election still ran. Elections take 400 ms; refusals for want of control say 0.6 to 1.2 s. Half of what the bound lies above a quota is given out all the time.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -11,7 +11,6 @@
 ac_library(codec DEPS base LIBS ${GLIB} PkgConfig::msgpack)
 ac_library(state DEPS codec conf base LIBS ${GLIB} PkgConfig::msgpack
 	PkgConfig::libxxhash)
-ac_library(spread DEPS base LIBS ${GLIB} PkgConfig::msgpack)
 ac_library(route DEPS base LIBS ${GLIB} PkgConfig::libxxhash PkgConfig::gsl)
 ac_library(request DEPS base LIBS ${GLIB} PkgConfig::jansson)
 ac_library(rollout DEPS base LIBS ${GLIB} PkgConfig::msgpack PkgConfig::libxxhash PkgConfig::gsl)
@@ -30,9 +29,9 @@
 	PkgConfig::argtable2 PkgConfig::jansson PkgConfig::libxxhash)
 ac_library(loop DEPS base LIBS ${GLIB} ${EVENT})
 ac_library(control DEPS keys loop platform front back report placement rollout
-	spread state replog wire conf base
+	state replog wire conf base
 	LIBS ${GLIB} ${EVENT} PkgConfig::jansson PkgConfig::msgpack)
-ac_library(entry DEPS keys loop front back report rollout route request spread
+ac_library(entry DEPS keys loop front back report rollout route request
 	state wire conf base
 	LIBS ${GLIB} ${EVENT} PkgConfig::jansson PkgConfig::msgpack
 	PkgConfig::libxxhash)
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -1,4 +1,4 @@
-set(LIBRARIES base codec conf wire replog state spread fleet route request rollout placement
+set(LIBRARIES base codec conf wire replog state fleet route request rollout placement
 	report back front platform cli load
 	loop control entry gateway hub app)
 foreach(lib ${LIBRARIES})
--- a/src/fleet/qt.c
+++ b/src/fleet/qt.c
@@ -6,7 +6,10 @@
 
 /// Part of the slack above the quota that is let through; the rest covers
 /// what gateways spend before they hear of each other.
-#define SLACK_USED 0.5
+#define SLACK_USED 0.4
+/// Part of the share by which the bound lies above the quota that is given out
+/// all the time.
+#define OVER_USED 0.5
 /// Until control's next word a gateway may spend so many times its even part of
 /// what is left: not all are asked for much at the same time.
 #define OVERCOMMIT 2.0
@@ -30,13 +33,20 @@
 	return limit->burst + SLACK_USED * (limit->slack + over);
 }
 
+/// Units that come back in a second.
+static double
+refill_rate(const struct qt_limit *limit)
+{
+	return limit->rate_per_s * (1 + OVER_USED * limit->over);
+}
+
 static void
 refill(struct qt_pool *p, const struct qt_limit *limit, uint64_t now_us)
 {
 	const double most = qt_capacity(limit);
 
 	if (now_us > p->last_us)
-		p->level += limit->rate_per_s * (double)(now_us - p->last_us) /
+		p->level += refill_rate(limit) * (double)(now_us - p->last_us) /
 		    US_PER_S;
 	p->level = fmin(p->level, most);
 	p->last_us = now_us;
@@ -85,7 +95,7 @@
     uint32_t n_gateways)
 {
 	const double age_s = (double)(now_us - v->told_us) / US_PER_S;
-	const double part = limit->rate_per_s / fmax(n_gateways, 1);
+	const double part = refill_rate(limit) / fmax(n_gateways, 1);
 
 	return fmin(v->level + part * age_s, qt_capacity(limit));
 }
--- a/src/fleet/sn.c
+++ b/src/fleet/sn.c
@@ -11,7 +11,7 @@
 /// A need is known once work was seen for so long.
 #define KNOWN_US 3000000
 /// A smaller need is followed by this share a second, a greater one at once.
-#define FALL_A_SECOND 0.02
+#define FALL_A_SECOND 0.05
 
 /// Starts with a guess.
 void
@@ -20,6 +20,13 @@
 	*s = (struct sn){ .need = need };
 }
 
+/// Whether any work was seen since the start.
+bool
+sn_saw_work(const struct sn *s)
+{
+	return s->start_us != 0;
+}
+
 static void
 smooth(double *value, double sample, double age_s, double over_s)
 {
--- a/src/fleet/sn.h
+++ b/src/fleet/sn.h
@@ -1,6 +1,7 @@
 #ifndef FLEET_SN_H
 #define FLEET_SN_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /// How many backend servers a service needs, from the work that arrives and
@@ -23,6 +24,7 @@
 };
 
 void sn_start(struct sn *s, double need);
+bool sn_saw_work(const struct sn *s);
 void sn_step(struct sn *s, uint64_t now_us, const struct sn_sample *sample);
 
 #endif
--- a/src/gateway/gw_accept.c
+++ b/src/gateway/gw_accept.c
@@ -13,8 +13,10 @@
 /// Tokens of a prompt that one hash stands for.
 #define GW_BLOCK_TOKENS 128
 #define GW_MAX_BLOCKS 512
-/// When a gateway that can't serve now is worth another try.
-#define GW_NOT_READY_US (300 * TM_US_PER_MS)
+/// When a gateway that can't serve now is worth another try, and by how much
+/// that differs from caller to caller: an election takes about so long.
+#define GW_NOT_READY_US (600 * TM_US_PER_MS)
+#define GW_NOT_READY_SPREAD_US (600 * TM_US_PER_MS)
 #define GW_LAST_PRIORITY (RO_PRIORITIES - 1)
 
 /// Hashes for the parts of a prompt, each chained over all before it, one for
@@ -169,6 +171,13 @@
 	q->priority = MIN(q->priority, GW_LAST_PRIORITY);
 }
 
+static uint64_t
+not_ready_us(const struct gw *g)
+{
+	return GW_NOT_READY_US +
+	    rnd_below(lp_random(g->loop), GW_NOT_READY_SPREAD_US);
+}
+
 /// Why a request can't be taken at all, before its route is looked up.
 ///
 /// @return 0, or the status to refuse with
@@ -203,7 +212,7 @@
 		fr_close_after(g->callers, handle);
 	status = check_ready(g, &call, &why);
 	if (status != 0) {
-		gw_refuse(g, handle, status, GW_NOT_READY_US, call.id, why);
+		gw_refuse(g, handle, status, not_ready_us(g), call.id, why);
 		return;
 	}
 	route = fc_match(g->config, call.host, req->path);
--- a/src/hub/hb_log.c
+++ b/src/hub/hb_log.c
@@ -8,8 +8,8 @@
 #include "platform/pf_manifest.h"
 
 #define HB_GROUP 1
-#define HB_ELECTION_US (600 * TM_US_PER_MS)
-#define HB_HEARTBEAT_US (150 * TM_US_PER_MS)
+#define HB_ELECTION_US (400 * TM_US_PER_MS)
+#define HB_HEARTBEAT_US (100 * TM_US_PER_MS)
 #define HB_FAILED_EXIT 1
 /// A small log is read fast at a start.
 #define HB_SNAPSHOT_BYTES (256ULL << 10)
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -17,7 +17,7 @@
 #define HB_CONFLICT 409
 /// First guess of what a service needs, as a share of the servers it has.
 #define HB_FIRST_NEED (2.0 / 3)
-/// A new holder watches the list for so long before its first guess.
+/// The first holder watches the list for so long before it acts on its guess.
 #define HB_WATCH_US (3 * TM_US_PER_S)
 /// A change of the need that is worth a record.
 #define HB_NEED_CHANGE 0.05
@@ -243,9 +243,9 @@
 	}
 	if (s->need <= 0 && recorded > 0)
 		sn_start(s, recorded);
-	else if (guess > s->need && recorded <= 0)
+	else if (guess > s->need && !sn_saw_work(s))
 		sn_start(s, guess);
-	if (now < h->duty_from_us + HB_WATCH_US)
+	if (recorded <= 0 && now < h->duty_from_us + HB_WATCH_US)
 		return 0;
 	sn_step(s, now, &sample);
 	if (s->need > recorded * (1 - HB_NEED_CHANGE) &&
