Control tells gateways the list of servers

Cause: each gateway read the list by itself. Change: the leader reads the list every 700 ms and tells what changed; gateways read it by themselves only after two seconds without its word, at half of the platform's rate together.

--- a/src/fleet/lm.c
+++ b/src/fleet/lm.c
@@ -70,6 +70,7 @@
 	mp_u64(m, &r->version);
 	mp_u64(m, &r->time_us);
 	mp_bool(m, &r->stopping);
+	mp_u64(m, &r->list);
 	items(m, r->usage);
 	for (guint i = 0; i < r->usage->len; i++)
 		code_usage(m, &g_array_index(r->usage, struct lm_usage, i));
@@ -100,6 +101,9 @@
 	mp_u64(m, &s->time_us);
 	mp_u32(m, &s->n_gateways);
 	mp_bytes(m, &s->manifest, &s->manifest_len);
+	mp_u64(m, &s->list);
+	mp_u64(m, &s->list_after);
+	mp_bytes(m, &s->changes, &s->changes_len);
 	items(m, s->members);
 	for (guint i = 0; i < s->members->len; i++)
 		mp_u32(m, &g_array_index(s->members, uint32_t, i));
@@ -155,6 +159,56 @@
 	return good ? ST_OK : st_fail(ST_CORRUPT, "report can't be read");
 }
 
+static void
+code_server(struct mp *m, struct lm_server *s)
+{
+	mp_str(m, s->sv.id, sizeof(s->sv.id));
+	mp_bool(m, &s->gone);
+	if (s->gone)
+		return;
+	mp_str(m, s->sv.service, sizeof(s->sv.service));
+	mp_str(m, s->sv.zone, sizeof(s->sv.zone));
+	mp_str(m, s->sv.version, sizeof(s->sv.version));
+	mp_str(m, s->sv.host, sizeof(s->sv.host));
+	mp_u16(m, &s->sv.port);
+	mp_u32(m, &s->sv.slots);
+	mp_bool(m, &s->sv.leaving);
+	mp_bool(m, &s->sv.spot);
+}
+
+static void
+code_list(struct mp *m, GArray *servers)
+{
+	items(m, servers);
+	for (guint i = 0; i < servers->len; i++)
+		code_server(m, &g_array_index(servers, struct lm_server, i));
+}
+
+/// Encodes servers of the list.
+///
+/// @param bytes  to be released with free()
+void
+lm_list_encode(const GArray *servers, uint8_t **bytes, size_t *len)
+{
+	struct mp *m = mp_writer();
+
+	code_list(m, (GArray *)servers);
+	mp_take(m, bytes, len);
+}
+
+/// Decodes servers of the list.
+enum st
+lm_list_decode(const uint8_t *bytes, size_t len, GArray *servers)
+{
+	struct mp *m = mp_reader(bytes, len);
+	bool good;
+
+	code_list(m, servers);
+	good = mp_end(m);
+	mp_free(m);
+	return good ? ST_OK : st_fail(ST_CORRUPT, "list can't be read");
+}
+
 /// Makes an empty state.
 void
 lm_state_init(struct lm_state *s)
--- a/src/fleet/lm.h
+++ b/src/fleet/lm.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "fleet/fc.h"
+#include "fleet/sv.h"
 
 /// What gateways and control tell each other. The arrays are made by
 /// lm_*_init() and released by lm_*_clear().
@@ -53,12 +54,19 @@
 	uint64_t sequence; ///< grows with each change
 };
 
+/// A server of the list, or one that is on it no more.
+struct lm_server {
+	struct sv sv;
+	bool gone;
+};
+
 /// Gateway to control.
 struct lm_report {
 	uint64_t sent_us; ///< the gateway's steady clock; comes back
 	uint64_t version; ///< configuration in force there; 0: none
 	uint64_t time_us; ///< since 1970, as the gateway believes
 	bool stopping;
+	uint64_t list;  ///< number of the list of servers that it has; 0: none
 	GArray *usage;  ///< struct lm_usage
 	GArray *quotas; ///< struct lm_quota
 	GArray *loads;  ///< struct lm_load
@@ -74,6 +82,10 @@
 	uint32_t n_gateways;
 	const uint8_t *manifest; ///< of `version`, when the gateway lags
 	size_t manifest_len;
+	uint64_t list;       ///< number of the newest list of servers; 0: none
+	uint64_t list_after; ///< what `changes` come after; 0: they are all
+	const uint8_t *changes; ///< lm_list_encode(); empty: nothing new
+	size_t changes_len;
 	GArray *members; ///< uint32_t: slots of control processes
 	GArray *quotas;  ///< struct lm_quota
 	GArray *moves;   ///< struct lm_move
@@ -85,10 +97,14 @@
 enum st lm_report_decode(
     const uint8_t *bytes, size_t len, struct lm_report *out);
 
+void lm_list_encode(const GArray *servers, uint8_t **bytes, size_t *len);
+/// @param servers  struct lm_server are appended
+enum st lm_list_decode(const uint8_t *bytes, size_t len, GArray *servers);
+
 void lm_state_init(struct lm_state *s);
 void lm_state_clear(struct lm_state *s);
 void lm_state_encode(const struct lm_state *s, uint8_t **bytes, size_t *len);
-/// @param bytes  must outlive `out`, whose manifest points into it
+/// @param bytes  must outlive `out`, whose manifest and list point into it
 enum st lm_state_decode(const uint8_t *bytes, size_t len, struct lm_state *out);
 
 #endif
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -169,6 +169,7 @@
 
 	g->loop = loop;
 	g->settings = *settings;
+	g->started_us = lp_now_us(loop);
 	g->http = hc_new(lp_base(loop));
 	g->hubs =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -56,6 +56,7 @@
 	struct hc *http;
 	struct tm_timer *tick;
 	struct tm_timer *end;
+	uint64_t started_us;
 	bool stopping;
 	uint64_t stop_us;
 
@@ -76,7 +77,9 @@
 	GHashTable *servers; ///< id -> struct gw_server
 	GArray *page;        ///< struct sv of the reading under way
 	uint64_t round;
-	uint64_t listed_us; ///< newest whole reading; 0: none
+	uint64_t listed_us; ///< when the list was known to be right; 0: never
+	uint64_t list;      ///< control's number of the list; 0: read here
+	uint32_t pages;     ///< of the newest reading here
 	uint64_t next_list_us;
 	hd_t list_call;
 
@@ -174,6 +177,7 @@
 /// gw_list.c: backend servers
 void gw_list_tick(struct gw *g, uint64_t now_us);
 void gw_list_gone(struct gw *g, const char *id);
+void gw_list_told(struct gw *g, const struct lm_state *s);
 
 /// gw_moves.c: services move to other versions
 void gw_moves_take(struct gw *g, const GArray *moves);
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -187,6 +187,7 @@
 	r.version = g->config != NULL ? fc_version(g->config) : 0;
 	r.time_us = lp_wall_us();
 	r.stopping = g->stopping;
+	r.list = g->list;
 	report_usage(g, &r);
 	report_quotas(g, &r, now_us);
 	report_loads(g, &r);
@@ -294,6 +295,7 @@
 	if (g->config == NULL || fc_version(g->config) < s->version)
 		return;
 	take_quotas(g, s, now);
+	gw_list_told(g, s);
 	gw_moves_take(g, s->moves);
 	take_time(g, s, now);
 	until = s->echo_us + (uint64_t)(GW_LEASE_SHARE * (double)revoke);
--- a/src/gateway/gw_list.c
+++ b/src/gateway/gw_list.c
@@ -6,6 +6,10 @@
 #include "platform/pf_cloud.h"
 
 #define GW_LIST_US (900 * TM_US_PER_MS)
+/// Control tells the list; after so long without its word it is read here.
+#define GW_LIST_SILENT_US (2 * TM_US_PER_S)
+/// Part of the calls that the platform takes for gateways' own readings.
+#define GW_CALLS_PART 0.5
 #define GW_LIST_TIMEOUT_US (1 * TM_US_PER_S)
 #define GW_MAX_LIST_BYTES (4UL << 20)
 /// One way between data centres of a region.
@@ -72,30 +76,51 @@
 }
 
 static void
-forget_server(struct gw *g, GHashTableIter *it, struct gw_server *s)
+forget_server(struct gw *g, const struct gw_server *s)
 {
 	lg_event(LG_INFO, "server.gone", "server=%s", s->sv.id);
 	ro_remove_server(g->router, s->route);
-	g_hash_table_iter_remove(it);
 }
 
 static void
-take_list(struct gw *g)
+forget_id(struct gw *g, const char *id)
+{
+	const struct gw_server *s = g_hash_table_lookup(g->servers, id);
+
+	if (s == NULL)
+		return;
+	forget_server(g, s);
+	(void)g_hash_table_remove(g->servers, id);
+}
+
+/// Forgets the servers that the newest reading didn't show.
+static void
+forget_unlisted(struct gw *g)
 {
-	const uint64_t now = lp_now_us(g->loop);
 	GHashTableIter it;
 	gpointer value;
 
-	g->round++;
-	for (guint i = 0; i < g->page->len; i++)
-		take_server(g, &g_array_index(g->page, struct sv, i), now);
 	g_hash_table_iter_init(&it, g->servers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct gw_server *s = value;
+		const struct gw_server *s = value;
 
-		if (s->round < g->round)
-			forget_server(g, &it, s);
+		if (s->round == g->round)
+			continue;
+		forget_server(g, s);
+		g_hash_table_iter_remove(&it);
 	}
+}
+
+static void
+take_list(struct gw *g)
+{
+	const uint64_t now = lp_now_us(g->loop);
+
+	g->list = 0;
+	g->round++;
+	for (guint i = 0; i < g->page->len; i++)
+		take_server(g, &g_array_index(g->page, struct sv, i), now);
+	forget_unlisted(g);
 	if (g->listed_us == 0)
 		lg_event(LG_INFO, "list.known", "servers=%u", g->page->len);
 	g->listed_us = now;
@@ -122,6 +147,7 @@
 	}
 	if (n_bad > 0)
 		lg_event(LG_DEBUG, "list.bad_entries", "n=%zu", n_bad);
+	g->pages++;
 	if (next != NULL)
 		read_page(g, next);
 	else
@@ -148,13 +174,69 @@
 	g_free(path);
 }
 
-/// Reads the list again when it is due.
+/// Takes what control says of the list.
+void
+gw_list_told(struct gw *g, const struct lm_state *s)
+{
+	const uint64_t now = lp_now_us(g->loop);
+	GArray *changes;
+
+	if (s->list == 0)
+		return;
+	if (s->list == g->list) {
+		g->listed_us = now;
+		return;
+	}
+	if (s->list_after != 0 && s->list_after != g->list)
+		return;
+	changes = g_array_new(FALSE, TRUE, sizeof(struct lm_server));
+	if (lm_list_decode(s->changes, s->changes_len, changes) != ST_OK) {
+		lg_event(
+		    LG_WARN, "list.unreadable", "reason=\"%s\"", st_last());
+		g_array_unref(changes);
+		return;
+	}
+	g->round++;
+	for (guint i = 0; i < changes->len; i++) {
+		const struct lm_server *c =
+		    &g_array_index(changes, struct lm_server, i);
+
+		if (c->gone)
+			forget_id(g, c->sv.id);
+		else
+			take_server(g, &c->sv, now);
+	}
+	if (s->list_after == 0)
+		forget_unlisted(g);
+	if (g->listed_us == 0)
+		lg_event(LG_INFO, "list.known", "servers=%u",
+		    g_hash_table_size(g->servers));
+	g->list = s->list;
+	g->listed_us = now;
+	g_array_unref(changes);
+}
+
+/// How often the list is read here, while control is silent: all gateways
+/// share the calls that the platform takes.
+static uint64_t
+interval_us(const struct gw *g)
+{
+	const double calls = (double)MAX(g->n_gateways, 1) * MAX(g->pages, 1);
+	const double s = calls / (GW_CALLS_PART * g->settings.list_calls_per_s);
+
+	return MAX(GW_LIST_US, (uint64_t)(s * TM_US_PER_S));
+}
+
+/// Reads the list here when control has said nothing of it for a while.
 void
 gw_list_tick(struct gw *g, uint64_t now_us)
 {
 	if (now_us < g->next_list_us || g->list_call != HD_NONE)
 		return;
-	g->next_list_us = now_us + GW_LIST_US;
+	if (now_us < MAX(g->listed_us, g->started_us) + GW_LIST_SILENT_US)
+		return;
+	g->next_list_us = now_us + interval_us(g);
+	g->pages = 0;
 	g_array_set_size(g->page, 0);
 	read_page(g, NULL);
 }
@@ -170,5 +252,4 @@
 		return;
 	lg_event(LG_INFO, "server.replaced", "server=%s", id);
 	ro_leave(g->router, lp_now_us(g->loop), s->route, RO_BY_SERVER);
-	g->next_list_us = 0;
 }
--- a/src/hub/hb.c
+++ b/src/hub/hb.c
@@ -191,6 +191,8 @@
 	g_hash_table_destroy(h->orders);
 	g_array_unref(h->list);
 	g_array_unref(h->page);
+	free(h->list_bytes);
+	free(h->change_bytes);
 	vo_control_free(h->mover);
 	fc_unref(h->config);
 	hs_free(h->state);
--- a/src/hub/hb_internal.h
+++ b/src/hub/hb_internal.h
@@ -33,6 +33,7 @@
 	uint64_t heard_us;
 	uint64_t echo_us; ///< its clock when it sent its newest report
 	uint64_t version;
+	uint64_t list;    ///< number of the list that it has
 	int64_t clock_us; ///< its time since 1970 less our steady clock
 	bool stopping;
 	GArray *usage;  ///< struct lm_usage
@@ -79,7 +80,12 @@
 	GArray *page;       ///< of the reading under way
 	bool listing;
 	uint64_t next_list_us;
-	uint64_t listed_us; ///< 0: never
+	uint64_t listed_us;   ///< 0: never
+	uint64_t list_number; ///< of `list`; grows with each change
+	uint8_t *list_bytes;  ///< all of it, as gateways are told
+	size_t list_len;
+	uint8_t *change_bytes; ///< what changed since the number before
+	size_t change_len;
 	uint64_t scaled_us; ///< reading that was acted on last
 
 	/// Moves of services to other versions (hb_moves.c).
@@ -127,6 +133,8 @@
 
 /// hb_list.c: the list of servers
 void hb_list_tick(struct hb *h, uint64_t now_us);
+void hb_list_reset(struct hb *h);
+void hb_list_fill(const struct hb *h, uint64_t has, struct lm_state *s);
 
 /// hb_operators.c: operators' HTTP
 enum st hb_operators_start(struct hb *h);
--- a/src/hub/hb_link.c
+++ b/src/hub/hb_link.c
@@ -125,6 +125,7 @@
 		s.n_gateways = count_gateways(h);
 		if (g->version < s.version)
 			s.manifest = hs_manifest(h->state, &s.manifest_len);
+		hb_list_fill(h, g->list, &s);
 		hb_quota_fill(h, g, s.quotas);
 		hb_moves_fill(h, s.moves);
 	}
@@ -180,6 +181,7 @@
 	g->heard_us = lp_now_us(h->loop);
 	g->echo_us = r.sent_us;
 	g->version = r.version;
+	g->list = r.list;
 	g->stopping = r.stopping;
 	g->clock_us = (int64_t)r.time_us - (int64_t)g->heard_us;
 	hb_quota_take(h, g, r.quotas);
--- a/src/hub/hb_list.c
+++ b/src/hub/hb_list.c
@@ -1,13 +1,107 @@
 #include "hub/hb_internal.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 #include "platform/pf_cloud.h"
 
-#define HB_LIST_US (1 * TM_US_PER_S)
+#define HB_LIST_US (700 * TM_US_PER_MS)
 #define HB_LIST_TIMEOUT_US (1 * TM_US_PER_S)
 #define HB_MAX_LIST_BYTES (4UL << 20)
 
 static void read_page(struct hb *h, const char *token);
 
+static bool
+is_same(const struct sv *a, const struct sv *b)
+{
+	return strcmp(a->service, b->service) == 0 &&
+	    strcmp(a->zone, b->zone) == 0 &&
+	    strcmp(a->version, b->version) == 0 &&
+	    strcmp(a->host, b->host) == 0 && a->port == b->port &&
+	    a->slots == b->slots && a->leaving == b->leaving &&
+	    a->spot == b->spot;
+}
+
+static GHashTable *
+index_list(const GArray *list)
+{
+	GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < list->len; i++) {
+		struct sv *s = &g_array_index(list, struct sv, i);
+
+		(void)g_hash_table_insert(index, s->id, s);
+	}
+	return index;
+}
+
+/// Servers of one list that are missing in another one or differ there.
+static void
+add_changes(GArray *changes, const GArray *list, GHashTable *other, bool gone)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct sv *s = &g_array_index(list, struct sv, i);
+		const struct sv *o = g_hash_table_lookup(other, s->id);
+		const struct lm_server change = { .sv = *s, .gone = gone };
+
+		if (o == NULL || (!gone && !is_same(s, o)))
+			g_array_append_val(changes, change);
+	}
+}
+
+/// Encodes the new list, and what changed since the last one.
+static void
+note_changes(struct hb *h, const GArray *old)
+{
+	GArray *changes = g_array_new(FALSE, TRUE, sizeof(struct lm_server));
+	GArray *all = g_array_new(FALSE, TRUE, sizeof(struct lm_server));
+	GHashTable *before = index_list(old);
+	GHashTable *now = index_list(h->list);
+
+	add_changes(changes, h->list, before, false);
+	add_changes(changes, old, now, true);
+	if (changes->len > 0 || h->list_number == 0) {
+		const GArray *empty = g_array_new(FALSE, TRUE, 1);
+		GHashTable *none = index_list(empty);
+
+		add_changes(all, h->list, none, false);
+		g_hash_table_destroy(none);
+		g_array_unref((GArray *)empty);
+		free(h->change_bytes);
+		free(h->list_bytes);
+		lm_list_encode(changes, &h->change_bytes, &h->change_len);
+		lm_list_encode(all, &h->list_bytes, &h->list_len);
+		// A number of another leader must not be taken for this one's.
+		h->list_number = h->list_number != 0
+		    ? h->list_number + 1
+		    : rnd_u64(lp_random(h->loop)) >> 1;
+		tm_arm_in(h->push, 0);
+	}
+	g_hash_table_destroy(before);
+	g_hash_table_destroy(now);
+	g_array_unref(changes);
+	g_array_unref(all);
+}
+
+/// Tells a gateway what it lacks of the list.
+///
+/// @param has  number of the list that it has
+void
+hb_list_fill(const struct hb *h, uint64_t has, struct lm_state *s)
+{
+	s->list = h->list_number;
+	if (h->list_number == 0 || has == h->list_number)
+		return;
+	if (has + 1 == h->list_number) {
+		s->list_after = has;
+		s->changes = h->change_bytes;
+		s->changes_len = h->change_len;
+	} else {
+		s->changes = h->list_bytes;
+		s->changes_len = h->list_len;
+	}
+}
+
 static void
 on_page(void *arg, const struct hc_result *result)
 {
@@ -33,6 +127,7 @@
 	h->list = h->page;
 	h->page = swap;
 	h->listed_us = lp_now_us(h->loop);
+	note_changes(h, h->page);
 }
 
 static void
@@ -54,6 +149,17 @@
 	g_free(path);
 }
 
+/// Forgets the list: what an earlier time as the leader read is old.
+void
+hb_list_reset(struct hb *h)
+{
+	h->list_number = 0;
+	h->listed_us = 0;
+	h->scaled_us = 0;
+	h->next_list_us = 0;
+	g_array_set_size(h->list, 0);
+}
+
 /// Reads the list again when it is due.
 void
 hb_list_tick(struct hb *h, uint64_t now_us)
--- a/src/hub/hb_log.c
+++ b/src/hub/hb_log.c
@@ -123,6 +123,7 @@
 		hb_duty_reset(h);
 	if (hb_leads(h) && !h->led) {
 		hb_quota_start(h);
+		hb_list_reset(h);
 		hb_moves_reset(h);
 	}
 	h->led = hb_leads(h);
