--- a/src/fleet/qt.c
+++ b/src/fleet/qt.c
@@ -23,6 +23,8 @@
 #define TELL_PART 0.1
 /// A wait is told up to this; callers don't wait longer.
 #define MAX_WAIT_S 30.0
+/// Control's next word takes about so long.
+#define MIN_WAIT_S 0.3
 
 /// Units that the bucket holds.
 double
@@ -125,7 +127,8 @@
 	}
 	a.outcome = QT_OVER;
 	enough = fmin(enough, DEBT_LEVEL * most);
-	a.wait_us = (uint64_t)(fmin(fmax(enough - level, 0) / limit->rate_per_s,
+	a.wait_us = (uint64_t)(fmin(fmax((enough - level) / limit->rate_per_s,
+					MIN_WAIT_S),
 				   MAX_WAIT_S) *
 	    US_PER_S);
 	return a;
--- a/src/gateway/gw_accept.c
+++ b/src/gateway/gw_accept.c
@@ -17,6 +17,8 @@
 /// that differs from caller to caller: an election takes about so long.
 #define GW_NOT_READY_US (600 * TM_US_PER_MS)
 #define GW_NOT_READY_SPREAD_US (600 * TM_US_PER_MS)
+/// Callers that were refused together don't return together.
+#define GW_QUOTA_SPREAD_US (200 * TM_US_PER_MS)
 #define GW_LAST_PRIORITY (RO_PRIORITIES - 1)
 
 /// Hashes for the parts of a prompt, each chained over all before it, one for
@@ -90,6 +92,7 @@
 	    view->spent - view->counted,
 	    (q->arrived_us - view->told_us) / TM_US_PER_MS, limit.rate_per_s,
 	    limit.burst);
+	a.wait_us += rnd_below(lp_random(g->loop), GW_QUOTA_SPREAD_US);
 	gw_fail(q, 429, a.wait_us, "over the customer's quota");
 	return false;
 }
--- a/test/unit/fleet/test_quota.cc
+++ b/test/unit/fleet/test_quota.cc
@@ -190,4 +190,17 @@
 	EXPECT_LE(a.wait_us, 2 * S);
 }
 
+TEST(Quota, ARefusalAlwaysSaysWhenToComeBack)
+{
+	const struct qt_limit limit = tokens(80000);
+	struct qt_view v = {};
+	struct qt_answer a = { QT_TAKEN, 0 };
+
+	qt_told(&v, S, qt_capacity(&limit), 0);
+	while (a.outcome == QT_TAKEN)
+		a = qt_take(&v, &limit, S, 6, 7000);
+	EXPECT_GT(qt_level(&v, &limit, S, 6), 7000);
+	EXPECT_GE(a.wait_us, 100 * MS);
+}
+
 } // namespace
