One reader of the list, one picture of members, one key of versions

What hub, gateway and control wrote twice becomes platform/pf_lister, members/ and vo_version_key().

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -15,6 +15,7 @@
 ac_library(request DEPS base LIBS ${GLIB} PkgConfig::jansson)
 ac_library(rollout DEPS base LIBS ${GLIB} PkgConfig::msgpack PkgConfig::libxxhash PkgConfig::gsl)
 ac_library(placement DEPS base LIBS ${GLIB})
+ac_library(members DEPS placement replog base)
 ac_library(report DEPS base LIBS ${GLIB} PkgConfig::jansson)
 ac_library(back DEPS base LIBS ${GLIB} ${EVENT})
 ac_library(front DEPS base LIBS ${GLIB} ${EVENT} PkgConfig::evhtp
@@ -28,7 +29,7 @@
 ac_library(load DEPS report back cli conf base LIBS ${GLIB} ${EVENT}
 	PkgConfig::argtable2 PkgConfig::jansson PkgConfig::libxxhash)
 ac_library(loop DEPS base LIBS ${GLIB} ${EVENT})
-ac_library(control DEPS keys loop platform front back report placement rollout
+ac_library(control DEPS keys loop platform front back report members placement rollout
 	state replog wire conf base
 	LIBS ${GLIB} ${EVENT} PkgConfig::jansson PkgConfig::msgpack)
 ac_library(entry DEPS keys loop front back report rollout route request
@@ -37,7 +38,7 @@
 	PkgConfig::libxxhash)
 ac_library(gateway DEPS platform fleet route rollout loop front back wire conf base
 	LIBS ${GLIB} ${EVENT} PkgConfig::libxxhash)
-ac_library(hub DEPS platform fleet loop front back placement rollout replog wire codec
+ac_library(hub DEPS platform fleet loop front back members placement rollout replog wire codec
 	conf base LIBS ${GLIB} ${EVENT})
 ac_library(app DEPS hub gateway platform fleet control entry cli load loop keys conf base
 	LIBS ${GLIB} PkgConfig::argtable2)
--- a/src/control/co.c
+++ b/src/control/co.c
@@ -306,7 +306,7 @@
 	tm_arm_in(c->tick, CO_TICK_US);
 	co_asked_expire(c, now_us);
 	co_journal_tick(c, now_us);
-	co_members_tick(c, now_us);
+	co_members_tick(c);
 	co_levels_tick(c, now_us);
 	if (!co_leads(c, CO_CONFIG_GROUP))
 		return;
--- a/src/control/co_internal.h
+++ b/src/control/co_internal.h
@@ -137,7 +137,7 @@
 void co_rollout_reset(struct co *c);
 
 /// co_members.c: who votes in the groups that this process leads
-void co_members_tick(struct co *c, uint64_t now_us);
+void co_members_tick(struct co *c);
 
 /// co_journal.c: requests whose entry is gone
 void co_journal_tick(struct co *c, uint64_t now_us);
--- a/src/control/co_members.c
+++ b/src/control/co_members.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "placement/mb.h"
+#include "members/me.h"
 
 /// A process that is silent for so long counts as lost, and a standby takes
 /// its place. Shorter silences are restarts.
@@ -31,27 +31,6 @@
 	return c->settings.n_control;
 }
 
-static bool
-holds_slot(const uint32_t *ids, uint32_t n, uint32_t id)
-{
-	for (uint32_t i = 0; i < n; i++) {
-		if (ids[i] != id &&
-		    (ids[i] & RL_SLOT_MASK) == (id & RL_SLOT_MASK))
-			return true;
-	}
-	return false;
-}
-
-/// Whether a process came back with another disk: the member that it was is
-/// lost for good.
-static bool
-is_superseded(const struct gp_status *st, uint32_t id)
-{
-	return holds_slot(st->members.voters, st->members.n_voters, id) ||
-	    holds_slot(st->members.learners, st->members.n_learners, id) ||
-	    holds_slot(st->joiners, st->n_joiners, id);
-}
-
 /// A member that is silent counts as lost after a while, so that a restart
 /// doesn't.
 static bool
@@ -60,7 +39,7 @@
 {
 	uint64_t *since = &g->silent_since_us[at];
 
-	if (!active && is_superseded(st, id))
+	if (!active && me_is_superseded(st, id))
 		return true;
 	if (active) {
 		*since = 0;
@@ -71,68 +50,34 @@
 	return now_us - *since >= CO_LOST_US;
 }
 
-static void
-add_member(struct co_group *g, struct mb_world *w, const struct gp_status *st,
-    const struct mb_member *member, uint64_t now_us)
+/// What is known of a member beside the log.
+static bool
+fill(void *arg, const struct gp_status *st, struct mb_member *m)
 {
+	struct co_group *g = arg;
 	struct co *c = g->co;
-	struct mb_member *m = &w->members[w->n];
 	const struct nt_data_centre *d;
 	const struct cf_peer *p;
 	uint32_t at = 0;
 
-	p = peer_of(c, member->id, &at);
-	if (p == NULL || w->n == MB_MAX_MEMBERS)
-		return;
+	p = peer_of(c, m->id, &at);
+	if (p == NULL)
+		return false;
 	d = sm_data_centre(c->config, p->data_centre);
-	*m = *member;
 	m->data_centre = data_centre_index(c, p->data_centre);
 	m->leaving = d != NULL && d->reclaiming;
-	m->active = !is_lost(g, at, st, member->id, member->active, now_us);
-	m->synced = member->synced && member->active;
-	w->n++;
+	m->active = !is_lost(g, at, st, m->id, m->active, lp_now_us(c->loop));
+	return true;
 }
 
-static void
-make_world(struct co_group *g, struct mb_world *w, uint64_t now_us)
+static uint32_t
+count_wanted(const struct cf_settings *s)
 {
-	const struct cf_settings *s = &g->co->settings;
-	struct gp_status st;
+	uint32_t n = 0;
 
-	gp_status(g->gp, &st);
-	w->self = st.self;
 	for (uint32_t i = 0; i < s->n_control; i++)
-		w->want_voters += !s->control[i].standby;
-	for (uint32_t i = 0; i < st.members.n_voters; i++) {
-		const struct mb_member m = {
-			.id = st.members.voters[i],
-			.kind = MB_VOTER,
-			.active = st.active[i],
-			.synced = true,
-		};
-
-		add_member(g, w, &st, &m, now_us);
-	}
-	for (uint32_t i = 0; i < st.members.n_learners; i++) {
-		const uint32_t at = st.members.n_voters + i;
-		const struct mb_member m = {
-			.id = st.members.learners[i],
-			.kind = MB_LEARNER,
-			.active = st.active[at],
-			.synced = st.match[at] >= st.commit,
-		};
-
-		add_member(g, w, &st, &m, now_us);
-	}
-	for (uint32_t i = 0; i < st.n_joiners; i++) {
-		const struct mb_member m = {
-			.id = st.joiners[i],
-			.kind = MB_JOINER,
-			.active = true,
-		};
-
-		add_member(g, w, &st, &m, now_us);
-	}
+		n += !s->control[i].standby;
+	return n;
 }
 
 static void
@@ -157,12 +102,14 @@
 }
 
 static void
-tend(struct co_group *g, uint64_t now_us)
+tend(struct co_group *g)
 {
-	struct mb_world w = { 0 };
+	struct gp_status st;
+	struct mb_world w;
 	struct mb_step step;
 
-	make_world(g, &w, now_us);
+	gp_status(g->gp, &st);
+	me_world(&st, count_wanted(&g->co->settings), fill, g, &w);
 	step = mb_next(&w);
 	switch (step.kind) {
 	case MB_NOTHING:
@@ -186,12 +133,12 @@
 /// Does the next step towards the wanted voters in each group that this
 /// process leads.
 void
-co_members_tick(struct co *c, uint64_t now_us)
+co_members_tick(struct co *c)
 {
 	for (uint32_t i = 0; i < CO_GROUPS; i++) {
 		struct co_group *g = &c->groups[i];
 
 		if (co_leads(c, i) && !g->changing)
-			tend(g, now_us);
+			tend(g);
 	}
 }
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -183,7 +183,6 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->moves =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	g->page = g_array_new(FALSE, TRUE, sizeof(struct sv));
 	g->requests = hd_new(sizeof(struct gw_request));
 	g->by_caller =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -192,6 +191,7 @@
 	g->clock_us = (int64_t)lp_wall_us() - (int64_t)lp_now_us(loop);
 	make_cores(g);
 	make_counters(g);
+	gw_list_start(g);
 	status = gw_accept_start(g);
 	if (status == ST_OK)
 		status = gw_link_start(g);
@@ -244,6 +244,7 @@
 	fr_free(g->ready);
 	fr_free(g->metrics);
 	lk_free(g->links);
+	pf_lister_free(g->lister);
 	hc_free(g->http);
 	tm_unsubscribe(g->tick);
 	tm_unsubscribe(g->end);
@@ -256,7 +257,6 @@
 	g_hash_table_destroy(g->loads);
 	g_hash_table_destroy(g->usage);
 	g_hash_table_destroy(g->by_caller);
-	g_array_unref(g->page);
 	fc_unref(g->config);
 	g_free(g);
 }
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -14,6 +14,7 @@
 #include "front/fr.h"
 #include "gateway/gw.h"
 #include "platform/pf_call.h"
+#include "platform/pf_lister.h"
 #include "rollout/vo.h"
 #include "route/ro.h"
 #include "route/rt.h"
@@ -75,13 +76,12 @@
 	/// Backend servers (gw_list.c).
 	struct ro *router;
 	GHashTable *servers; ///< id -> struct gw_server
-	GArray *page;        ///< struct sv of the reading under way
 	uint64_t round;
 	uint64_t listed_us; ///< when the list was known to be right; 0: never
 	uint64_t list;      ///< control's number of the list; 0: read here
 	uint32_t pages;     ///< of the newest reading here
 	uint64_t next_list_us;
-	hd_t list_call;
+	struct pf_lister *lister;
 
 	/// Customers and services.
 	GHashTable *quotas; ///< customer -> struct qt_view
@@ -175,6 +175,7 @@
 void gw_report_soon(struct gw *g);
 
 /// gw_list.c: backend servers
+void gw_list_start(struct gw *g);
 void gw_list_tick(struct gw *g, uint64_t now_us);
 void gw_list_gone(struct gw *g, const char *id);
 void gw_list_told(struct gw *g, const struct lm_state *s);
--- a/src/gateway/gw_list.c
+++ b/src/gateway/gw_list.c
@@ -1,22 +1,15 @@
 #include "gateway/gw_internal.h"
 
-#include <stdlib.h>
 #include <string.h>
 
-#include "platform/pf_cloud.h"
-
 #define GW_LIST_US (900 * TM_US_PER_MS)
 /// Control tells the list; after so long without its word it is read here.
 #define GW_LIST_SILENT_US (2 * TM_US_PER_S)
 /// Part of the calls that the platform takes for gateways' own readings.
 #define GW_CALLS_PART 0.5
-#define GW_LIST_TIMEOUT_US (1 * TM_US_PER_S)
-#define GW_MAX_LIST_BYTES (4UL << 20)
 /// One way between data centres of a region.
 #define GW_DISTANCE_US 500
 
-static void read_page(struct gw *g, const char *token);
-
 /// What is configured of a service's engines, or NULL.
 static const struct fc_engine *
 engine_of(const struct gw *g, const char *service)
@@ -111,67 +104,31 @@
 	}
 }
 
+/// The list was read here.
 static void
-take_list(struct gw *g)
+on_list(void *arg, const GArray *servers, uint32_t pages)
 {
+	struct gw *g = arg;
 	const uint64_t now = lp_now_us(g->loop);
 
+	if (servers == NULL)
+		return;
+	g->pages = pages;
 	g->list = 0;
 	g->round++;
-	for (guint i = 0; i < g->page->len; i++)
-		take_server(g, &g_array_index(g->page, struct sv, i), now);
+	for (guint i = 0; i < servers->len; i++)
+		take_server(g, &g_array_index(servers, struct sv, i), now);
 	forget_unlisted(g);
 	if (g->listed_us == 0)
-		lg_event(LG_INFO, "list.known", "servers=%u", g->page->len);
+		lg_event(LG_INFO, "list.known", "servers=%u", servers->len);
 	g->listed_us = now;
 }
 
-static void
-on_page(void *arg, const struct hc_result *result)
-{
-	struct gw *g = arg;
-	char *next = NULL;
-	size_t n_bad = 0;
-
-	g->list_call = HD_NONE;
-	if (result->status != ST_OK || result->http_status != 200) {
-		lg_event(LG_WARN, "list.failed", "status=%s http=%d",
-		    st_name(result->status), result->http_status);
-		return;
-	}
-	if (pf_list_read((const char *)result->body, result->len, g->page,
-		&next, &n_bad) != ST_OK) {
-		lg_event(
-		    LG_WARN, "list.unreadable", "reason=\"%s\"", st_last());
-		return;
-	}
-	if (n_bad > 0)
-		lg_event(LG_DEBUG, "list.bad_entries", "n=%zu", n_bad);
-	g->pages++;
-	if (next != NULL)
-		read_page(g, next);
-	else
-		take_list(g);
-	g_free(next);
-}
-
-static void
-read_page(struct gw *g, const char *token)
+/// Makes ready to read the list.
+void
+gw_list_start(struct gw *g)
 {
-	char *path = pf_list_path(token);
-	const struct hc_call call = {
-		.method = "GET",
-		.host = g->settings.cloud.host,
-		.port = g->settings.cloud.port,
-		.path = path,
-		.timeout_us = GW_LIST_TIMEOUT_US,
-		.max_body = GW_MAX_LIST_BYTES,
-		.on_end = on_page,
-		.arg = g,
-	};
-
-	g->list_call = hc_send(g->http, &call);
-	g_free(path);
+	g->lister = pf_lister_new(g->http, on_list, g);
 }
 
 /// Takes what control says of the list.
@@ -231,14 +188,13 @@
 void
 gw_list_tick(struct gw *g, uint64_t now_us)
 {
-	if (now_us < g->next_list_us || g->list_call != HD_NONE)
+	if (now_us < g->next_list_us || pf_lister_busy(g->lister))
 		return;
 	if (now_us < MAX(g->listed_us, g->started_us) + GW_LIST_SILENT_US)
 		return;
 	g->next_list_us = now_us + interval_us(g);
-	g->pages = 0;
-	g_array_set_size(g->page, 0);
-	read_page(g, NULL);
+	pf_lister_read(
+	    g->lister, g->settings.cloud.host, g->settings.cloud.port);
 }
 
 /// A server said that it isn't the one that the list names: nothing more is
--- a/src/gateway/gw_moves.c
+++ b/src/gateway/gw_moves.c
@@ -10,22 +10,11 @@
 /// Requests at a server that count as a full load.
 #define GW_FULL_LOAD 16.0
 
-/// Versions of different services may have equal names.
-static uint64_t
-version_key(const char *service, const char *version)
-{
-	char *name = g_strdup_printf("%s/%s", service, version);
-	const uint64_t key = vo_key(name);
-
-	g_free(name);
-	return key;
-}
-
 static void
 set_table(struct gw *g, const struct lm_move *v)
 {
-	const uint64_t base = version_key(v->service, v->base);
-	const uint64_t target = version_key(v->service, v->target);
+	const uint64_t base = vo_version_key(v->service, v->base);
+	const uint64_t target = vo_version_key(v->service, v->target);
 	struct vo_table table = {
 		.pool = vo_key(v->service),
 		.sequence = v->sequence,
@@ -85,7 +74,7 @@
 	case LM_MOVING:
 		if (v->permille > 0 &&
 		    vo_entry_pick(g->versions, vo_key(v->service), hash) ==
-			version_key(v->service, v->target))
+			vo_version_key(v->service, v->target))
 			ask->version = v->target;
 		else
 			ask->not_version = v->target;
@@ -128,7 +117,7 @@
 	if (v == NULL || v->state != LM_MOVING || s == NULL)
 		return;
 	a.pool = vo_key(v->service);
-	a.version = version_key(v->service, s->sv.version);
+	a.version = vo_version_key(v->service, s->sv.version);
 	a.route = vo_key(q->route->name);
 	if (!failed)
 		a.first_token_us =
--- a/src/hub/hb.c
+++ b/src/hub/hb.c
@@ -60,7 +60,7 @@
 	hb_link_tick(h, now_us);
 	if (!hb_leads(h))
 		return;
-	hb_members_tick(h, now_us);
+	hb_members_tick(h);
 	hb_list_tick(h, now_us);
 	hb_moves_tick(h, now_us);
 	hb_duty_tick(h, now_us);
@@ -125,13 +125,13 @@
 	h->orders =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->list = g_array_new(FALSE, TRUE, sizeof(struct sv));
-	h->page = g_array_new(FALSE, TRUE, sizeof(struct sv));
 	h->tick = tm_subscribe(lp_timers(loop), on_tick, h);
 	h->push = tm_subscribe(lp_timers(loop), on_push, h);
 	h->end = tm_subscribe(lp_timers(loop), on_end, h);
 	h->n_orders = ct_counter(set, "ac_orders_total", "");
 	h->n_invalid = ct_counter(set, "ac_orders_invalid_total", "");
 	h->ack_latency = ct_hist(set, "ac_order_ack_seconds", "");
+	hb_list_start(h);
 	if (status == ST_OK)
 		status = hb_link_start(h);
 	if (status == ST_OK)
@@ -179,6 +179,7 @@
 	fr_free(h->metrics);
 	gp_close(h->group);
 	lk_free(h->links);
+	pf_lister_free(h->lister);
 	hc_free(h->http);
 	tm_unsubscribe(h->tick);
 	tm_unsubscribe(h->push);
@@ -190,7 +191,6 @@
 	g_hash_table_destroy(h->needs);
 	g_hash_table_destroy(h->orders);
 	g_array_unref(h->list);
-	g_array_unref(h->page);
 	free(h->list_bytes);
 	free(h->change_bytes);
 	vo_control_free(h->mover);
--- a/src/hub/hb_internal.h
+++ b/src/hub/hb_internal.h
@@ -11,6 +11,7 @@
 #include "front/fr.h"
 #include "hub/hb.h"
 #include "hub/hs.h"
+#include "platform/pf_lister.h"
 #include "replog/gp.h"
 #include "rollout/vo.h"
 #include "wire/lk.h"
@@ -77,8 +78,7 @@
 	GHashTable *needs;  ///< service -> struct sn
 	GHashTable *work;   ///< service -> struct hb_work
 	GArray *list;       ///< struct sv, of the newest whole reading
-	GArray *page;       ///< of the reading under way
-	bool listing;
+	struct pf_lister *lister;
 	uint64_t next_list_us;
 	uint64_t listed_us;   ///< 0: never
 	uint64_t list_number; ///< of `list`; grows with each change
@@ -108,7 +108,7 @@
     struct hb *h, const struct hs_command *c, gp_done done, void *arg);
 
 /// hb_members.c: who votes
-void hb_members_tick(struct hb *h, uint64_t now_us);
+void hb_members_tick(struct hb *h);
 
 /// hb_link.c: links to peers and gateways
 enum st hb_link_start(struct hb *h);
@@ -132,6 +132,7 @@
 const char *hb_moves_state(const struct hs_move *v);
 
 /// hb_list.c: the list of servers
+void hb_list_start(struct hb *h);
 void hb_list_tick(struct hb *h, uint64_t now_us);
 void hb_list_reset(struct hb *h);
 void hb_list_fill(const struct hb *h, uint64_t has, struct lm_state *s);
--- a/src/hub/hb_members.c
+++ b/src/hub/hb_members.c
@@ -2,33 +2,12 @@
 
 #include <string.h>
 
-#include "placement/mb.h"
+#include "members/me.h"
 
 /// Shorter silences of a member are restarts.
 #define HB_LOST_US (5 * TM_US_PER_S)
 #define HB_LEAST_VOTERS 3
 
-static bool
-slot_is_among(const uint32_t *ids, uint32_t n, uint32_t id)
-{
-	for (uint32_t i = 0; i < n; i++) {
-		if (ids[i] != id &&
-		    (ids[i] & RL_SLOT_MASK) == (id & RL_SLOT_MASK))
-			return true;
-	}
-	return false;
-}
-
-/// Whether a process came back with another disk: the member that it was is
-/// lost for good.
-static bool
-is_superseded(const struct gp_status *st, uint32_t id)
-{
-	return slot_is_among(st->members.voters, st->members.n_voters, id) ||
-	    slot_is_among(st->members.learners, st->members.n_learners, id) ||
-	    slot_is_among(st->joiners, st->n_joiners, id);
-}
-
 static uint32_t
 data_centre_index(const struct hb *h, const struct hb_peer *p, uint32_t id)
 {
@@ -43,77 +22,27 @@
 	return s->n_zones;
 }
 
+/// What is known of a member beside the log.
 static bool
-is_active(struct hb_peer *p, const struct gp_status *st,
-    const struct mb_member *m, uint64_t now_us)
+fill(void *arg, const struct gp_status *st, struct mb_member *m)
 {
+	struct hb *h = arg;
+	struct hb_peer *p = hb_peer(h, m->id & RL_SLOT_MASK);
+	const uint64_t now = lp_now_us(h->loop);
+
+	m->data_centre = data_centre_index(h, p, m->id);
+	if (p == NULL)
+		return true;
 	if (m->active) {
 		p->silent_since_us = 0;
 		return true;
 	}
-	if (is_superseded(st, m->id))
-		return false;
+	if (me_is_superseded(st, m->id))
+		return true;
 	if (p->silent_since_us == 0)
-		p->silent_since_us = now_us;
-	return now_us - p->silent_since_us < HB_LOST_US;
-}
-
-static void
-add(struct hb *h, struct mb_world *w, const struct gp_status *st,
-    const struct mb_member *member, uint64_t now_us)
-{
-	struct hb_peer *p = hb_peer(h, member->id & RL_SLOT_MASK);
-	struct mb_member *m = &w->members[w->n];
-
-	if (w->n == MB_MAX_MEMBERS)
-		return;
-	*m = *member;
-	m->data_centre = data_centre_index(h, p, member->id);
-	if (p != NULL)
-		m->active = is_active(p, st, member, now_us);
-	m->synced = member->synced && member->active;
-	w->n++;
-}
-
-static void
-make_world(struct hb *h, struct mb_world *w, uint64_t now_us)
-{
-	const uint32_t want = 2 * h->settings.tolerance.vms + 1;
-	struct gp_status st;
-
-	gp_status(h->group, &st);
-	w->self = st.self;
-	w->want_voters = MAX(want, HB_LEAST_VOTERS);
-	for (uint32_t i = 0; i < st.members.n_voters; i++) {
-		const struct mb_member m = {
-			.id = st.members.voters[i],
-			.kind = MB_VOTER,
-			.active = st.active[i],
-			.synced = true,
-		};
-
-		add(h, w, &st, &m, now_us);
-	}
-	for (uint32_t i = 0; i < st.members.n_learners; i++) {
-		const uint32_t at = st.members.n_voters + i;
-		const struct mb_member m = {
-			.id = st.members.learners[i],
-			.kind = MB_LEARNER,
-			.active = st.active[at],
-			.synced = st.match[at] >= st.commit,
-		};
-
-		add(h, w, &st, &m, now_us);
-	}
-	for (uint32_t i = 0; i < st.n_joiners; i++) {
-		const struct mb_member m = {
-			.id = st.joiners[i],
-			.kind = MB_JOINER,
-			.active = true,
-		};
-
-		add(h, w, &st, &m, now_us);
-	}
+		p->silent_since_us = now;
+	m->active = now - p->silent_since_us < HB_LOST_US;
+	return true;
 }
 
 static void
@@ -141,14 +70,17 @@
 
 /// Does the next step towards the wanted voters.
 void
-hb_members_tick(struct hb *h, uint64_t now_us)
+hb_members_tick(struct hb *h)
 {
-	struct mb_world w = { 0 };
+	const uint32_t want = 2 * h->settings.tolerance.vms + 1;
+	struct gp_status st;
+	struct mb_world w;
 	struct mb_step step;
 
 	if (h->changing || h->stopping)
 		return;
-	make_world(h, &w, now_us);
+	gp_status(h->group, &st);
+	me_world(&st, MAX(want, HB_LEAST_VOTERS), fill, h, &w);
 	step = mb_next(&w);
 	switch (step.kind) {
 	case MB_NOTHING:
--- a/src/hub/hb_moves.c
+++ b/src/hub/hb_moves.c
@@ -13,17 +13,6 @@
 #define HB_END_US (900 * TM_US_PER_MS)
 #define PERMILLE 1000
 
-/// Versions of different services may have equal names.
-static uint64_t
-version_key(const char *service, const char *version)
-{
-	char *name = g_strdup_printf("%s/%s", service, version);
-	const uint64_t key = vo_key(name);
-
-	g_free(name);
-	return key;
-}
-
 /// What operators read of a move.
 const char *
 hb_moves_state(const struct hs_move *v)
@@ -247,8 +236,8 @@
 	find_base(h, service, target, c.move.base, sizeof(c.move.base));
 	c.move.move = (struct vo_move){
 		.pool = vo_key(service),
-		.version = version_key(service, target),
-		.replaces = version_key(service, c.move.base),
+		.version = vo_version_key(service, target),
+		.replaces = vo_version_key(service, c.move.base),
 		.added_us = now,
 		.step_us = now,
 		.deadline_us = now + (uint64_t)(duration_s * TM_US_PER_S),
--- /dev/null
+++ b/src/members/me.c
@@ -0,0 +1,75 @@
+#include "members/me.h"
+
+static bool
+holds_slot(const uint32_t *ids, uint32_t n, uint32_t id)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (ids[i] != id &&
+		    (ids[i] & RL_SLOT_MASK) == (id & RL_SLOT_MASK))
+			return true;
+	}
+	return false;
+}
+
+/// Whether a process came back with another disk: the member that it was is
+/// lost for good.
+bool
+me_is_superseded(const struct gp_status *st, uint32_t id)
+{
+	return holds_slot(st->members.voters, st->members.n_voters, id) ||
+	    holds_slot(st->members.learners, st->members.n_learners, id) ||
+	    holds_slot(st->joiners, st->n_joiners, id);
+}
+
+static void
+add(struct mb_world *w, const struct gp_status *st, struct mb_member m,
+    me_fill_cb fill, void *arg)
+{
+	const bool answers = m.active;
+
+	if (w->n == MB_MAX_MEMBERS || !fill(arg, st, &m))
+		return;
+	m.synced = m.synced && answers;
+	w->members[w->n++] = m;
+}
+
+/// Gathers voters, learners and processes that ask to belong.
+void
+me_world(const struct gp_status *st, uint32_t want_voters, me_fill_cb fill,
+    void *arg, struct mb_world *out)
+{
+	*out = (struct mb_world){
+		.self = st->self,
+		.want_voters = want_voters,
+	};
+	for (uint32_t i = 0; i < st->members.n_voters; i++) {
+		const struct mb_member m = {
+			.id = st->members.voters[i],
+			.kind = MB_VOTER,
+			.active = st->active[i],
+			.synced = true,
+		};
+
+		add(out, st, m, fill, arg);
+	}
+	for (uint32_t i = 0; i < st->members.n_learners; i++) {
+		const uint32_t at = st->members.n_voters + i;
+		const struct mb_member m = {
+			.id = st->members.learners[i],
+			.kind = MB_LEARNER,
+			.active = st->active[at],
+			.synced = st->match[at] >= st->commit,
+		};
+
+		add(out, st, m, fill, arg);
+	}
+	for (uint32_t i = 0; i < st->n_joiners; i++) {
+		const struct mb_member m = {
+			.id = st->joiners[i],
+			.kind = MB_JOINER,
+			.active = true,
+		};
+
+		add(out, st, m, fill, arg);
+	}
+}
--- /dev/null
+++ b/src/platform/pf_lister.c
@@ -0,0 +1,114 @@
+#include "platform/pf_lister.h"
+
+#include "base/lg.h"
+#include "platform/pf_cloud.h"
+
+#define TIMEOUT_US 1000000
+#define MAX_PAGE_BYTES (4UL << 20)
+
+struct pf_lister {
+	struct hc *http;
+	pf_lister_cb done;
+	void *arg;
+	GArray *servers; ///< of the pages read so far
+	uint32_t pages;
+	char host[SV_HOST_BYTES];
+	uint16_t port;
+	hd_t call; ///< HD_NONE: no reading under way
+};
+
+static void read_page(struct pf_lister *l, const char *token);
+
+/// Makes a reader that calls back at the end of each reading.
+struct pf_lister *
+pf_lister_new(struct hc *http, pf_lister_cb done, void *arg)
+{
+	struct pf_lister *l = g_new0(struct pf_lister, 1);
+
+	l->http = http;
+	l->done = done;
+	l->arg = arg;
+	l->servers = g_array_new(FALSE, TRUE, sizeof(struct sv));
+	return l;
+}
+
+/// Releases a reader; NULL is allowed.
+void
+pf_lister_free(struct pf_lister *l)
+{
+	if (l == NULL)
+		return;
+	hc_cancel(l->http, l->call);
+	g_array_unref(l->servers);
+	g_free(l);
+}
+
+static void
+on_page(void *arg, const struct hc_result *result)
+{
+	struct pf_lister *l = arg;
+	char *next = NULL;
+	size_t n_bad = 0;
+
+	l->call = HD_NONE;
+	if (result->status != ST_OK || result->http_status != 200) {
+		lg_event(LG_WARN, "list.failed", "status=%s http=%d",
+		    st_name(result->status), result->http_status);
+		l->done(l->arg, NULL, l->pages);
+		return;
+	}
+	if (pf_list_read((const char *)result->body, result->len, l->servers,
+		&next, &n_bad) != ST_OK) {
+		lg_event(
+		    LG_WARN, "list.unreadable", "reason=\"%s\"", st_last());
+		l->done(l->arg, NULL, l->pages);
+		return;
+	}
+	if (n_bad > 0)
+		lg_event(LG_DEBUG, "list.bad_entries", "n=%zu", n_bad);
+	l->pages++;
+	if (next != NULL)
+		read_page(l, next);
+	else
+		l->done(l->arg, l->servers, l->pages);
+	g_free(next);
+}
+
+static void
+read_page(struct pf_lister *l, const char *token)
+{
+	char *path = pf_list_path(token);
+	const struct hc_call call = {
+		.method = "GET",
+		.host = l->host,
+		.port = l->port,
+		.path = path,
+		.timeout_us = TIMEOUT_US,
+		.max_body = MAX_PAGE_BYTES,
+		.on_end = on_page,
+		.arg = l,
+	};
+
+	l->call = hc_send(l->http, &call);
+	g_free(path);
+}
+
+/// Whether a reading is under way.
+bool
+pf_lister_busy(const struct pf_lister *l)
+{
+	return l->call != HD_NONE;
+}
+
+/// Starts a reading unless one is under way.
+void
+pf_lister_read(struct pf_lister *l, const char *host, uint16_t port)
+{
+	if (pf_lister_busy(l))
+		return;
+	(void)g_strlcpy(l->host, host, sizeof(l->host));
+	l->port = port;
+	l->pages = 0;
+	g_array_set_size(l->servers, 0);
+	read_page(l, NULL);
+}
--- a/src/rollout/vo.h
+++ b/src/rollout/vo.h
@@ -21,6 +21,7 @@
 #define VO_FULL_PERMILLE 1000
 
 uint64_t vo_key(const char *name);
+uint64_t vo_version_key(const char *pool, const char *version);
 
 /// Share of one version of a pool.
 struct vo_share {
--- a/src/rollout/vo_pick.c
+++ b/src/rollout/vo_pick.c
@@ -1,5 +1,7 @@
 #include "rollout/vo.h"
 
+#include <glib.h>
+
 #include <assert.h>
 #include <math.h>
 #include <string.h>
@@ -32,6 +34,18 @@
 	return XXH3_64bits(name, strlen(name));
 }
 
+/// Key of a version of a pool, where versions of different pools may have
+/// equal names.
+uint64_t
+vo_version_key(const char *pool, const char *version)
+{
+	char *name = g_strdup_printf("%s/%s", pool, version);
+	const uint64_t key = vo_key(name);
+
+	g_free(name);
+	return key;
+}
+
 /// Whether a move in this state is over.
 bool
 vo_is_final(enum vo_state state)
