--- a/test/unit/replog/test_gp.cc
+++ b/test/unit/replog/test_gp.cc
@@ -198,6 +198,32 @@
 	    << "the others need its vote and it has the longer log";
 }
 
+TEST(Group, RemovedMemberDoesNotStandAfterARestartOfAll)
+{
+	Net net;
+
+	start(net);
+	const uint32_t leader = net.leader();
+	const uint32_t out = leader % 3 + 1;
+
+	ASSERT_EQ(net.change(leader, out, false, true).st, ST_OK);
+	ASSERT_EQ(net.change(leader, out, false, false).st, ST_OK);
+	net.run(500000);
+	for (int round = 0; round < 8; round++) {
+		for (uint32_t slot = 1; slot <= 3; slot++)
+			net.close(slot);
+		for (uint32_t slot = 1; slot <= 3; slot++)
+			ASSERT_EQ(net.open(slot), ST_OK);
+		for (int i = 0; i < 400 && net.leader() == 0; i++) {
+			net.run(5000);
+			EXPECT_EQ(net.status(out).role, RL_FOLLOWER)
+			    << "round " << round;
+		}
+		EXPECT_NE(net.leader(), 0U);
+		net.run(500000);
+	}
+}
+
 TEST(Group, SettingsMayBeMendedBeforeTheFirstStart)
 {
 	Net net;
