Shared prompts are fetched from the server that holds them

Cause: a request that goes elsewhere than to the home of its shared prompt computed it again, at a price nearly five times that of the transfer. Change: the home's address goes with such a request.

--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -15,6 +15,8 @@
 #define GW_STALL_US (1500 * TM_US_PER_MS)
 #define GW_MAX_ERROR_BYTES (1U << 20)
 #define GW_MISDIRECTED 421
+/// Shared tokens that are worth a fetch from another server.
+#define GW_FETCH_TOKENS 500
 /// Prompts from which on their time says how fast a server computes.
 #define GW_LEARN_TOKENS 1000
 /// Steps up and down; their ratio sets which quantile is learned. The speed of
@@ -433,6 +435,25 @@
 					  : "the answer broke off");
 }
 
+/// Has the server fetch the shared prompt from its home rather than compute it
+/// again.
+static void
+set_fetch(struct gw_request *q)
+{
+	struct gw *g = q->gw;
+	const struct ro_server *home = ro_get(g->router, q->choice.home);
+	const struct gw_server *s;
+
+	if (home == NULL || q->choice.home == q->choice.server ||
+	    q->service->engine.link_mbps <= 0 ||
+	    q->choice.cached_tokens + GW_FETCH_TOKENS > q->shared_tokens)
+		return;
+	s = g_hash_table_lookup(g->servers, home->name);
+	if (s != NULL)
+		pf_headers_addf(
+		    q->headers, PF_KV_FETCH, "%s:%u", s->sv.host, s->sv.port);
+}
+
 /// Headers that this system sets, behind the caller's own.
 static void
 set_headers(struct gw_request *q, const struct gw_server *s, uint64_t now_us)
@@ -449,6 +470,7 @@
 	pf_headers_add(h, PF_EXPECT_SERVER, s->sv.id);
 	if (q->customer != NULL)
 		pf_headers_add(h, PF_CUSTOMER, q->customer->name);
+	set_fetch(q);
 	if (q->events != NULL && es_last(q->events) > 0)
 		pf_headers_addf(
 		    h, PF_LAST_EVENT, "%" PRIu64, es_last(q->events));
--- a/src/route/ro.h
+++ b/src/route/ro.h
@@ -88,6 +88,7 @@
 	uint32_t recompute_tokens; ///< The rest of the prompt.
 	double queue_tokens;       ///< Work before the first token.
 	uint64_t first_token_us;   ///< Expected from now; 0: not known yet.
+	hd_t home; ///< Preferred for the shared prompt; HD_NONE: there is none.
 	bool probe; ///< A server set aside that is being tried again.
 	bool panic; ///< Too many set aside: chosen among all.
 };
--- a/src/route/ro_choose.c
+++ b/src/route/ro_choose.c
@@ -322,6 +322,7 @@
 		.queue_tokens = queue,
 		.first_token_us =
 		    (uint64_t)(pace * (recompute + queue + RO_BASE_TOKENS)),
+		.home = s->home != NULL ? s->home->handle : HD_NONE,
 		.probe = probe,
 		.panic = s->panic,
 	};
