A server's own failure is passed on, and started streams are kept

Cause: a 500 from a server to a request that may be repeated was answered with the gateway's own 502 when no retry was left, which hides the server's words from the caller. A started stream that no other server may continue was broken off after a runner's silence although nothing could replace it.

Ruled out: waiting without end. A stream that can't move is left at the caller's deadline plus one stall time.

Change: the end of an attempt and the plan of the next one are two steps, so that the answer at hand goes out when no other attempt is planned. The stall timer follows the deadline where the stream can't go on elsewhere. The fuzzer also reads the decoders of fleet, hub and platform messages.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -48,6 +48,7 @@
 
 if(FUZZ)
 	add_executable(fuzz test/fuzz/fuzz.c)
-	target_link_libraries(fuzz wire replog request rollout state conf)
+	target_link_libraries(fuzz hub platform fleet wire replog request rollout
+		state conf)
 	target_link_options(fuzz PRIVATE -fsanitize=fuzzer)
 endif()
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -136,9 +136,11 @@
 	return false;
 }
 
-/// An attempt gave no answer to pass on: sends it again, or ends it.
-static void
-next_attempt(struct gw_request *q, const char *why)
+/// Plans another attempt after one that ended.
+///
+/// @return false when there is none: the reason is logged
+static bool
+plan_attempt(struct gw_request *q)
 {
 	struct gw *g = q->gw;
 	const uint64_t now = lp_now_us(g->loop);
@@ -147,32 +149,25 @@
 		.idempotent = fc_may_repeat(q->route),
 		.deadline_us = q->started ? UINT64_MAX : q->give_up_us,
 	};
-	struct rt_decision d;
-	const char *no;
-
-	if (!q->started && now >= q->give_up_us) {
-		give_up(q, why);
-		return;
+	const char *no = "the time is over";
+	struct rt_decision d = { .go = false };
+
+	if ((q->started || now < q->give_up_us) && may_send_again(q, &no)) {
+		d = rt_retry(gw_load(g, q->service->name)->retries, now,
+		    lp_random(g->loop), &q->attempts, &failure);
+		no = d.reason == RT_BUDGET ? "the retry budget is spent"
+					   : "the time is over";
 	}
-	if (!may_send_again(q, &no)) {
+	if (!d.go) {
 		lg_event(LG_INFO, "attempt.last", "request=%s reason=\"%s\"",
 		    q->call.id, no);
-		give_up(q, why);
-		return;
-	}
-	d = rt_retry(gw_load(g, q->service->name)->retries, now,
-	    lp_random(g->loop), &q->attempts, &failure);
-	if (!d.go) {
-		lg_event(LG_INFO, "attempt.last", "request=%s reason=%s",
-		    q->call.id,
-		    d.reason == RT_BUDGET ? "retry_budget" : "deadline");
-		give_up(q, why);
-		return;
+		return false;
 	}
 	g->n_retries->n++;
 	if (q->started)
 		g->n_resumed->n++;
 	tm_arm(q->timer, MAX(d.at_us, now));
+	return true;
 }
 
 /// Forgets the attempt under way, which has ended.
@@ -196,8 +191,9 @@
 	q->dispatch = HD_NONE;
 }
 
+/// Notes that the attempt under way gave no answer to pass on.
 static void
-attempt_failed(
+note_failure(
     struct gw_request *q, enum ro_end how, enum vd verdict, const char *why)
 {
 	end_attempt(q, how);
@@ -209,7 +205,15 @@
 	lg_event(LG_INFO, "attempt.failed",
 	    "request=%s attempt=%u server=%s verdict=\"%s\" reason=\"%s\"",
 	    q->call.id, q->sent, q->server, vd_name(verdict), why);
-	next_attempt(q, why);
+}
+
+static void
+attempt_failed(
+    struct gw_request *q, enum ro_end how, enum vd verdict, const char *why)
+{
+	note_failure(q, how, verdict, why);
+	if (!plan_attempt(q))
+		give_up(q, why);
 }
 
 static void
@@ -263,13 +267,20 @@
 	q->answer_headers = pf_headers_of_answer(g->http, q->call_handle);
 }
 
+/// Arms the time at which a started stream is left. One that can't go on at
+/// another server is left only after its caller's deadline.
 static void
 arm_stall(struct gw_request *q)
 {
 	const uint64_t pause =
 	    (uint64_t)q->route->gap_ms * TM_US_PER_MS * GW_STALL_PAUSES;
+	const uint64_t deadline =
+	    q->arrived_us + (uint64_t)q->call.deadline_ms * TM_US_PER_MS;
 
-	tm_arm_in(q->timer, MAX(pause, GW_STALL_US));
+	if (fc_may_repeat(q->route) && q->ran + 1 < q->route->max_attempts)
+		tm_arm_in(q->timer, MAX(pause, GW_STALL_US));
+	else
+		tm_arm(q->timer, deadline + GW_STALL_US);
 }
 
 /// Counts a request's prompt as work for the service, once.
@@ -355,10 +366,13 @@
 	if (q->answer_headers == NULL)
 		q->answer_headers =
 		    pf_headers_of_answer(g->http, q->call_handle);
-	ro_first_token(g->router, lp_now_us(g->loop), q->dispatch);
-	end_attempt(q, q->status >= 500 ? RO_FAILED : RO_DONE);
+	// Otherwise the attempt was noted as failed already.
+	if (q->call_handle != HD_NONE) {
+		ro_first_token(g->router, lp_now_us(g->loop), q->dispatch);
+		end_attempt(q, q->status >= 500 ? RO_FAILED : RO_DONE);
+		gw_moves_answer(q, q->status >= 500);
+	}
 	q->verdict = VD_RAN;
-	gw_moves_answer(q, q->status >= 500);
 	gw_count_usage(q);
 	gw_pass_on(q, q->status, body, len);
 }
@@ -407,9 +421,13 @@
 		return;
 	}
 	if (worth_another(q)) {
-		attempt_failed(
+		if (q->answer_headers == NULL)
+			q->answer_headers =
+			    pf_headers_of_answer(q->gw->http, q->call_handle);
+		note_failure(
 		    q, RO_FAILED, VD_MAY_HAVE_RUN, "the server failed");
-		return;
+		if (plan_attempt(q))
+			return;
 	}
 	if (q->error_body != NULL) {
 		body = (const uint8_t *)q->error_body->str;
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -4,6 +4,12 @@
 #include <string.h>
 
 #include "base/inv.h"
+#include "conf/ds.h"
+#include "fleet/es.h"
+#include "fleet/lm.h"
+#include "hub/hs.h"
+#include "platform/pf_cloud.h"
+#include "platform/pf_manifest.h"
 #include "conf/cf.h"
 #include "conf/nt.h"
 #include "replog/rl_codec.h"
@@ -110,13 +116,74 @@
 		rl_msg_clear(&message);
 }
 
+static void
+drop_text(void *arg, const char *text, size_t len)
+{
+	(void)arg;
+	(void)text;
+	(void)len;
+}
+
+/// What gateways and control take from each other.
+static void
+fuzz_fleet(const uint8_t *data, size_t size)
+{
+	struct hs *state = hs_new();
+	struct hs *loaded;
+	struct lm_report report;
+	struct lm_state told;
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct lm_server));
+
+	(void)hs_apply(state, 1, data, size);
+	if (hs_load(data, size, &loaded) == ST_OK)
+		hs_free(loaded);
+	hs_free(state);
+	lm_report_init(&report);
+	(void)lm_report_decode(data, size, &report);
+	lm_report_clear(&report);
+	lm_state_init(&told);
+	(void)lm_state_decode(data, size, &told);
+	lm_state_clear(&told);
+	(void)lm_list_decode(data, size, list);
+	g_array_unref(list);
+}
+
+/// What comes from operators, the platform and backend servers.
+static void
+fuzz_platform(const uint8_t *data, size_t size)
+{
+	const char *text = (const char *)data;
+	struct nt_problems problems = { 0 };
+	GArray *servers = g_array_new(FALSE, TRUE, sizeof(struct sv));
+	struct es *events = es_new();
+	struct ds_settings settings;
+	struct pf_rollout order;
+	struct fc *config;
+	char *next;
+	size_t n_bad;
+
+	if (pf_manifest_read(text, size, &config) == ST_OK)
+		fc_unref(config);
+	if (pf_list_read(text, size, servers, &next, &n_bad) == ST_OK)
+		g_free(next);
+	(void)pf_rollout_read(text, size, &order);
+	(void)ds_parse(text, size, &settings, &problems);
+	nt_problems_free(&problems);
+	es_begin(events, 0);
+	if (es_feed(events, data, size / 2, drop_text, NULL) == ES_GOOD)
+		(void)es_feed(
+		    events, data + size / 2, size - size / 2, drop_text, NULL);
+	es_free(events);
+	g_array_unref(servers);
+}
+
 /// One input of the fuzzer.
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	if (size == 0)
 		return 0;
-	switch (data[0] % 6) {
+	switch (data[0] % 8) {
 	case 0:
 		fuzz_settings(data + 1, size - 1);
 		break;
@@ -132,6 +199,12 @@
 	case 4:
 		fuzz_config(data + 1, size - 1);
 		break;
+	case 5:
+		fuzz_fleet(data + 1, size - 1);
+		break;
+	case 6:
+		fuzz_platform(data + 1, size - 1);
+		break;
 	default:
 		fuzz_journal(data + 1, size - 1);
 		break;
