Fixed servers are kept for a while after a recall

Ruled out: keeping fixed servers as long as reclaimable ones are refused; bursts are refused too, and would then be paid for far too long.

Change: sp_reserve_step() tells a recall from an ordered loss and from the loss of a single server; for fifteen seconds after one, no fixed server that is there or on its way is given up, within the data centre's limit.

--- a/src/fleet/sp.c
+++ b/src/fleet/sp.c
@@ -9,6 +9,12 @@
 /// On-demand servers carry this share of the need by themselves: it is what is
 /// left when all reclaimable ones go.
 #define FIXED_SHARE 0.33
+/// Losing this share of the reclaimable servers at once is a recall; the loss
+/// of a single one isn't.
+#define RECALL_SHARE 0.2
+#define RECALL_MIN 2
+/// Recalls come in waves; a reserve outlasts two starts of a server.
+#define RESERVE_US 15000000
 
 static uint32_t
 least(uint32_t a, uint32_t b)
@@ -176,3 +182,21 @@
 	if (in->spot_price > 0)
 		plan_spot(in, out);
 }
+
+/// Notes how many reclaimable servers there are.
+///
+/// @param wanted  ordered last, UINT32_MAX: nothing; a loss counts only as far
+///                as it wasn't ordered
+/// @return whether fixed servers are to be kept, since some were recalled
+bool
+sp_reserve_step(
+    struct sp_reserve *r, uint64_t now_us, uint32_t have, uint32_t wanted)
+{
+	const uint32_t due = r->had < wanted ? r->had : wanted;
+	const uint32_t lost = have < due ? due - have : 0;
+
+	if (lost >= RECALL_MIN && lost >= due * RECALL_SHARE)
+		r->until_us = now_us + RESERVE_US;
+	r->had = have;
+	return now_us < r->until_us;
+}
--- a/src/fleet/sp.h
+++ b/src/fleet/sp.h
@@ -37,6 +37,15 @@
 	struct sp_order zones[SP_MAX_ZONES];
 };
 
+/// Watches the reclaimable servers of one service and data centre for recalls.
+struct sp_reserve {
+	uint32_t had; ///< servers seen last
+	uint64_t until_us;
+};
+
+bool sp_reserve_step(
+    struct sp_reserve *r, uint64_t now_us, uint32_t have, uint32_t wanted);
+
 void sp_plan(const struct sp_input *in, struct sp_plan *out);
 
 #endif
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -32,6 +32,7 @@
 	bool calling;
 	uint64_t sent_us;
 	uint64_t dry_until_us;
+	struct sp_reserve reserve;
 	char service[FC_NAME_BYTES];
 	char zone[FC_NAME_BYTES];
 };
@@ -131,13 +132,30 @@
 	send_order(h, o, n);
 }
 
+/// Orders no fewer fixed servers than are there or on their way, as far as the
+/// data centre's limit has room.
 static void
+keep_fixed(struct hb *h, const struct fc_service *s, const char *zone,
+    const struct sp_order *plan)
+{
+	const struct hb_order *o = order_of(h, s->name, zone, false);
+	const uint32_t have = count(h, s->name, zone, false);
+	const uint32_t coming = o->ordered ? o->wanted : 0;
+	const uint32_t limit = s->scaling.max_servers;
+	const uint32_t room = limit > plan->spot ? limit - plan->spot : 0;
+	const uint32_t keep = MIN(room, MAX(have, coming));
+
+	want(h, s->name, zone, false, MAX(plan->fixed, keep));
+}
+
+/// @return whether the data centre recalled servers of late
+static bool
 fill_zone(struct hb *h, const struct fc_service *s,
     const struct fc_zone_price *price, struct sp_zone *out)
 {
 	const uint64_t now = lp_now_us(h->loop);
 	const struct hb_order *fixed = order_of(h, s->name, price->zone, false);
-	const struct hb_order *spot = order_of(h, s->name, price->zone, true);
+	struct hb_order *spot = order_of(h, s->name, price->zone, true);
 
 	out->price = price->price;
 	out->fixed = count(h, s->name, price->zone, false);
@@ -147,6 +165,8 @@
 		out->starting = spot->wanted - out->spot;
 	out->fixed_dry = now < fixed->dry_until_us;
 	out->spot_dry = now < spot->dry_until_us;
+	return sp_reserve_step(&spot->reserve, now, out->spot,
+	    spot->ordered || spot->wanted > 0 ? spot->wanted : UINT32_MAX);
 }
 
 /// Work of a service that gateways reported since it was looked at last.
@@ -273,14 +293,19 @@
 		.need = need_of(h, s),
 	};
 	struct sp_plan plan;
+	bool recalled = false;
 
 	if (in.need <= 0)
 		return;
 	for (uint32_t i = 0; i < in.n_zones; i++)
-		fill_zone(h, s, &c->zones[i], &in.zones[i]);
+		recalled |= fill_zone(h, s, &c->zones[i], &in.zones[i]);
 	sp_plan(&in, &plan);
 	for (uint32_t i = 0; i < in.n_zones; i++) {
 		want(h, s->name, c->zones[i].zone, true, plan.zones[i].spot);
+		if (recalled) {
+			keep_fixed(h, s, c->zones[i].zone, &plan.zones[i]);
+			continue;
+		}
 		// Servers that are to be replaced go once others are there.
 		if (plan.zones[i].fixed >= in.zones[i].fixed ||
 		    in.zones[i].spot >= plan.zones[i].spot)
@@ -304,6 +329,7 @@
 
 		o->ordered = false;
 		o->dry_until_us = 0;
+		o->reserve = (struct sp_reserve){ .had = 0 };
 	}
 }
 
--- a/test/unit/fleet/test_servers.cc
+++ b/test/unit/fleet/test_servers.cc
@@ -144,6 +144,36 @@
 	return s;
 }
 
+TEST(Reserve, IsKeptAfterARecallAndGivenUpLater)
+{
+	struct sp_reserve r = {};
+
+	EXPECT_FALSE(sp_reserve_step(&r, 1 * S, 50, 50));
+	EXPECT_TRUE(sp_reserve_step(&r, 2 * S, 10, 50));
+	EXPECT_TRUE(sp_reserve_step(&r, 12 * S, 10, 50));
+	EXPECT_FALSE(sp_reserve_step(&r, 18 * S, 10, 50));
+	EXPECT_TRUE(sp_reserve_step(&r, 19 * S, 0, 50)) << "a second wave";
+}
+
+TEST(Reserve, ServersThatWereOrderedAwayAreNoRecall)
+{
+	struct sp_reserve r = {};
+
+	EXPECT_FALSE(sp_reserve_step(&r, 1 * S, 50, 50));
+	EXPECT_FALSE(sp_reserve_step(&r, 2 * S, 20, 20));
+	EXPECT_FALSE(sp_reserve_step(&r, 3 * S, 10, 10));
+	EXPECT_TRUE(sp_reserve_step(&r, 4 * S, 2, 9)) << "more than ordered";
+}
+
+TEST(Reserve, ASingleServerLostIsNoRecall)
+{
+	struct sp_reserve r = {};
+
+	EXPECT_FALSE(sp_reserve_step(&r, 1 * S, 3, 3));
+	EXPECT_FALSE(sp_reserve_step(&r, 2 * S, 2, 3));
+	EXPECT_FALSE(sp_reserve_step(&r, 3 * S, 1, 3));
+}
+
 TEST(Need, FollowsABurstAtOnceAndFallsSlowly)
 {
 	struct sn n;
