--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -17,10 +17,10 @@
 ac_library(placement DEPS base LIBS ${GLIB})
 ac_library(members DEPS placement replog base)
 ac_library(report DEPS base LIBS ${GLIB} PkgConfig::jansson)
-ac_library(back DEPS base LIBS ${GLIB} ${EVENT})
+ac_library(back DEPS base LIBS ${GLIB} ${EVENT} PkgConfig::jansson)
 ac_library(front DEPS base LIBS ${GLIB} ${EVENT} PkgConfig::evhtp
 	PkgConfig::jansson)
-ac_library(fleet DEPS codec base LIBS ${GLIB} PkgConfig::msgpack
+ac_library(fleet DEPS codec conf base LIBS ${GLIB} PkgConfig::msgpack
 	PkgConfig::libxxhash)
 ac_library(platform DEPS fleet front back conf base LIBS ${GLIB}
 	PkgConfig::jansson)
--- a/src/app/run.c
+++ b/src/app/run.c
@@ -3,90 +3,209 @@
 #include <argtable2.h>
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
+#include "base/fl.h"
 #include "base/lg.h"
 #include "cli/exit.h"
 #include "cli/problems.h"
 #include "conf/cf.h"
+#include "conf/ds.h"
 #include "control/co.h"
 #include "entry/en.h"
+#include "gateway/gw.h"
+#include "hub/hb.h"
 #include "loop/lp.h"
 
+/// Names the settings file of a process that finds its deployment by seeds
+/// where the command line doesn't.
+#define SETTINGS_VARIABLE "ACACIAHINGE_NODE_FILE"
+/// The settings file of such a process may change without a signal.
+#define LOOK_US (1 * TM_US_PER_S)
+
+#define QUOTED_BYTES 256
+
+enum role {
+	ROLE_ENTRY,
+	ROLE_CONTROL,
+	ROLE_GATEWAY,
+	ROLE_HUB,
+};
+
+/// Settings of one process. Entries and control name all of control; gateways
+/// and hubs find it by seeds.
+struct settings {
+	enum role role;
+	union {
+		struct cf_settings named;
+		struct ds_settings seeded;
+	};
+};
+
 /// What runs in this process.
 struct run {
 	struct lp *loop;
 	const char *file;
-	struct cf_settings settings;
+	char *text; ///< of the settings, as read last
+	struct settings settings;
+	struct tm_timer *look;
 	union {
 		struct en *entry;
 		struct co *control;
+		struct gw *gateway;
+		struct hb *hub;
 	};
 };
 
+static bool
+has_seeds(enum role role)
+{
+	return role == ROLE_GATEWAY || role == ROLE_HUB;
+}
+
+/// Reads settings, which must be those of a role.
+///
+/// @param problems  receives every mistake; without one st_last() explains
+static enum st
+load(const char *file, enum role role, struct settings *out,
+    struct nt_problems *problems)
+{
+	enum st st;
+
+	if (has_seeds(role)) {
+		st = ds_load(file, &out->seeded, problems);
+		out->role =
+		    out->seeded.role == DS_HUB ? ROLE_HUB : ROLE_GATEWAY;
+	} else {
+		st = cf_load(file, &out->named, problems);
+		out->role =
+		    out->named.role == CF_CONTROL ? ROLE_CONTROL : ROLE_ENTRY;
+	}
+	if (st != ST_OK || out->role == role)
+		return st;
+	return st_fail(ST_INVALID, "$.role: names the other role");
+}
+
+static enum st
+start(struct run *r)
+{
+	const struct settings *s = &r->settings;
+
+	switch (s->role) {
+	case ROLE_ENTRY:
+		return en_start(r->loop, &s->named, &r->entry);
+	case ROLE_CONTROL:
+		return co_start(r->loop, &s->named, &r->control);
+	case ROLE_GATEWAY:
+		return gw_start(r->loop, &s->seeded, &r->gateway);
+	case ROLE_HUB:
+		return hb_start(r->loop, &s->seeded, &r->hub);
+	}
+	return ST_INVALID;
+}
+
+static void
+release(struct run *r)
+{
+	switch (r->settings.role) {
+	case ROLE_ENTRY:
+		en_free(r->entry);
+		break;
+	case ROLE_CONTROL:
+		co_free(r->control);
+		break;
+	case ROLE_GATEWAY:
+		gw_free(r->gateway);
+		break;
+	case ROLE_HUB:
+		hb_free(r->hub);
+		break;
+	}
+}
+
 static void
 on_stop(void *arg)
 {
 	struct run *r = arg;
 
 	switch (r->settings.role) {
-	case CF_ENTRY:
+	case ROLE_ENTRY:
 		en_stop(r->entry);
 		break;
-	case CF_CONTROL:
+	case ROLE_CONTROL:
 		co_stop(r->control);
 		break;
+	case ROLE_GATEWAY:
+		gw_stop(r->gateway);
+		break;
+	case ROLE_HUB:
+		hb_stop(r->hub);
+		break;
 	}
 }
 
+/// Reads the settings again; what can't be read changes nothing.
 static void
 on_reload(void *arg)
 {
 	struct run *r = arg;
 	struct nt_problems problems = { 0 };
-	struct cf_settings settings;
+	struct settings s;
+	char quoted[QUOTED_BYTES];
 
-	if (cf_load(r->file, &settings, &problems) != ST_OK ||
-	    settings.role != r->settings.role) {
-		lg_event(LG_ERROR, "settings.refused", "file=%s", r->file);
+	if (load(r->file, r->settings.role, &s, &problems) != ST_OK) {
+		lg_event(LG_ERROR, "settings.refused", "file=%s reason=%s",
+		    r->file, lg_quote(quoted, sizeof(quoted), st_last()));
 		problems_print(stderr, r->file, &problems);
 		nt_problems_free(&problems);
 		return;
 	}
 	lg_event(LG_INFO, "settings.reloaded", "file=%s", r->file);
-	switch (r->settings.role) {
-	case CF_ENTRY:
-		en_reload(r->entry, &settings);
+	switch (s.role) {
+	case ROLE_ENTRY:
+		en_reload(r->entry, &s.named);
+		break;
+	case ROLE_CONTROL:
+		co_reload(r->control, &s.named);
 		break;
-	case CF_CONTROL:
-		co_reload(r->control, &settings);
+	case ROLE_GATEWAY:
+		gw_reload(r->gateway, &s.seeded);
+		break;
+	case ROLE_HUB:
+		hb_reload(r->hub, &s.seeded);
 		break;
 	}
 }
 
-static enum st
-start(struct run *r)
+static void
+on_look(void *arg, uint64_t now_us)
 {
-	switch (r->settings.role) {
-	case CF_ENTRY:
-		return en_start(r->loop, &r->settings, &r->entry);
-	case CF_CONTROL:
-		return co_start(r->loop, &r->settings, &r->control);
-	}
-	return ST_INVALID;
+	struct run *r = arg;
+	char *text;
+
+	(void)now_us;
+	tm_arm_in(r->look, LOOK_US);
+	if (fl_read(r->file, &text, NULL) != ST_OK)
+		return;
+	if (r->text != NULL && strcmp(text, r->text) != 0)
+		on_reload(r);
+	g_free(r->text);
+	r->text = text;
 }
 
 static void
-release(struct run *r)
+log_started(const struct settings *s)
 {
-	switch (r->settings.role) {
-	case CF_ENTRY:
-		en_free(r->entry);
-		break;
-	case CF_CONTROL:
-		co_free(r->control);
-		break;
-	}
+	if (has_seeds(s->role))
+		lg_event(LG_INFO, "process.started",
+		    "version=%s pid=%d zone=%s first=%s", AC_VERSION,
+		    (int)getpid(), s->seeded.data_centre,
+		    s->seeded.first_start ? "yes" : "no");
+	else
+		lg_event(LG_INFO, "process.started", "version=%s pid=%d",
+		    AC_VERSION, (int)getpid());
 }
 
 static int
@@ -97,11 +216,14 @@
 		.reload = on_reload,
 		.arg = r,
 	};
-	char quoted[256];
+	const struct settings *s = &r->settings;
+	const bool seeds = has_seeds(s->role);
+	char quoted[QUOTED_BYTES];
 	int code;
 
-	lg_init(r->settings.node, r->settings.log_level);
-	r->loop = lp_new(r->settings.seed);
+	lg_init(seeds ? s->seeded.node : s->named.node,
+	    seeds ? s->seeded.log_level : s->named.log_level);
+	r->loop = lp_new(seeds ? 0 : s->named.seed);
 	lp_on_signals(r->loop, &callbacks);
 	if (start(r) != ST_OK) {
 		lg_event(LG_ERROR, "process.not_started", "reason=%s",
@@ -109,59 +231,64 @@
 		lp_free(r->loop);
 		return CMD_REFUSED;
 	}
-	lg_event(LG_INFO, "process.started", "version=%s pid=%d", AC_VERSION,
-	    (int)getpid());
+	log_started(s);
+	if (seeds) {
+		r->look = tm_subscribe(lp_timers(r->loop), on_look, r);
+		tm_arm_in(r->look, 0);
+	}
 	lp_run(r->loop);
 	code = lp_exit_code(r->loop);
+	tm_unsubscribe(r->look);
 	release(r);
 	lp_free(r->loop);
+	g_free(r->text);
 	return code;
 }
 
 static int
-run_file(const char *file, enum cf_role role)
+run_file(const char *file, enum role role)
 {
 	struct nt_problems problems = { 0 };
 	struct run r = { .file = file };
 
-	if (cf_load(file, &r.settings, &problems) != ST_OK) {
+	if (load(file, role, &r.settings, &problems) != ST_OK) {
 		problems_print(stderr, file, &problems);
 		nt_problems_free(&problems);
 		return CMD_USAGE;
 	}
-	if (r.settings.role != role) {
-		(void)fprintf(
-		    stderr, "%s: $.role: names the other role\n", file);
-		return CMD_USAGE;
-	}
 	return serve(&r);
 }
 
 static int
-run_role(int argc, char **argv, enum cf_role role, const char *what)
+run_role(int argc, char **argv, enum role role, const char *what)
 {
 	struct arg_lit *help =
 	    arg_lit0(NULL, "help", "print this help and exit");
 	struct arg_file *file = arg_file0(NULL, "settings", "FILE",
-	    "settings of this process (docs/SETTINGS.md)");
+	    has_seeds(role) ? "settings of this process; without it, the file "
+			      "named by $" SETTINGS_VARIABLE
+			    : "settings of this process (docs/SETTINGS.md)");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, file, end };
 	const int errors = arg_parse(argc, argv, table);
+	const char *name = has_seeds(role) ? getenv(SETTINGS_VARIABLE) : NULL;
 	int code;
 
+	if (file->count > 0)
+		name = file->filename[0];
 	if (help->count > 0) {
 		(void)printf("usage: acaciahinge %s", argv[0]);
 		arg_print_syntax(stdout, table, "\n");
 		(void)printf("%s\n\n", what);
 		arg_print_glossary(stdout, table, "  %-20s %s\n");
 		code = CMD_DONE;
-	} else if (errors > 0 || file->count == 0) {
+	} else if (errors > 0 || name == NULL) {
 		arg_print_errors(stderr, end, argv[0]);
 		(void)fprintf(
 		    stderr, "%s: --settings FILE is needed\n", argv[0]);
 		code = CMD_USAGE;
 	} else {
-		code = run_file(file->filename[0], role);
+		code = run_file(name, role);
 	}
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return code;
@@ -173,7 +300,7 @@
 int
 run_entry(int argc, char **argv)
 {
-	return run_role(argc, argv, CF_ENTRY,
+	return run_role(argc, argv, ROLE_ENTRY,
 	    "Takes callers' requests and answers them through the backend "
 	    "servers.");
 }
@@ -184,7 +311,28 @@
 int
 run_control(int argc, char **argv)
 {
-	return run_role(argc, argv, CF_CONTROL,
+	return run_role(argc, argv, ROLE_CONTROL,
 	    "Keeps the replicated state and decides about versions and "
 	    "backend servers.");
 }
+
+/// Subcommand `gateway`.
+///
+/// @return an exit code
+int
+run_gateway(int argc, char **argv)
+{
+	return run_role(argc, argv, ROLE_GATEWAY,
+	    "Takes callers' requests and passes them on to the backend servers "
+	    "of the platform's list.");
+}
+
+/// Subcommand `hub`.
+///
+/// @return an exit code
+int
+run_hub(int argc, char **argv)
+{
+	return run_role(argc, argv, ROLE_HUB,
+	    "Keeps the replicated state of a deployment and does its duties.");
+}
--- a/src/back/hc.h
+++ b/src/back/hc.h
@@ -12,6 +12,7 @@
 /// HTTP client over one event loop, with kept-alive connections per address.
 
 struct event_base;
+struct json_t;
 struct ssl_ctx_st;
 struct hc;
 
@@ -77,5 +78,6 @@
 /// Runs one call to its end on a loop of its own; for command-line use.
 enum st hc_once(
     const struct hc_call *call, int *http_status, char **body, size_t *len);
+struct json_t *hc_json(const struct hc_result *result);
 
 #endif
--- /dev/null
+++ b/src/back/hc_json.c
@@ -0,0 +1,14 @@
+#include "back/hc.h"
+
+#include <jansson.h>
+
+/// Answer of a call that ended with 200, as JSON.
+///
+/// @return to be released with json_decref(), NULL for any other answer
+json_t *
+hc_json(const struct hc_result *result)
+{
+	if (result->status != ST_OK || result->http_status != 200)
+		return NULL;
+	return json_loadb((const char *)result->body, result->len, 0, NULL);
+}
--- a/src/cli/cli_check.c
+++ b/src/cli/cli_check.c
@@ -1,3 +1,4 @@
+#include "base/fl.h"
 #include "cli/cli.h"
 #include "cli/problems.h"
 #include "conf/cf.h"
@@ -130,14 +131,12 @@
 check(const char *file, bool json)
 {
 	struct verdict v = { 0 };
-	GError *error = NULL;
-	gchar *text;
-	gsize len;
+	char *text;
+	size_t len;
 	int code;
 
-	if (!g_file_get_contents(file, &text, &len, &error)) {
-		(void)fprintf(stderr, "check: %s\n", error->message);
-		g_error_free(error);
+	if (fl_read(file, &text, &len) != ST_OK) {
+		(void)fprintf(stderr, "check: %s\n", st_last());
 		return CMD_USAGE;
 	}
 	if (looks_like_note(text, len))
--- a/src/cli/cli_explain.c
+++ b/src/cli/cli_explain.c
@@ -1,3 +1,4 @@
+#include "base/fl.h"
 #include "cli/cli.h"
 
 #include <argtable2.h>
@@ -66,13 +67,11 @@
 static bool
 read_file(const char *file, const char *id, GArray *lines)
 {
-	GError *error = NULL;
-	gchar *text;
+	char *text;
 	gchar **all;
 
-	if (!g_file_get_contents(file, &text, NULL, &error)) {
-		(void)fprintf(stderr, "explain: %s\n", error->message);
-		g_error_free(error);
+	if (fl_read(file, &text, NULL) != ST_OK) {
+		(void)fprintf(stderr, "explain: %s\n", st_last());
 		return false;
 	}
 	all = g_strsplit(text, "\n", -1);
--- a/src/cli/cli_note.c
+++ b/src/cli/cli_note.c
@@ -1,3 +1,4 @@
+#include "base/fl.h"
 #include "cli/answer.h"
 #include "cli/cli.h"
 #include "cli/opt.h"
@@ -34,13 +35,11 @@
 {
 	struct nt_problems problems = { 0 };
 	struct nt_note *note;
-	GError *error = NULL;
-	gchar *text;
-	gsize len;
+	char *text;
+	size_t len;
 
-	if (!g_file_get_contents(file, &text, &len, &error)) {
-		(void)fprintf(stderr, "note: %s\n", error->message);
-		g_error_free(error);
+	if (fl_read(file, &text, &len) != ST_OK) {
+		(void)fprintf(stderr, "note: %s\n", st_last());
 		return NULL;
 	}
 	if (nt_parse(text, len, &note, &problems) != ST_OK) {
--- a/src/cli/tg.c
+++ b/src/cli/tg.c
@@ -1,4 +1,6 @@
 #include "back/hc.h"
+#include "base/fl.h"
+#include "base/ip.h"
 #include "base/tm.h"
 #include "cli/problems.h"
 #include "cli/tg.h"
@@ -6,7 +8,6 @@
 #include "keys/ks.h"
 
 #include <openssl/ssl.h>
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -45,28 +46,12 @@
 enum st
 tg_add(struct tg *t, const char *address)
 {
-	const bool six = address[0] == '[';
-	const char *colon = strrchr(address, ':');
-	uint8_t number[sizeof(struct in6_addr)];
 	struct cf_addr *a = &t->at[t->n];
-	gchar *host;
-	guint64 port;
 
 	if (t->n == CF_MAX_PEERS)
 		return st_fail(
 		    ST_INVALID, "more than %d addresses", CF_MAX_PEERS);
-	if (colon == NULL ||
-	    !g_ascii_string_to_unsigned(
-		colon + 1, 10, 1, UINT16_MAX, &port, NULL))
-		return st_fail(ST_INVALID, "'%s' is not IP:PORT", address);
-	host = g_strndup(address, (gsize)(colon - address));
-	if (six)
-		g_strdelimit(host, "[]", ' ');
-	g_strstrip(host);
-	(void)g_strlcpy(a->host, host, sizeof(a->host));
-	g_free(host);
-	a->port = (uint16_t)port;
-	if (inet_pton(six ? AF_INET6 : AF_INET, a->host, number) != 1)
+	if (!ip_split(address, a->host, sizeof(a->host), &a->port))
 		return st_fail(ST_INVALID, "'%s' is not IP:PORT", address);
 	t->n++;
 	return ST_OK;
@@ -76,16 +61,11 @@
 enum st
 tg_token_file(struct tg *t, const char *file)
 {
-	GError *error = NULL;
-	gchar *text;
-	gsize len;
-	enum st st = ST_OK;
+	char *text;
+	enum st st = fl_read(file, &text, NULL);
 
-	if (!g_file_get_contents(file, &text, &len, &error)) {
-		st = st_fail(ST_IO, "%s", error->message);
-		g_error_free(error);
+	if (st != ST_OK)
 		return st;
-	}
 	g_strstrip(text);
 	if (g_strlcpy(t->token, text, sizeof(t->token)) >= sizeof(t->token))
 		st = st_fail(ST_INVALID, "the token in %s is too long", file);
--- a/src/conf/cf.c
+++ b/src/conf/cf.c
@@ -1,4 +1,5 @@
 #include "conf/cf.h"
+#include "base/fl.h"
 #include "conf/fd.h"
 
 #include <glib.h>
@@ -301,16 +302,12 @@
 enum st
 cf_load(const char *file, struct cf_settings *out, struct nt_problems *problems)
 {
-	GError *error = NULL;
-	gchar *text;
-	gsize len;
-	enum st st;
+	char *text;
+	size_t len;
+	enum st st = fl_read(file, &text, &len);
 
-	if (!g_file_get_contents(file, &text, &len, &error)) {
-		st = st_fail(ST_IO, "%s", error->message);
-		g_error_free(error);
+	if (st != ST_OK)
 		return st;
-	}
 	st = cf_parse(text, len, out, problems);
 	g_free(text);
 	return st;
--- a/src/conf/ds.c
+++ b/src/conf/ds.c
@@ -1,9 +1,9 @@
 #include "conf/ds.h"
+#include "base/fl.h"
 #include "conf/fd.h"
 
 #include <glib.h>
 #include <jansson.h>
-#include <math.h>
 #include <string.h>
 
 #define PLACE_BYTES 64
@@ -11,204 +11,86 @@
 static const char *const roles[] = { "gateway", "hub", NULL };
 static const char *const levels[] = { "error", "warn", "info", "debug", NULL };
 
-/// A number with its bounds and the value that stands for an absent one.
-struct number {
-	const char *key;
-	size_t offset;
-	double least;
-	double most;
-	double absent;
-};
-
-#define BOUND(k, f, a, b, d)                                               \
+#define AT(f) .offset = offsetof(struct ds_settings, f)
+#define NAME(k, f, needed)                                               \
+	{                                                                \
+		.key = (k), .type = FD_NAME, .required = (needed), AT(f) \
+	}
+#define ADDR(k, f, needed)                                                \
+	{                                                                 \
+		.key = (k), .type = FD_ADDR, .required = (needed), AT(f), \
+		.offset2 = offsetof(struct ds_settings, f) +              \
+		    offsetof(struct cf_addr, port)                        \
+	}
+#define REAL(k, f, a, b, d)                                                    \
+	{                                                                      \
+		.key = (k), .type = FD_REAL, AT(f), .least = (a), .most = (b), \
+		.real_absent = (d)                                             \
+	}
+#define WHOLE(k, f, a, b, d)                                               \
 	{                                                                  \
-		(k), offsetof(struct ds_settings, bounds.f), (a), (b), (d) \
+		.key = (k), .type = FD_U32, AT(f), .min = (a), .max = (b), \
+		.absent = (d)                                              \
 	}
 
 /// Defaults are those of a deployment of one region.
-static const struct number bounds[] = {
-	BOUND("contact_ms", contact_ms, 100, 60000, 3000),
-	BOUND("ack_ms", ack_ms, 100, 60000, 4000),
-	BOUND("catch_up_s", catch_up_s, 0.1, 600, 4),
-	BOUND("drain_ms", drain_ms, 100, 600000, 3000),
-	BOUND("stop_s", stop_s, 0.5, 600, 8),
-	BOUND("apply_ms", apply_ms, 100, 60000, 2000),
-	BOUND("revoke_ms", revoke_ms, 200, 600000, 5000),
-	BOUND("retry_ratio", retry_ratio, 0, 1, 0.1),
-	BOUND("retry_window_s", retry_window_s, 0.1, 600, 10),
-	BOUND("retry_slack", retry_slack, 0, 1e9, 10),
-	BOUND("quota_window_s", quota_window_s, 0.1, 600, 8),
-	BOUND("quota_over", quota_over, 0, 10, 0.1),
-	BOUND("quota_slack", quota_slack, 0, 1e12, 0),
-	BOUND("duty_lease_ms", duty_lease_ms, 100, 60000, 3000),
-	BOUND("usage_window_s", usage_window_s, 0.1, 3600, 5),
-	BOUND("usage_late_s", usage_late_s, 0.1, 3600, 10),
-	BOUND("canary_share", canary_share, 0.001, 1, 0.1),
-	BOUND("canary_slack", canary_slack, 0, 1e6, 50),
-	BOUND("take_back_ms", take_back_ms, 100, 600000, 5000),
-	BOUND("pass_ms", pass_ms, 1, 60000, 120),
+static const struct fd_field bounds[] = {
+	REAL("contact_ms", bounds.contact_ms, 100, 60000, 3000),
+	REAL("ack_ms", bounds.ack_ms, 100, 60000, 4000),
+	REAL("catch_up_s", bounds.catch_up_s, 0.1, 600, 4),
+	REAL("drain_ms", bounds.drain_ms, 100, 600000, 3000),
+	REAL("stop_s", bounds.stop_s, 0.5, 600, 8),
+	REAL("apply_ms", bounds.apply_ms, 100, 60000, 2000),
+	REAL("revoke_ms", bounds.revoke_ms, 200, 600000, 5000),
+	REAL("retry_ratio", bounds.retry_ratio, 0, 1, 0.1),
+	REAL("retry_window_s", bounds.retry_window_s, 0.1, 600, 10),
+	REAL("retry_slack", bounds.retry_slack, 0, 1e9, 10),
+	REAL("quota_window_s", bounds.quota_window_s, 0.1, 600, 8),
+	REAL("quota_over", bounds.quota_over, 0, 10, 0.1),
+	REAL("quota_slack", bounds.quota_slack, 0, 1e12, 0),
+	REAL("duty_lease_ms", bounds.duty_lease_ms, 100, 60000, 3000),
+	REAL("usage_window_s", bounds.usage_window_s, 0.1, 3600, 5),
+	REAL("usage_late_s", bounds.usage_late_s, 0.1, 3600, 10),
+	REAL("canary_share", bounds.canary_share, 0.001, 1, 0.1),
+	REAL("canary_slack", bounds.canary_slack, 0, 1e6, 50),
+	REAL("take_back_ms", bounds.take_back_ms, 100, 600000, 5000),
+	REAL("pass_ms", bounds.pass_ms, 1, 60000, 120),
 	{ .key = NULL },
 };
 
-#define PLAIN(k, f, a, b, d)                                        \
-	{                                                           \
-		(k), offsetof(struct ds_settings, f), (a), (b), (d) \
-	}
-
-static const struct number rates[] = {
-	PLAIN("list_calls_per_s", list_calls_per_s, 0.1, 1e6, 10),
-	PLAIN("duty_calls_per_s", duty_calls_per_s, 0.1, 1e6, 10),
+static const struct fd_field settings_fields[] = {
+	{ "role", FD_ENUM, true, AT(role), .names = roles },
+	NAME("node", node, true),
+	{ "host", FD_TEXT, true, AT(host), .size = NT_HOST_BYTES },
+	NAME("data_centre", data_centre, true),
+	NAME("region", region, false),
+	{ "data_folder", FD_TEXT, false, AT(data_folder),
+	    .size = CF_FILE_BYTES },
+	ADDR("callers", callers, false),
+	ADDR("ready", ready, false),
+	ADDR("operators", operators, false),
+	{ "peer_port", FD_U16, true, AT(peer_port), .min = 1,
+	    .max = UINT16_MAX },
+	{ "metrics_port", FD_U16, false, AT(metrics_port), .max = UINT16_MAX },
+	{ "first_start", FD_BOOL, false, AT(first_start) },
+	WHOLE("memory_mb", memory_mb, 0, UINT32_MAX, 256),
+	WHOLE("max_fds", max_fds, 0, UINT32_MAX, 1024),
+	WHOLE("tolerated_vms", tolerance.vms, 0, 100, 1),
+	WHOLE("tolerated_data_centres", tolerance.data_centres, 0, 100, 0),
+	WHOLE("tolerated_regions", tolerance.regions, 0, 100, 0),
+	ADDR("cloud", cloud, true),
+	REAL("list_calls_per_s", list_calls_per_s, 0.1, 1e6, 10),
+	REAL("duty_calls_per_s", duty_calls_per_s, 0.1, 1e6, 10),
+	{ "log_level", FD_ENUM, false, AT(log_level), .absent = LG_INFO,
+	    .names = levels },
+	{ .key = "seeds", .type = FD_OTHER, .required = true },
+	{ .key = "zones", .type = FD_OTHER, .required = true },
+	{ .key = "duties", .type = FD_OTHER },
+	{ .key = "bounds", .type = FD_OTHER },
 	{ .key = NULL },
 };
 
-/// Numbers that aren't reals.
-struct whole {
-	const char *key;
-	size_t offset;
-	bool is_u16;
-	double most;
-	uint32_t absent;
-};
-
-#define WHOLE(k, f, u16, b, d)                                        \
-	{                                                             \
-		(k), offsetof(struct ds_settings, f), (u16), (b), (d) \
-	}
-
-static const struct whole wholes[] = {
-	WHOLE("peer_port", peer_port, true, UINT16_MAX, 0),
-	WHOLE("metrics_port", metrics_port, true, UINT16_MAX, 0),
-	WHOLE("memory_mb", memory_mb, false, UINT32_MAX, 256),
-	WHOLE("max_fds", max_fds, false, UINT32_MAX, 1024),
-	WHOLE("tolerated_vms", tolerance.vms, false, 100, 1),
-	WHOLE("tolerated_data_centres", tolerance.data_centres, false, 100, 0),
-	WHOLE("tolerated_regions", tolerance.regions, false, 100, 0),
-	{ .key = NULL },
-};
-
-static const char *const others[] = { "role", "node", "host", "data_centre",
-	"region", "data_folder", "callers", "ready", "operators", "seeds",
-	"first_start", "cloud", "duties", "zones", "bounds", "log_level",
-	NULL };
-
-static bool
-absent(const json_t *v)
-{
-	return v == NULL || json_is_null(v);
-}
-
-static void
-read_number(struct fd_doc *d, const char *path, const json_t *object,
-    const struct number *n, struct ds_settings *s)
-{
-	const json_t *v = json_object_get(object, n->key);
-	double *out = (double *)(void *)((char *)s + n->offset);
-	char place[PLACE_BYTES];
-
-	*out = n->absent;
-	if (absent(v))
-		return;
-	(void)g_snprintf(place, sizeof(place), "%s.%s", path, n->key);
-	if (!json_is_number(v) || !(json_number_value(v) >= n->least) ||
-	    !(json_number_value(v) <= n->most)) {
-		fd_problem(d, place, "must be a number from %g to %g", n->least,
-		    n->most);
-		return;
-	}
-	*out = json_number_value(v);
-}
-
-static void
-read_whole(struct fd_doc *d, const struct whole *w, struct ds_settings *s)
-{
-	const json_t *v = json_object_get(d->root, w->key);
-	char *at = (char *)s + w->offset;
-	double n = w->absent;
-	char place[PLACE_BYTES];
-
-	if (!absent(v)) {
-		n = json_number_value(v);
-		(void)g_snprintf(place, sizeof(place), "$.%s", w->key);
-		if (!json_is_number(v) || !(n >= 0 && n <= w->most) ||
-		    floor(n) < n) {
-			fd_problem(d, place,
-			    "must be a whole number from 0 to %.0f", w->most);
-			return;
-		}
-	}
-	if (w->is_u16)
-		*(uint16_t *)(void *)at = (uint16_t)n;
-	else
-		*(uint32_t *)(void *)at = (uint32_t)n;
-}
-
-static void
-read_text(
-    struct fd_doc *d, const char *key, bool required, char *out, size_t size)
-{
-	const json_t *v = json_object_get(d->root, key);
-	char place[PLACE_BYTES];
-
-	if (absent(v) && !required)
-		return;
-	(void)g_snprintf(place, sizeof(place), "$.%s", key);
-	if (!json_is_string(v) || (required && json_string_length(v) == 0) ||
-	    json_string_length(v) >= size) {
-		fd_problem(
-		    d, place, "must be a text of 1 to %zu bytes", size - 1);
-		return;
-	}
-	(void)g_strlcpy(out, json_string_value(v), size);
-}
-
-static int
-read_word(struct fd_doc *d, const char *key, const char *const *words, int def)
-{
-	const json_t *v = json_object_get(d->root, key);
-	char place[PLACE_BYTES];
-
-	if (absent(v) && def >= 0)
-		return def;
-	for (int i = 0; json_is_string(v) && words[i] != NULL; i++) {
-		if (strcmp(words[i], json_string_value(v)) == 0)
-			return i;
-	}
-	(void)g_snprintf(place, sizeof(place), "$.%s", key);
-	fd_problem(d, place, "must be one of the known words, such as \"%s\"",
-	    words[0]);
-	return 0;
-}
-
-/// Reads "HOST:PORT".
-static bool
-split_address(const char *text, struct cf_addr *out)
-{
-	const char *colon = strrchr(text, ':');
-	char *end;
-	guint64 port;
-
-	if (colon == NULL || (size_t)(colon - text) >= sizeof(out->host))
-		return false;
-	(void)g_strlcpy(out->host, text, (gsize)(colon - text) + 1);
-	port = g_ascii_strtoull(colon + 1, &end, 10);
-	out->port = (uint16_t)port;
-	return *end == '\0' && port > 0 && port <= UINT16_MAX &&
-	    g_hostname_is_ip_address(out->host);
-}
-
-static void
-read_address(
-    struct fd_doc *d, const char *key, bool required, struct cf_addr *out)
-{
-	const json_t *v = json_object_get(d->root, key);
-	char place[PLACE_BYTES];
-
-	if (!required && (absent(v) || json_string_length(v) == 0))
-		return;
-	(void)g_snprintf(place, sizeof(place), "$.%s", key);
-	if (!json_is_string(v) || !split_address(json_string_value(v), out))
-		fd_problem(d, place, "must be IP:PORT");
-}
+#undef AT
 
 static void
 read_seeds(struct fd_doc *d, struct ds_settings *s)
@@ -218,6 +100,8 @@
 	char place[PLACE_BYTES];
 	size_t i;
 
+	if (list == NULL)
+		return;
 	if (!json_is_array(list) || json_array_size(list) > DS_MAX_SEEDS) {
 		fd_problem(d, "$.seeds", "must be a list of up to %d addresses",
 		    DS_MAX_SEEDS);
@@ -226,9 +110,8 @@
 	json_array_foreach(list, i, v)
 	{
 		(void)g_snprintf(place, sizeof(place), "$.seeds[%zu]", i);
-		if (!json_is_string(v) ||
-		    !split_address(json_string_value(v), &s->seeds[i]))
-			fd_problem(d, place, "must be IP:PORT");
+		(void)fd_address(
+		    d, place, v, s->seeds[i].host, &s->seeds[i].port);
 	}
 	s->n_seeds = (uint32_t)json_array_size(list);
 }
@@ -240,6 +123,8 @@
 	const char *name;
 	json_t *region;
 
+	if (zones == NULL)
+		return;
 	if (!json_is_object(zones) || json_object_size(zones) > DS_MAX_ZONES) {
 		fd_problem(d, "$.zones",
 		    "must name the region of up to %d data centres",
@@ -264,7 +149,7 @@
 	const json_t *v;
 	size_t i;
 
-	if (absent(list))
+	if (list == NULL || json_is_null(list))
 		return;
 	if (!json_is_array(list)) {
 		fd_problem(d, "$.duties", "must be a list");
@@ -283,52 +168,40 @@
 	}
 }
 
-static bool
-is_known(const char *key)
+static void
+read_bounds(struct fd_doc *d, struct ds_settings *s)
 {
-	for (size_t i = 0; others[i] != NULL; i++) {
-		if (strcmp(others[i], key) == 0)
-			return true;
-	}
-	for (size_t i = 0; rates[i].key != NULL; i++) {
-		if (strcmp(rates[i].key, key) == 0)
-			return true;
-	}
-	for (size_t i = 0; wholes[i].key != NULL; i++) {
-		if (strcmp(wholes[i].key, key) == 0)
-			return true;
-	}
-	return false;
+	const json_t *given = json_object_get(d->root, "bounds");
+	json_t *none = json_object();
+
+	if (given == NULL || json_is_null(given))
+		given = none;
+	(void)fd_read(d, "$.bounds", given, bounds, s);
+	json_decref(none);
 }
 
 static void
-check_keys(struct fd_doc *d)
+need(struct fd_doc *d, const char *path, bool there, enum ds_role role)
 {
-	const char *key;
-	json_t *value;
-	char place[PLACE_BYTES];
-
-	json_object_foreach(d->root, key, value)
-	{
-		if (is_known(key))
-			continue;
-		(void)g_snprintf(place, sizeof(place), "$.%s", key);
-		fd_problem(d, place, "is not known");
-	}
+	if (!there)
+		fd_problem(d, path, "is missing for role \"%s\"", roles[role]);
 }
 
+/// Asks for what a role can't do without. A template names the keys of both
+/// roles, so those of the other one are no mistake.
 static void
-read_role(struct fd_doc *d, struct ds_settings *s)
+check_role(struct fd_doc *d, const struct ds_settings *s)
 {
-	const bool hub = s->role == DS_HUB;
-
-	read_text(
-	    d, "data_folder", hub, s->data_folder, sizeof(s->data_folder));
-	read_address(d, "operators", hub, &s->operators);
-	read_address(d, "callers", !hub, &s->callers);
-	read_address(d, "ready", !hub, &s->ready);
-	if (s->peer_port == 0)
-		fd_problem(d, "$.peer_port", "is missing");
+	switch (s->role) {
+	case DS_GATEWAY:
+		need(d, "$.callers", s->callers.port != 0, s->role);
+		need(d, "$.ready", s->ready.port != 0, s->role);
+		break;
+	case DS_HUB:
+		need(d, "$.data_folder", s->data_folder[0] != '\0', s->role);
+		need(d, "$.operators", s->operators.port != 0, s->role);
+		break;
+	}
 }
 
 /// Reads and checks settings.
@@ -340,34 +213,21 @@
     struct nt_problems *problems)
 {
 	const size_t before = problems->n;
-	const json_t *object;
+	const char *role;
 	struct fd_doc d;
 
 	memset(out, 0, sizeof(*out));
 	if (!fd_open(&d, json, len, problems))
 		return st_fail(ST_INVALID, "settings are not a JSON object");
-	check_keys(&d);
-	out->role = (enum ds_role)read_word(&d, "role", roles, -1);
-	out->log_level =
-	    (enum lg_level)read_word(&d, "log_level", levels, LG_INFO);
-	read_text(&d, "node", true, out->node, sizeof(out->node));
-	read_text(&d, "host", true, out->host, sizeof(out->host));
-	read_text(&d, "data_centre", true, out->data_centre,
-	    sizeof(out->data_centre));
-	read_text(&d, "region", false, out->region, sizeof(out->region));
-	for (const struct whole *w = wholes; w->key != NULL; w++)
-		read_whole(&d, w, out);
-	for (const struct number *n = rates; n->key != NULL; n++)
-		read_number(&d, "$", d.root, n, out);
-	object = json_object_get(d.root, "bounds");
-	for (const struct number *n = bounds; n->key != NULL; n++)
-		read_number(&d, "$.bounds", object, n, out);
-	out->first_start = json_is_true(json_object_get(d.root, "first_start"));
-	read_address(&d, "cloud", true, &out->cloud);
+	d.templated = true;
+	(void)fd_read(&d, "$", d.root, settings_fields, out);
+	read_bounds(&d, out);
 	read_seeds(&d, out);
 	read_zones(&d, out);
 	read_duties(&d, out);
-	read_role(&d, out);
+	role = json_string_value(json_object_get(d.root, "role"));
+	if (g_strcmp0(role, roles[out->role]) == 0)
+		check_role(&d, out);
 	fd_close(&d);
 	if (problems->n > before)
 		return st_fail(ST_INVALID, "settings have %zu mistakes",
@@ -381,16 +241,12 @@
 enum st
 ds_load(const char *file, struct ds_settings *out, struct nt_problems *problems)
 {
-	GError *error = NULL;
-	gchar *text;
-	gsize len;
-	enum st st;
+	char *text;
+	size_t len;
+	enum st st = fl_read(file, &text, &len);
 
-	if (!g_file_get_contents(file, &text, &len, &error)) {
-		st = st_fail(ST_IO, "%s", error->message);
-		g_error_free(error);
+	if (st != ST_OK)
 		return st;
-	}
 	st = ds_parse(text, len, out, problems);
 	g_free(text);
 	return st;
--- a/src/conf/fd.c
+++ b/src/conf/fd.c
@@ -1,16 +1,18 @@
 #include "conf/fd.h"
+#include "base/ip.h"
 #include "conf/ln.h"
 #include "conf/pb.h"
 
-#include <arpa/inet.h>
 #include <assert.h>
 #include <glib.h>
 #include <jansson.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define PORT_MAX 65535
+/// Whole numbers below are exact in a real.
+#define MAX_WHOLE_REAL 9007199254740992.0
 #define ADDR_BYTES (NT_HOST_BYTES + 8)
 
 /// Starts to read a text.
@@ -131,10 +133,15 @@
 read_number(struct fd_doc *d, const char *path, const json_t *value,
     const struct fd_field *f, uint64_t *out)
 {
-	const json_int_t n = json_integer_value(value);
+	json_int_t n = json_integer_value(value);
+	bool whole = json_is_integer(value);
 
-	if (!json_is_integer(value) || n < 0 || (uint64_t)n < f->min ||
-	    (uint64_t)n > f->max) {
+	if (d->templated && json_is_real(value) &&
+	    fabs(json_real_value(value)) < MAX_WHOLE_REAL) {
+		n = (json_int_t)json_real_value(value);
+		whole = !((double)n < json_real_value(value));
+	}
+	if (!whole || n < 0 || (uint64_t)n < f->min || (uint64_t)n > f->max) {
 		fd_problem(d, path,
 		    "must be a whole number from %" G_GUINT64_FORMAT
 		    " to %" G_GUINT64_FORMAT,
@@ -145,6 +152,21 @@
 	return true;
 }
 
+static bool
+read_real(struct fd_doc *d, const char *path, const json_t *value,
+    const struct fd_field *f, double *out)
+{
+	const double n = json_number_value(value);
+
+	if (!json_is_number(value) || !(n >= f->least && n <= f->most)) {
+		fd_problem(d, path, "must be a number from %g to %g", f->least,
+		    f->most);
+		return false;
+	}
+	*out = n;
+	return true;
+}
+
 static bool
 read_time(
     struct fd_doc *d, const char *path, const json_t *value, uint64_t *out)
@@ -189,39 +211,14 @@
 	return false;
 }
 
-/// Splits "1.2.3.4:80" or "[::1]:80".
-static bool
-split_address(const char *text, char host[NT_HOST_BYTES], uint16_t *port)
-{
-	const bool six = text[0] == '[';
-	const char *colon = six ? strstr(text, "]:") : strchr(text, ':');
-	uint8_t address[sizeof(struct in6_addr)];
-	guint64 number;
-	size_t len;
-
-	if (colon == NULL)
-		return false;
-	len = (size_t)(colon - text) - (six ? 1 : 0);
-	if (len >= NT_HOST_BYTES)
-		return false;
-	memcpy(host, text + (six ? 1 : 0), len);
-	host[len] = '\0';
-	if (inet_pton(six ? AF_INET6 : AF_INET, host, address) != 1)
-		return false;
-	if (!g_ascii_string_to_unsigned(
-		colon + (six ? 2 : 1), 10, 1, PORT_MAX, &number, NULL))
-		return false;
-	*port = (uint16_t)number;
-	return true;
-}
-
-static bool
-read_address(struct fd_doc *d, const char *path, const json_t *value,
-    char *host, uint16_t *port)
+/// Reads an IP number and a port.
+bool
+fd_address(struct fd_doc *d, const char *path, const json_t *value,
+    char host[NT_HOST_BYTES], uint16_t *port)
 {
 	const char *text = json_string_value(value);
 
-	if (text == NULL || !split_address(text, host, port)) {
+	if (text == NULL || !ip_split(text, host, NT_HOST_BYTES, port)) {
 		fd_problem(d, path,
 		    "must be an IP number and port, as \"127.0.0.1:8000\" "
 		    "or \"[::1]:8000\"");
@@ -295,6 +292,13 @@
 			return false;
 		*(uint32_t *)at = (uint32_t)n;
 		return true;
+	case FD_U16:
+		if (!read_number(d, path, value, f, &n))
+			return false;
+		*(uint16_t *)at = (uint16_t)n;
+		return true;
+	case FD_REAL:
+		return read_real(d, path, value, f, at);
 	case FD_U64:
 		return read_number(d, path, value, f, at);
 	case FD_TIME:
@@ -302,7 +306,7 @@
 	case FD_ENUM:
 		return read_enum(d, path, value, f, at);
 	case FD_ADDR:
-		return read_address(
+		return fd_address(
 		    d, path, value, at, (uint16_t *)(out + f->offset2));
 	case FD_NAMES:
 		return read_names(
@@ -321,12 +325,27 @@
 
 	if (f->type == FD_U32)
 		*(uint32_t *)(out + f->offset) = (uint32_t)f->absent;
+	else if (f->type == FD_U16)
+		*(uint16_t *)(out + f->offset) = (uint16_t)f->absent;
+	else if (f->type == FD_REAL)
+		*(double *)(void *)(out + f->offset) = f->real_absent;
 	else if (f->type == FD_U64)
 		*(uint64_t *)(out + f->offset) = f->absent;
 	else if (f->type == FD_ENUM)
 		memcpy(out + f->offset, &choice, sizeof(choice));
 }
 
+/// Whether a value stands for an absent key.
+static bool
+is_absent(const struct fd_doc *d, const json_t *value)
+{
+	if (value == NULL)
+		return true;
+	return d->templated &&
+	    (json_is_null(value) ||
+		(json_is_string(value) && json_string_length(value) == 0));
+}
+
 static const struct fd_field *
 find_field(const struct fd_field *fields, const char *key)
 {
@@ -379,7 +398,7 @@
 		(void)g_snprintf(at, sizeof(at), "%s.%s", path, f->key);
 		value = json_object_get(object, f->key);
 		put_absent(f, out);
-		if (value != NULL) {
+		if (!is_absent(d, value)) {
 			good &= read_field(d, at, value, f, out);
 		} else if (f->required) {
 			fd_problem(d, at, "is missing");
@@ -444,6 +463,12 @@
 		if (*(const uint32_t *)at == f->absent && !f->required)
 			return NULL;
 		return json_integer(*(const uint32_t *)at);
+	case FD_U16:
+		if (*(const uint16_t *)at == f->absent && !f->required)
+			return NULL;
+		return json_integer(*(const uint16_t *)at);
+	case FD_REAL:
+		return json_real(*(const double *)(const void *)at);
 	case FD_U64:
 		if (*(const uint64_t *)at == f->absent && !f->required)
 			return NULL;
--- a/src/conf/fd.h
+++ b/src/conf/fd.h
@@ -18,6 +18,8 @@
 	FD_TEXT,  ///< char[size], any text without control characters
 	FD_PATH,  ///< char[NT_PATH_BYTES]: path of an HTTP route
 	FD_BOOL,  ///< bool
+	FD_U16,   ///< uint16_t, min .. max
+	FD_REAL,  ///< double, least .. most
 	FD_U32,   ///< uint32_t, min .. max
 	FD_U64,   ///< uint64_t, min .. max
 	FD_TIME,  ///< uint64_t: seconds since 1970, ISO 8601 in JSON
@@ -38,6 +40,9 @@
 	uint64_t max;
 	uint64_t absent; ///< value when the key is absent
 	const char *const *names;
+	double least; ///< FD_REAL, as the next two
+	double most;
+	double real_absent;
 };
 
 /// A text being read.
@@ -45,6 +50,9 @@
 	struct json_t *root;
 	struct ln_map *lines;
 	struct nt_problems *problems;
+	/// Filled in from a template: null or "" stands for an absent key, and
+	/// a whole number may be written as a real.
+	bool templated;
 };
 
 bool fd_open(struct fd_doc *d, const char *json, size_t len,
@@ -56,6 +64,8 @@
     const struct fd_field *fields, void *out);
 bool fd_name(struct fd_doc *d, const char *path, const struct json_t *value,
     enum fd_type type, char *out, size_t size);
+bool fd_address(struct fd_doc *d, const char *path, const struct json_t *value,
+    char host[NT_HOST_BYTES], uint16_t *port);
 struct json_t *fd_write(const struct fd_field *fields, const void *in);
 
 #endif
--- a/src/control/co_operators.c
+++ b/src/control/co_operators.c
@@ -151,8 +151,6 @@
 reply_metrics(struct co *c, hd_t handle)
 {
 	struct ct_set *set = lp_counters(c->loop);
-	size_t len;
-	char *text;
 
 	ct_gauge(set, "ac_config_revision", "")->n = sm_revision(c->config);
 	ct_gauge(set, "ac_config_sequence", "")->n = sm_sequence(c->config);
@@ -163,10 +161,7 @@
 	    lk_bytes_received(c->links);
 	ct_gauge(set, "ac_entries_connected", "")->n =
 	    g_hash_table_size(c->entries);
-	text = ct_text(set, &len);
-	fr_reply(c->operators, handle, 200, NULL, "text/plain; version=0.0.4",
-	    text, len);
-	free(text);
+	fr_reply_metrics(c->operators, handle, set);
 }
 
 static void
--- a/src/control/co_platform.c
+++ b/src/control/co_platform.c
@@ -42,19 +42,11 @@
 	propose_leaving(c, &command);
 }
 
-static json_t *
-body_of(const struct hc_result *result)
-{
-	if (result->status != ST_OK || result->http_status != 200)
-		return NULL;
-	return json_loadb((const char *)result->body, result->len, 0, NULL);
-}
-
 static void
 on_notices(void *arg, const struct hc_result *result)
 {
 	struct co *c = arg;
-	json_t *o = body_of(result);
+	json_t *o = hc_json(result);
 	json_t *notices = json_object_get(o, "notices");
 	json_t *notice;
 	size_t i;
@@ -110,7 +102,7 @@
 on_list(void *arg, const struct hc_result *result)
 {
 	struct co *c = arg;
-	json_t *o = body_of(result);
+	json_t *o = hc_json(result);
 	const json_t *vms = json_object_get(o, "vms");
 
 	c->polling_list = false;
--- a/src/entry/en_operators.c
+++ b/src/entry/en_operators.c
@@ -36,8 +36,6 @@
 {
 	struct ct_set *set = lp_counters(e->loop);
 	const char *why;
-	size_t len;
-	char *text;
 
 	ct_gauge(set, "ac_config_revision", "")->n = sm_revision(e->config);
 	ct_gauge(set, "ac_config_sequence", "")->n = sm_sequence(e->config);
@@ -47,10 +45,7 @@
 	    lk_bytes_sent(e->links);
 	ct_gauge(set, "ac_peer_bytes_received_total", "")->n =
 	    lk_bytes_received(e->links);
-	text = ct_text(set, &len);
-	fr_reply(e->operators, handle, 200, NULL, "text/plain; version=0.0.4",
-	    text, len);
-	free(text);
+	fr_reply_metrics(e->operators, handle, set);
 }
 
 static void
--- a/src/entry/en_poll.c
+++ b/src/entry/en_poll.c
@@ -19,14 +19,6 @@
 	return v < 0 ? 0 : (uint64_t)v;
 }
 
-static json_t *
-body_of(const struct hc_result *result)
-{
-	if (result->status != ST_OK || result->http_status != 200)
-		return NULL;
-	return json_loadb((const char *)result->body, result->len, 0, NULL);
-}
-
 static void
 ignore(void *arg, enum st status, const uint8_t *bytes, size_t len)
 {
@@ -87,7 +79,7 @@
 {
 	struct en_watch *w = arg;
 	struct en *e = w->en;
-	json_t *o = body_of(result);
+	json_t *o = hc_json(result);
 	const struct sm_server *s = sm_server(e->config, w->name);
 	struct ro_report report = { 0 };
 
@@ -134,7 +126,7 @@
 {
 	struct en_watch *w = arg;
 	struct en *e = w->en;
-	json_t *o = body_of(result);
+	json_t *o = hc_json(result);
 	json_t *events = json_object_get(o, "events");
 	const uint64_t now = lp_now_us(e->loop);
 	json_t *event;
--- a/src/entry/rq_journal.c
+++ b/src/entry/rq_journal.c
@@ -431,12 +431,9 @@
 static bool
 take_run(struct rq *q, const struct hc_result *result)
 {
-	json_t *o;
+	json_t *o = hc_json(result);
 	const char *body;
 
-	if (result->status != ST_OK || result->http_status != 200)
-		return false;
-	o = json_loadb((const char *)result->body, result->len, 0, NULL);
 	if (json_integer_value(json_object_get(o, "runs")) < 1) {
 		json_decref(o);
 		return false;
--- a/src/fleet/fc.c
+++ b/src/fleet/fc.c
@@ -383,3 +383,18 @@
 	return r->kind == FC_IDEMPOTENT ||
 	    (r->kind == FC_STREAM && r->resumable);
 }
+
+/// What a customer's quota allows, as configured.
+struct qt_limit
+fc_quota(const struct fc_customer *c, const struct ds_bounds *bounds)
+{
+	const struct qt_limit limit = {
+		.rate_per_s = c->rate_per_s,
+		.burst = c->burst,
+		.window_s = bounds->quota_window_s,
+		.over = bounds->quota_over,
+		.slack = bounds->quota_slack,
+	};
+
+	return limit;
+}
--- a/src/fleet/fc.h
+++ b/src/fleet/fc.h
@@ -6,6 +6,8 @@
 #include <stdint.h>
 
 #include "base/st.h"
+#include "conf/ds.h"
+#include "fleet/qt.h"
 
 /// A whole configuration under the operator's own version number: services,
 /// routes, customers. It is built once, checked, and then shared read-only.
@@ -133,5 +135,7 @@
     const struct fc *c, const char *name);
 uint32_t fc_pick(const struct fc_route *r, uint64_t hash);
 bool fc_may_repeat(const struct fc_route *r);
+struct qt_limit fc_quota(
+    const struct fc_customer *c, const struct ds_bounds *bounds);
 
 #endif
--- a/src/front/fr.c
+++ b/src/front/fr.c
@@ -8,11 +8,13 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <openssl/crypto.h>
+#include <stdlib.h>
 #include <string.h>
 
 // evhtp's own headers need POSIX types declared before them.
 #include <evhtp.h>
 
+#include "base/ct.h"
 #include "base/lg.h"
 
 #define FR_BACKLOG 1024
@@ -522,6 +524,17 @@
 	    bufferevent_get_output(evhtp_request_get_bev(open->req)));
 }
 
+/// Answers with the counters and histograms of this process.
+void
+fr_reply_metrics(struct fr *f, hd_t handle, const struct ct_set *set)
+{
+	size_t len;
+	char *text = ct_text(set, &len);
+
+	fr_reply(f, handle, 200, NULL, "text/plain; version=0.0.4", text, len);
+	free(text);
+}
+
 /// Number of connections, idle ones included.
 size_t
 fr_connections(const struct fr *f)
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -12,6 +12,7 @@
 
 struct event_base;
 struct ssl_ctx_st;
+struct ct_set;
 struct fr;
 
 #define FR_MAX_HEADERS 8
@@ -71,6 +72,7 @@
 void fr_reply(struct fr *f, hd_t handle, int status,
     const struct fr_header *headers, const char *type, const void *body,
     size_t len);
+void fr_reply_metrics(struct fr *f, hd_t handle, const struct ct_set *set);
 void fr_stream_start(struct fr *f, hd_t handle, int status,
     const struct fr_header *headers, const char *type);
 void fr_stream_data(struct fr *f, hd_t handle, const void *bytes, size_t len);
--- a/src/gateway/gw_accept.c
+++ b/src/gateway/gw_accept.c
@@ -65,7 +65,8 @@
 take_quota(struct gw_request *q)
 {
 	struct gw *g = q->gw;
-	const struct qt_limit limit = gw_quota_limit(g, q->customer);
+	const struct qt_limit limit =
+	    fc_quota(q->customer, &g->settings.bounds);
 	const double units = units_of(q);
 	struct qt_view *view;
 	struct qt_answer a;
@@ -297,8 +298,6 @@
 	struct gw *g = arg;
 	struct ct_set *set = lp_counters(g->loop);
 	const uint64_t now = lp_now_us(g->loop);
-	size_t len;
-	char *text;
 
 	(void)req;
 	ct_gauge(set, "ac_config_version", "")->n =
@@ -312,10 +311,7 @@
 	ct_gauge(set, "ac_requests_open", "")->n = hd_count(g->requests);
 	ct_gauge(set, "ac_connections_made_total", "")->n =
 	    hc_connections_made(g->http);
-	text = ct_text(set, &len);
-	fr_reply(g->metrics, handle, 200, NULL, "text/plain; version=0.0.4",
-	    text, len);
-	free(text);
+	fr_reply_metrics(g->metrics, handle, set);
 }
 
 static void
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -171,7 +171,6 @@
 enum st gw_link_start(struct gw *g);
 void gw_link_tick(struct gw *g, uint64_t now_us);
 void gw_count_usage(struct gw_request *q);
-struct qt_limit gw_quota_limit(const struct gw *g, const struct fc_customer *c);
 void gw_report_soon(struct gw *g);
 
 /// gw_list.c: backend servers
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -102,29 +102,13 @@
 	}
 }
 
-/// What a customer's quota allows, as configured.
-struct qt_limit
-gw_quota_limit(const struct gw *g, const struct fc_customer *c)
-{
-	const struct ds_bounds *b = &g->settings.bounds;
-	const struct qt_limit limit = {
-		.rate_per_s = c->rate_per_s,
-		.burst = c->burst,
-		.window_s = b->quota_window_s,
-		.over = b->quota_over,
-		.slack = b->quota_slack,
-	};
-
-	return limit;
-}
-
 static void
 report_quotas(struct gw *g, struct lm_report *r, uint64_t now_us)
 {
 	for (size_t i = 0; g->config != NULL && i < fc_n_customers(g->config);
 	     i++) {
 		const struct fc_customer *c = fc_customer(g->config, i);
-		const struct qt_limit limit = gw_quota_limit(g, c);
+		const struct qt_limit limit = fc_quota(c, &g->settings.bounds);
 		const struct qt_view *v =
 		    g_hash_table_lookup(g->quotas, c->name);
 		struct lm_quota q = { .spent = 0 };
--- a/src/hub/hb_operators.c
+++ b/src/hub/hb_operators.c
@@ -247,8 +247,6 @@
 {
 	struct hb *h = arg;
 	struct ct_set *set = lp_counters(h->loop);
-	size_t len;
-	char *text;
 
 	(void)req;
 	ct_gauge(set, "ac_config_version", "")->n = hs_version(h->state);
@@ -257,10 +255,7 @@
 	ct_gauge(set, "ac_gateways", "")->n = g_hash_table_size(h->gateways);
 	ct_gauge(set, "ac_peer_bytes_sent_total", "")->n =
 	    lk_bytes_sent(h->links);
-	text = ct_text(set, &len);
-	fr_reply(h->metrics, handle, 200, NULL, "text/plain; version=0.0.4",
-	    text, len);
-	free(text);
+	fr_reply_metrics(h->metrics, handle, set);
 }
 
 static struct fr *
--- a/src/hub/hb_quota.c
+++ b/src/hub/hb_quota.c
@@ -4,21 +4,6 @@
 
 #include "fleet/qt.h"
 
-static struct qt_limit
-limit_of(const struct hb *h, const struct fc_customer *c)
-{
-	const struct ds_bounds *b = &h->settings.bounds;
-	const struct qt_limit limit = {
-		.rate_per_s = c->rate_per_s,
-		.burst = c->burst,
-		.window_s = b->quota_window_s,
-		.over = b->quota_over,
-		.slack = b->quota_slack,
-	};
-
-	return limit;
-}
-
 static const struct lm_quota *
 find(const GArray *quotas, const char *customer)
 {
@@ -36,7 +21,7 @@
 pool_of(struct hb *h, const struct fc_customer *c)
 {
 	struct qt_pool *p = g_hash_table_lookup(h->pools, c->name);
-	const struct qt_limit limit = limit_of(h, c);
+	const struct qt_limit limit = fc_quota(c, &h->settings.bounds);
 
 	if (p != NULL)
 		return p;
@@ -51,7 +36,7 @@
 static void
 take_over(struct hb *h, const struct fc_customer *c, const struct lm_quota *q)
 {
-	const struct qt_limit limit = limit_of(h, c);
+	const struct qt_limit limit = fc_quota(c, &h->settings.bounds);
 	struct qt_pool *p = pool_of(h, c);
 
 	qt_pool_known(p, (double)q->level);
@@ -111,7 +96,7 @@
 			take_over(h, c, q);
 			continue;
 		}
-		limit = limit_of(h, c);
+		limit = fc_quota(c, &h->settings.bounds);
 		qt_pool_spend(pool_of(h, c), &limit, now,
 		    (double)(q->spent - MIN(before, q->spent)));
 	}
@@ -128,7 +113,7 @@
 	     i++) {
 		const struct fc_customer *c = fc_customer(h->config, i);
 		const struct lm_quota *last = find(g->quotas, c->name);
-		const struct qt_limit limit = limit_of(h, c);
+		const struct qt_limit limit = fc_quota(c, &h->settings.bounds);
 		struct lm_quota out = { .spent = 0 };
 		struct qt_pool *p;
 
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -1,6 +1,7 @@
 #include "load/run.h"
 
 #include "back/hc.h"
+#include "base/ip.h"
 #include "load/answer.h"
 #include "load/balance.h"
 #include "load/servers.h"
@@ -634,15 +635,7 @@
 enum st
 ld_address_parse(const char *text, struct ld_address *out)
 {
-	const char *colon = strrchr(text, ':');
-	uint64_t port = 0;
-
-	if (colon != NULL)
-		port = g_ascii_strtoull(colon + 1, NULL, 10);
-	if (colon == NULL || port == 0 || port > UINT16_MAX ||
-	    (size_t)(colon - text) >= sizeof(out->host))
+	if (!ip_split(text, out->host, sizeof(out->host), &out->port))
 		return st_fail(ST_INVALID, "'%s' is not IP:PORT", text);
-	(void)g_strlcpy(out->host, text, (gsize)(colon - text) + 1);
-	out->port = (uint16_t)port;
 	return ST_OK;
 }
--- a/src/platform/pf_cloud.c
+++ b/src/platform/pf_cloud.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/ip.h"
 #include "base/lg.h"
 #include "platform/pf_names.h"
 
@@ -22,16 +23,9 @@
 read_address(const json_t *o, struct sv *out)
 {
 	const char *text = json_string_value(json_object_get(o, "address"));
-	const char *colon = text == NULL ? NULL : strrchr(text, ':');
-	guint64 port;
 
-	if (colon == NULL || (size_t)(colon - text) >= sizeof(out->host))
-		return false;
-	(void)g_strlcpy(out->host, text, (gsize)(colon - text) + 1);
-	port = g_ascii_strtoull(colon + 1, NULL, 10);
-	out->port = (uint16_t)port;
-	return port > 0 && port <= UINT16_MAX &&
-	    g_hostname_is_ip_address(out->host);
+	return text != NULL &&
+	    ip_split(text, out->host, sizeof(out->host), &out->port);
 }
 
 static bool
--- /dev/null
+++ b/test/unit/conf/test_ds.cc
@@ -0,0 +1,117 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "conf/ds.h"
+}
+
+#include <string>
+
+namespace
+{
+
+const std::string hub = R"({
+  "role": "hub", "node": "h1", "host": "127.0.0.1",
+  "data_centre": "kelenföld", "region": "", "data_folder": "/tmp/x",
+  "callers": null, "ready": "", "operators": "[::1]:8100",
+  "peer_port": 9001, "metrics_port": 9464.0, "memory_mb": 512.0,
+  "seeds": ["127.0.0.1:8100", "127.0.0.2:8100"], "first_start": true,
+  "cloud": "127.0.0.1:7000", "duties": ["autoscaling"],
+  "zones": {"kelenföld": "hu"}, "tolerated_vms": null,
+  "bounds": {"contact_ms": 2500, "retry_ratio": 0.2, "stop_s": null}})";
+
+/// The settings with the value of a key, as far as the next comma, replaced.
+std::string
+with(const std::string &key, const std::string &now)
+{
+	std::string s = hub;
+	const size_t from = s.find("\"" + key + "\"");
+
+	return s.replace(from, s.find(',', from) - from, now);
+}
+
+std::string
+problems_of(const std::string &text)
+{
+	struct ds_settings s;
+	struct nt_problems p = {};
+	std::string found;
+
+	(void)ds_parse(text.data(), text.size(), &s, &p);
+	for (size_t i = 0; i < p.n; i++)
+		found += std::string(p.items[i].path) + "\n";
+	nt_problems_free(&p);
+	return found;
+}
+
+TEST(Seeded, ValuesOfATemplateAreRead)
+{
+	struct ds_settings s;
+	struct nt_problems p = {};
+
+	ASSERT_EQ(ds_parse(hub.data(), hub.size(), &s, &p), ST_OK)
+	    << problems_of(hub);
+	EXPECT_EQ(s.role, DS_HUB);
+	EXPECT_STREQ(s.operators.host, "::1");
+	EXPECT_EQ(s.operators.port, 8100);
+	EXPECT_EQ(s.callers.port, 0);
+	EXPECT_EQ(s.metrics_port, 9464);
+	EXPECT_EQ(s.memory_mb, 512U);
+	EXPECT_EQ(s.n_seeds, 2U);
+	EXPECT_TRUE(s.first_start);
+	EXPECT_TRUE(s.scales);
+	EXPECT_FALSE(s.reports_usage);
+	EXPECT_STREQ(s.regions[0], "hu");
+	EXPECT_EQ(s.bounds.contact_ms, 2500);
+	EXPECT_EQ(s.bounds.retry_ratio, 0.2);
+}
+
+TEST(Seeded, AbsentValuesHaveDefaults)
+{
+	struct ds_settings s;
+	struct nt_problems p = {};
+
+	ASSERT_EQ(ds_parse(hub.data(), hub.size(), &s, &p), ST_OK);
+	EXPECT_EQ(s.tolerance.vms, 1U);
+	EXPECT_EQ(s.max_fds, 1024U);
+	EXPECT_EQ(s.bounds.stop_s, 8);
+	EXPECT_EQ(s.bounds.pass_ms, 120);
+	EXPECT_EQ(s.log_level, LG_INFO);
+}
+
+TEST(Seeded, EveryMistakeIsNamed)
+{
+	EXPECT_EQ(problems_of(with("memory_mb", "\"memory_mb\": 1.5")),
+	    "$.memory_mb\n");
+	EXPECT_EQ(problems_of(with("peer_port", "\"peer_port\": 0")),
+	    "$.peer_port\n");
+	EXPECT_EQ(problems_of(with("peer_port", "\"peer_port\": 70000")),
+	    "$.peer_port\n");
+	EXPECT_EQ(problems_of(with("role", "\"role\": \"king\"")), "$.role\n");
+	EXPECT_EQ(problems_of(with("cloud", "\"cloud\": \"here:7000\"")),
+	    "$.cloud\n");
+	EXPECT_EQ(problems_of(with("duties", "\"extra\": 1")), "$.extra\n");
+}
+
+TEST(Seeded, SeedsAndBoundsAreChecked)
+{
+	std::string s = hub;
+
+	EXPECT_EQ(problems_of(s.replace(s.find("127.0.0.2:8100"), 14, "two")),
+	    "$.seeds[1]\n");
+	s = hub;
+	EXPECT_EQ(problems_of(s.replace(s.find("2500"), 4, "1")),
+	    "$.bounds.contact_ms\n");
+	s = hub;
+	EXPECT_EQ(problems_of(s.replace(s.find("retry_ratio"), 11, "retries")),
+	    "$.bounds.retries\n");
+}
+
+TEST(Seeded, ARoleNeedsItsOwnAddresses)
+{
+	EXPECT_EQ(problems_of(with("operators", "\"operators\": null")),
+	    "$.operators\n");
+	EXPECT_EQ(problems_of(with("role", "\"role\": \"gateway\"")),
+	    "$.callers\n$.ready\n");
+}
+
+} // namespace
