Revert "Kept fixed servers count in the plan (failed try)"

Change: the code as before.

Conclusion: the reserve comes on top of the plan; it must not stand for reclaimable servers.

--- a/src/fleet/sp.c
+++ b/src/fleet/sp.c
@@ -101,20 +101,14 @@
 	return n;
 }
 
-/// Gives the least, what is kept, and what must stay when all reclaimable
-/// servers go.
+/// Gives the least and what must stay when all reclaimable servers go.
 static void
 plan_base(const struct sp_input *in, struct sp_plan *out)
 {
 	const uint32_t base = (uint32_t)ceil(in->need * FIXED_SHARE);
 
-	for (uint32_t i = 0; i < in->n_zones; i++) {
-		const uint32_t kept = in->zones[i].kept;
-
-		out->zones[i].fixed =
-		    least(kept > in->min_servers ? kept : in->min_servers,
-			in->max_servers);
-	}
+	for (uint32_t i = 0; i < in->n_zones; i++)
+		out->zones[i].fixed = least(in->min_servers, in->max_servers);
 	while (count(in, out) < base) {
 		const uint32_t at = place_fixed(in, out);
 
