--- a/src/fleet/sp.c
+++ b/src/fleet/sp.c
@@ -169,22 +169,6 @@
 	}
 }
 
-/// Keeps on-demand servers as far as there is room. They come on top: what
-/// they could stand for is still wanted as reclaimable ones, which are cheap.
-static void
-keep(const struct sp_input *in, struct sp_plan *out)
-{
-	for (uint32_t i = 0; i < in->n_zones; i++) {
-		struct sp_order *o = &out->zones[i];
-		const uint32_t room =
-		    in->max_servers > o->spot ? in->max_servers - o->spot : 0;
-		const uint32_t kept = least(in->zones[i].kept, room);
-
-		if (o->fixed < kept)
-			o->fixed = kept;
-	}
-}
-
 /// Plans the servers of a service.
 void
 sp_plan(const struct sp_input *in, struct sp_plan *out)
@@ -197,7 +181,6 @@
 	fill_up(in, out);
 	if (in->spot_price > 0)
 		plan_spot(in, out);
-	keep(in, out);
 }
 
 /// Notes how many reclaimable servers there are.
--- a/src/fleet/sp.h
+++ b/src/fleet/sp.h
@@ -13,7 +13,6 @@
 struct sp_zone {
 	double price;      ///< of an on-demand server for a second
 	uint32_t fixed;    ///< on-demand servers that take work or start
-	uint32_t kept;     ///< on-demand servers that aren't given up now
 	uint32_t spot;     ///< reclaimable ones that take work
 	uint32_t starting; ///< reclaimable ones that were ordered and accepted
 	bool spot_dry;     ///< an order for reclaimable ones failed lately
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -132,6 +132,22 @@
 	send_order(h, o, n);
 }
 
+/// Orders no fewer fixed servers than are there or on their way, as far as the
+/// data centre's limit has room.
+static void
+keep_fixed(struct hb *h, const struct fc_service *s, const char *zone,
+    const struct sp_order *plan)
+{
+	const struct hb_order *o = order_of(h, s->name, zone, false);
+	const uint32_t have = count(h, s->name, zone, false);
+	const uint32_t coming = o->ordered ? o->wanted : 0;
+	const uint32_t limit = s->scaling.max_servers;
+	const uint32_t room = limit > plan->spot ? limit - plan->spot : 0;
+	const uint32_t keep = MIN(room, MAX(have, coming));
+
+	want(h, s->name, zone, false, MAX(plan->fixed, keep));
+}
+
 /// @return whether the data centre recalled servers of late
 static bool
 fill_zone(struct hb *h, const struct fc_service *s,
@@ -153,19 +169,6 @@
 	    spot->ordered || spot->wanted > 0 ? spot->wanted : UINT32_MAX);
 }
 
-/// Keeps the fixed servers of a service that are there or on their way.
-static void
-keep_fixed(struct hb *h, const struct fc_service *s, struct sp_input *in)
-{
-	for (uint32_t i = 0; i < in->n_zones; i++) {
-		const struct hb_order *o =
-		    order_of(h, s->name, s->scaling.zones[i].zone, false);
-		const uint32_t coming = o->ordered ? o->wanted : 0;
-
-		in->zones[i].kept = MAX(in->zones[i].fixed, coming);
-	}
-}
-
 /// Work of a service that gateways reported since it was looked at last.
 struct hb_work {
 	uint64_t tokens;
@@ -296,11 +299,13 @@
 		return;
 	for (uint32_t i = 0; i < in.n_zones; i++)
 		recalled |= fill_zone(h, s, &c->zones[i], &in.zones[i]);
-	if (recalled)
-		keep_fixed(h, s, &in);
 	sp_plan(&in, &plan);
 	for (uint32_t i = 0; i < in.n_zones; i++) {
 		want(h, s->name, c->zones[i].zone, true, plan.zones[i].spot);
+		if (recalled) {
+			keep_fixed(h, s, c->zones[i].zone, &plan.zones[i]);
+			continue;
+		}
 		// Servers that are to be replaced go once others are there.
 		if (plan.zones[i].fixed >= in.zones[i].fixed ||
 		    in.zones[i].spot >= plan.zones[i].spot)
--- a/test/unit/fleet/test_servers.cc
+++ b/test/unit/fleet/test_servers.cc
@@ -144,23 +144,6 @@
 	return s;
 }
 
-TEST(Plan, KeptServersComeOnTopOfReclaimableOnes)
-{
-	struct sp_input in = three_zones(6);
-	struct sp_plan without;
-	struct sp_plan p;
-
-	in.zones[2].fixed = 2;
-	sp_plan(&in, &without);
-	in.zones[2].kept = 2;
-	sp_plan(&in, &p);
-	EXPECT_EQ(p.zones[2].fixed, 2U);
-	EXPECT_EQ(spot(p), spot(without)) << "none is given up for them";
-	in.zones[2].kept = in.max_servers + 1;
-	sp_plan(&in, &p);
-	EXPECT_EQ(p.zones[2].fixed + p.zones[2].spot, in.max_servers);
-}
-
 TEST(Reserve, IsKeptAfterARecallAndGivenUpLater)
 {
 	struct sp_reserve r = {};
