A stop ends what waits and releases freed connections

Proposals and reads that wait in a group were forgotten at its close, so whoever asked was neither told nor released (56 bytes, lk.c take_frame). 2. libevent's connection holds a reference to itself while a callback of its own is queued; freed in that state when the loop ends, it stays. Ruled out: slowness alone (24 runs with slow allocation tracing: no leak); freeing within a callback or before a loopbreak (a trial program, no leak). Change: gp_end_waits() ends what waits with an unknown outcome, called by control and hub while their links stand; lp_free() runs what is queued.

--- a/src/control/co.c
+++ b/src/control/co.c
@@ -418,12 +418,25 @@
 	    sizeof(c->settings.operator_token));
 }
 
+/// Ends what is asked of the groups and of other processes. Whoever asked is
+/// told while the links still stand.
+static void
+end_questions(struct co *c)
+{
+	for (uint32_t i = 0; i < CO_GROUPS; i++) {
+		if (c->groups[i].gp != NULL)
+			gp_end_waits(c->groups[i].gp);
+	}
+	co_asked_expire(c, UINT64_MAX);
+}
+
 /// Releases a control process; NULL is allowed.
 void
 co_free(struct co *c)
 {
 	if (c == NULL)
 		return;
+	end_questions(c);
 	fr_free(c->operators);
 	lk_free(c->links);
 	for (uint32_t i = 0; i < CO_GROUPS; i++) {
--- a/src/hub/hb.c
+++ b/src/hub/hb.c
@@ -175,6 +175,8 @@
 {
 	if (h == NULL)
 		return;
+	if (h->group != NULL)
+		gp_end_waits(h->group);
 	fr_free(h->operators);
 	fr_free(h->metrics);
 	gp_close(h->group);
--- a/src/loop/lp.c
+++ b/src/loop/lp.c
@@ -114,6 +114,8 @@
 	ct_free(l->counters);
 	rnd_free(l->random);
 	event_free(l->wake);
+	// Connections that were freed with work still queued go only now.
+	(void)event_base_loop(l->base, EVLOOP_NONBLOCK);
 	event_base_free(l->base);
 	g_free(l);
 }
--- a/src/replog/gp.c
+++ b/src/replog/gp.c
@@ -52,6 +52,24 @@
 	copy.done(copy.arg, st, bytes, len);
 }
 
+/// Ends what waits, each with ST_TIMEOUT: for an owner that is about to close
+/// the group and can still answer.
+void
+gp_end_waits(struct gp *g)
+{
+	GArray *tags = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, g->waits);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		g_array_append_vals(tags, key, 1);
+	for (guint i = 0; i < tags->len; i++)
+		finish_wait(
+		    g, g_array_index(tags, uint64_t, i), ST_TIMEOUT, NULL, 0);
+	g_array_unref(tags);
+}
+
 static void
 clear_result(struct gp *g)
 {
--- a/src/replog/gp.h
+++ b/src/replog/gp.h
@@ -100,6 +100,7 @@
     void *arg, enum st status, const uint8_t *result, size_t len);
 
 enum st gp_open(const struct gp_config *config, struct gp **out);
+void gp_end_waits(struct gp *g);
 void gp_close(struct gp *g);
 /// @param from  slot of the sender, as the transport knows it
 void gp_message(struct gp *g, uint32_t from, const uint8_t *bytes, size_t len);
--- a/test/unit/replog/test_gp.cc
+++ b/test/unit/replog/test_gp.cc
@@ -51,6 +51,27 @@
 	EXPECT_EQ(net.propose(old, "no").st, ST_UNAVAILABLE);
 }
 
+TEST(Group, WhatWaitsIsEndedOnceBeforeAClose)
+{
+	Net net;
+	int calls = 0;
+	const auto count = [](void *arg, enum st st, const uint8_t *, size_t) {
+		EXPECT_EQ(st, ST_TIMEOUT);
+		++*static_cast<int *>(arg);
+	};
+
+	start(net);
+	struct gp *gp = net.nodes[net.leader()]->gp;
+	gp_propose(
+	    gp, reinterpret_cast<const uint8_t *>("x"), 1, count, &calls);
+	gp_read(gp, count, &calls);
+	gp_end_waits(gp);
+	EXPECT_EQ(calls, 2);
+	gp_end_waits(gp);
+	net.run(200000);
+	EXPECT_EQ(calls, 2);
+}
+
 TEST(Group, SnapshotBringsALateMemberUpToDate)
 {
 	Net net;
