Links dial again soon where nothing answers

Cause: after a loss of all power the hubs were back 0.4 s after the first one, but their links only a second after it: the first packet to a VM that is still starting is lost, and the kernel sends it again after a second; the link waited as long before it dialled anew. Ruled out: reading the log (18 ms), the election itself (30 ms once linked), the gateways' leases (1 ms after the leader was ready). Change: a connection that doesn't stand within 100 ms is dialled again, with twice the time up to a second; pauses between dials end at 250 ms.

--- a/src/wire/lk.c
+++ b/src/wire/lk.c
@@ -16,10 +16,15 @@
 #include "base/lg.h"
 
 #define LK_RETRY_FIRST_US (50 * TM_US_PER_MS)
-#define LK_RETRY_MAX_US (1 * TM_US_PER_S)
+#define LK_RETRY_MAX_US (250 * TM_US_PER_MS)
 #define LK_HEAD_BYTES 4
-/// A dialled link that isn't up by then is dialled again.
-#define LK_DIAL_US (1 * TM_US_PER_S)
+/// A connection that doesn't stand by then is dialled again, with twice the
+/// time. The first packet to a VM that is just starting is lost, and the
+/// kernel sends it again only after a second.
+#define LK_CONNECT_FIRST_US (100 * TM_US_PER_MS)
+#define LK_CONNECT_MAX_US (1 * TM_US_PER_S)
+/// A connection without the peer's hello by then is dialled again.
+#define LK_HELLO_US (1 * TM_US_PER_S)
 /// A peer that acknowledges nothing for so long is gone, also without a reset.
 #define LK_SILENT_MS 2000
 #define LK_PROBE_S 1
@@ -32,6 +37,7 @@
 	struct bufferevent *bev; ///< NULL while down
 	struct tm_timer *retry;  ///< dialled links only
 	uint64_t retry_us;
+	uint64_t connect_us;
 	struct sockaddr_storage address;
 	int address_len;
 	bool dialled;
@@ -46,6 +52,7 @@
 	struct evconnlistener *listener;
 	uint64_t bytes_sent;
 	uint64_t bytes_received;
+	uint64_t n_dials;
 };
 
 static void dial(struct lk_link *link);
@@ -161,6 +168,7 @@
 	link->hello = msg->hello;
 	link->up = true;
 	link->up_us = tm_now_us(l->config.timers);
+	link->connect_us = LK_CONNECT_FIRST_US;
 	if (link->dialled)
 		tm_disarm(link->retry);
 	l->config.callbacks.up(
@@ -270,6 +278,8 @@
 	struct lk_link *link = arg;
 
 	if (what & BEV_EVENT_CONNECTED) {
+		if (link->dialled)
+			tm_arm_in(link->retry, LK_HELLO_US);
 		set_options(bev);
 		send_hello(link);
 		return;
@@ -294,7 +304,9 @@
 static void
 dial(struct lk_link *link)
 {
-	tm_arm_in(link->retry, LK_DIAL_US);
+	link->owner->n_dials++;
+	tm_arm_in(link->retry, link->connect_us);
+	link->connect_us = MIN(link->connect_us * 2, LK_CONNECT_MAX_US);
 	link->bev = make_bev(link->owner, -1, true);
 	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
 	(void)bufferevent_enable(link->bev, EV_READ | EV_WRITE);
@@ -402,6 +414,7 @@
 	link->address = address;
 	link->address_len = len;
 	link->retry_us = LK_RETRY_FIRST_US;
+	link->connect_us = LK_CONNECT_FIRST_US;
 	link->retry = tm_subscribe(l->config.timers, on_retry, link);
 	dial(link);
 	return self;
@@ -471,3 +484,10 @@
 {
 	return l->bytes_received;
 }
+
+/// Connections dialled so far.
+uint64_t
+lk_dials(const struct lk *l)
+{
+	return l->n_dials;
+}
--- a/src/wire/lk.h
+++ b/src/wire/lk.h
@@ -41,5 +41,6 @@
 void lk_close(struct lk *l, hd_t link);
 uint64_t lk_bytes_sent(const struct lk *l);
 uint64_t lk_bytes_received(const struct lk *l);
+uint64_t lk_dials(const struct lk *l);
 
 #endif
