--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -28,6 +28,23 @@
 		RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/test)
 endforeach()
 
+# Faults from outside at real processes. The sanitisers come first in a
+# process, so there the clock and the disk of it are left alone.
+file(GLOB sources CONFIGURE_DEPENDS test/soak/*.c)
+list(FILTER sources EXCLUDE REGEX shim.c$)
+add_executable(soak test/common/relay.c ${sources})
+target_include_directories(soak PRIVATE test test/soak)
+target_link_libraries(soak loop back base ${GLIB} ${EVENT}
+	PkgConfig::jansson PkgConfig::argtable2)
+set_target_properties(soak PROPERTIES
+	RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/test)
+if(NOT SANITIZE AND NOT FUZZ)
+	add_library(soak_shim MODULE test/soak/shim.c)
+	target_link_libraries(soak_shim ${CMAKE_DL_LIBS})
+	set_target_properties(soak_shim PROPERTIES
+		LIBRARY_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/test)
+endif()
+
 # A proof of the fixed list that CI runs, with its seed.
 function(ac_proof name seed)
 	add_test(NAME proof_${name}_${seed}
--- a/src/conf/ds.c
+++ b/src/conf/ds.c
@@ -71,6 +71,7 @@
 	ADDR("operators", operators, false),
 	{ "peer_port", FD_U16, true, AT(peer_port), .min = 1,
 	    .max = UINT16_MAX },
+	ADDR("peer_listen", peer_listen, false),
 	{ "metrics_port", FD_U16, false, AT(metrics_port), .max = UINT16_MAX },
 	{ "first_start", FD_BOOL, false, AT(first_start) },
 	WHOLE("memory_mb", memory_mb, 0, UINT32_MAX, 256),
--- a/src/conf/ds.h
+++ b/src/conf/ds.h
@@ -56,7 +56,10 @@
 	struct cf_addr ready;            ///< gateway
 	struct cf_addr operators;        ///< hub
 	uint16_t peer_port;              ///< of every process of control
-	uint16_t metrics_port;           ///< 0: none
+	/// hub: where it takes links, if they reach it through a translation
+	/// of addresses; no port: at its own address
+	struct cf_addr peer_listen;
+	uint16_t metrics_port; ///< 0: none
 	uint32_t n_seeds;
 	struct cf_addr seeds[DS_MAX_SEEDS]; ///< operators' addresses
 	bool first_start; ///< of the whole deployment, with empty disks
--- a/src/hub/hb_link.c
+++ b/src/hub/hb_link.c
@@ -279,6 +279,9 @@
 	h->links = lk_new(&config);
 	for (uint32_t i = 0; i < s->n_seeds; i++)
 		(void)hb_peer(h, ps_slot(s->seeds[i].host));
+	if (s->peer_listen.port != 0)
+		return lk_listen(
+		    h->links, s->peer_listen.host, s->peer_listen.port);
 	return lk_listen(h->links, s->host, s->peer_port);
 }
 
--- a/src/hub/hb_log.c
+++ b/src/hub/hb_log.c
@@ -125,6 +125,7 @@
 		hb_quota_start(h);
 		hb_list_reset(h);
 		hb_moves_reset(h);
+		tm_arm_in(h->tick, 0);
 	}
 	h->led = hb_leads(h);
 	tm_arm_in(h->push, 0);
--- a/src/replog/rl_election.c
+++ b/src/replog/rl_election.c
@@ -2,6 +2,11 @@
 
 #include "base/inv.h"
 
+/// Elections that a removed member leaves to others.
+#define REMOVED_WAITS 4
+/// Part of an election's time until a pre-vote is asked for again.
+#define PRE_VOTE_PART 4
+
 /// Sets the time at which a follower stops waiting for its leader.
 void
 rl_reset_deadline(struct rl_core *c)
@@ -10,6 +15,16 @@
 	    c->now_us + c->election_us + rnd_below(c->rnd, c->election_us);
 }
 
+/// A member that found no quorum for its pre-vote asks again soon: nobody is
+/// disturbed by it, and others' waits may end meanwhile.
+static void
+reset_pre_vote_deadline(struct rl_core *c)
+{
+	const uint64_t wait_us = c->election_us / PRE_VOTE_PART;
+
+	c->deadline_us = c->now_us + wait_us + rnd_below(c->rnd, wait_us + 1);
+}
+
 /// Whether a leader was heard so lately that its lease may hold. Voters
 /// refuse votes meanwhile: this is the other half of the lease.
 bool
@@ -90,9 +105,6 @@
 	}
 }
 
-/// Elections that a removed member leaves to others.
-#define REMOVED_WAITS 4
-
 static void
 become_candidate(struct rl_core *c)
 {
@@ -145,7 +157,9 @@
 	}
 	for (size_t i = 0; i < c->n_peers; i++)
 		c->peers[i].granted = false;
-	change_role(c, RL_PRE_CANDIDATE, 0);
+	reset_pre_vote_deadline(c);
+	if (c->role != RL_PRE_CANDIDATE)
+		change_role(c, RL_PRE_CANDIDATE, 0);
 	ask_votes(c, RL_MSG_PRE_VOTE, c->hard.term + 1);
 	rl_count_votes(c);
 }
@@ -166,10 +180,12 @@
 	}
 	if (granted < set->n_voters / 2 + 1)
 		return;
-	if (pre)
-		become_candidate(c);
-	else
+	if (!pre) {
 		rl_start_leading(c);
+		return;
+	}
+	rl_reset_deadline(c);
+	become_candidate(c);
 }
 
 static bool
--- a/test/common/relay.c
+++ b/test/common/relay.c
@@ -7,11 +7,15 @@
 #include <event2/listener.h>
 #include <glib.h>
 #include <signal.h>
+#include <stdbool.h>
 #include <string.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+/// How late bytes pass on a slow link.
+#define RELAY_DELAY_US 150000
+
 struct relay {
 	pid_t pid;
 	int commands; ///< Written by the test, read by the child.
@@ -29,6 +33,9 @@
 	struct link *link;
 	struct bufferevent *from;
 	struct bufferevent *to;
+	struct event *late; ///< passes on what came while the link is slow
+	bool silent;        ///< for good
+	bool closing;       ///< once all that came is passed on
 };
 
 struct link {
@@ -39,7 +46,7 @@
 };
 
 static struct sockaddr_in
-loopback(uint16_t port)
+address(const char *host, uint16_t port)
 {
 	struct sockaddr_in a = {
 		.sin_family = AF_INET,
@@ -47,6 +54,8 @@
 	};
 
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (host != NULL)
+		(void)inet_pton(AF_INET, host, &a.sin_addr);
 	return a;
 }
 
@@ -63,40 +72,95 @@
 apply(const struct pair *p)
 {
 	const enum relay_mode m = p->link->mode;
+	const bool both =
+	    m == RELAY_OPEN || m == RELAY_SLOW || m == RELAY_FORGET;
 
-	set_reading(p->from, m == RELAY_OPEN || m == RELAY_TO_ONLY);
-	set_reading(p->to, m == RELAY_OPEN || m == RELAY_BACK_ONLY);
+	set_reading(p->from, !p->silent && (both || m == RELAY_TO_ONLY));
+	set_reading(p->to, !p->silent && (both || m == RELAY_BACK_ONLY));
 }
 
 static void
-on_read(struct bufferevent *b, void *arg)
+pass(const struct pair *p)
 {
-	const struct pair *p = arg;
-	struct bufferevent *other = b == p->from ? p->to : p->from;
+	(void)bufferevent_write_buffer(p->to, bufferevent_get_input(p->from));
+	(void)bufferevent_write_buffer(p->from, bufferevent_get_input(p->to));
+}
 
-	(void)bufferevent_write_buffer(other, bufferevent_get_input(b));
+static void
+on_late(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	pass(arg);
 }
 
 static void
-on_event(struct bufferevent *b, short what, void *arg)
+pair_free(struct pair *p, bool reset)
 {
-	struct pair *p = arg;
+	const struct linger now = { .l_onoff = 1 };
 
-	(void)b;
-	if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
-		return;
+	if (reset)
+		(void)setsockopt(bufferevent_getfd(p->from), SOL_SOCKET,
+		    SO_LINGER, &now, sizeof(now));
 	(void)g_ptr_array_remove_fast(p->link->pairs, p);
+	event_free(p->late);
 	bufferevent_free(p->from);
 	bufferevent_free(p->to);
 	g_free(p);
 }
 
+static void
+on_read(struct bufferevent *b, void *arg)
+{
+	static const struct timeval delay = { .tv_usec = RELAY_DELAY_US };
+	struct pair *p = arg;
+
+	(void)b;
+	if (p->link->mode != RELAY_SLOW)
+		pass(p);
+	else if (!event_pending(p->late, EV_TIMEOUT, NULL))
+		(void)event_add(p->late, &delay);
+}
+
+static size_t
+unsent(struct bufferevent *b)
+{
+	return evbuffer_get_length(bufferevent_get_output(b));
+}
+
+static void
+on_written(struct bufferevent *b, void *arg)
+{
+	struct pair *p = arg;
+
+	(void)b;
+	if (p->closing && unsent(p->from) == 0 && unsent(p->to) == 0)
+		pair_free(p, false);
+}
+
+static void
+on_event(struct bufferevent *b, short what, void *arg)
+{
+	struct pair *p = arg;
+
+	if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0 || p->silent)
+		return;
+	if (what & BEV_EVENT_ERROR) {
+		pair_free(p, true);
+		return;
+	}
+	pass(p);
+	p->closing = true;
+	on_written(b, p);
+}
+
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
     struct sockaddr *peer, int len, void *arg)
 {
 	struct link *l = arg;
-	const struct sockaddr_in to = loopback(l->ports.to_port);
+	const struct sockaddr_in to =
+	    address(l->ports.to_host, l->ports.to_port);
 	struct pair *p = g_new0(struct pair, 1);
 
 	(void)listener;
@@ -105,9 +169,14 @@
 	p->link = l;
 	p->from = bufferevent_socket_new(l->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	p->to = bufferevent_socket_new(l->base, -1, BEV_OPT_CLOSE_ON_FREE);
-	bufferevent_setcb(p->from, on_read, NULL, on_event, p);
-	bufferevent_setcb(p->to, on_read, NULL, on_event, p);
+	p->late = evtimer_new(l->base, on_late, p);
+	bufferevent_setcb(p->from, on_read, on_written, on_event, p);
+	bufferevent_setcb(p->to, on_read, on_written, on_event, p);
 	g_ptr_array_add(l->pairs, p);
+	if (l->mode == RELAY_RESET) {
+		pair_free(p, true);
+		return;
+	}
 	apply(p);
 	(void)bufferevent_socket_connect(
 	    p->to, (const struct sockaddr *)&to, sizeof(to));
@@ -125,8 +194,15 @@
 		_exit(0);
 	l = &links[c.link];
 	l->mode = c.mode;
-	for (guint i = 0; i < l->pairs->len; i++)
-		apply(g_ptr_array_index(l->pairs, i));
+	for (guint i = l->pairs->len; i > 0; i--) {
+		struct pair *p = g_ptr_array_index(l->pairs, i - 1);
+
+		p->silent = p->silent || c.mode == RELAY_FORGET;
+		if (c.mode == RELAY_RESET)
+			pair_free(p, true);
+		else
+			apply(p);
+	}
 }
 
 static void
@@ -138,7 +214,8 @@
 	    event_new(base, commands, EV_READ | EV_PERSIST, on_command, links);
 
 	for (size_t i = 0; i < n; i++) {
-		const struct sockaddr_in at = loopback(ports[i].listen_port);
+		const struct sockaddr_in at =
+		    address(ports[i].listen_host, ports[i].listen_port);
 
 		links[i] = (struct link){ .base = base, .ports = ports[i] };
 		links[i].pairs = g_ptr_array_new();
--- /dev/null
+++ b/test/soak/callers.c
@@ -0,0 +1,278 @@
+#include "soak.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MEAN_GAP_US 20000.0
+#define PROBE_US (400 * TM_US_PER_MS)
+#define PROBE_TIMEOUT_US (350 * TM_US_PER_MS)
+#define DEADLINE_US (2 * TM_US_PER_S)
+#define CONNECT_US TM_US_PER_S
+#define MAX_MISSES 2
+#define MAX_EVENTS 24
+#define CALLERS_PORT 8221
+#define READY_PORT 8224
+/// A key that was taken away is shown by one request in so many.
+#define OLD_KEY_IN 12
+
+static const char *const paths[] = { "/plain/", "/book/", "/stream/" };
+
+static void
+request_free(void *arg)
+{
+	struct sk_request *q = arg;
+
+	(void)g_string_free(q->text, TRUE);
+	g_free(q);
+}
+
+static struct sk_process *
+choose_gateway(struct sk *s)
+{
+	struct sk_process *in[SK_MAX_GATEWAYS];
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->n_gateways; i++) {
+		if (!s->gateways[i].out)
+			in[n++] = &s->gateways[i];
+	}
+	return n > 0 ? in[sk_below(s, n)]
+		     : &s->gateways[sk_below(s, s->n_gateways)];
+}
+
+/// A server began to work on a request.
+void
+sk_request_ran(struct sk *s, struct sk_request *q, struct sk_server *v)
+{
+	const uint64_t now = sk_now(s);
+
+	q->runs++;
+	if (q->kind == SK_BOOK && q->runs > 1)
+		sk_breach(s, "twice: %s ran again, at %s", q->id, v->id);
+	if (q->refused)
+		sk_breach(s, "refused: %s ran after it was refused, at %s",
+		    q->id, v->id);
+	if (q->key < s->revoked && q->sent_us > s->revoked_us + SK_REVOKE_US)
+		sk_breach(s,
+		    "revoked: %s shows key %u and ran, %.1f s after it was "
+		    "taken away",
+		    q->id, q->key,
+		    (double)(now - s->revoked_us) / (double)TM_US_PER_S);
+}
+
+/// A stream's events come whole, each once and in order.
+static bool
+stream_is_whole(struct sk *s, const struct sk_request *q)
+{
+	GString *want = g_string_new(NULL);
+	bool same;
+
+	for (uint32_t i = 1; i <= q->events; i++)
+		g_string_append_printf(
+		    want, "id: %u\ndata: %s %u\n\n", i, q->id, i);
+	same = g_string_equal(want, q->text);
+	if (!same)
+		sk_breach(s, "order: %s got '%.300s'", q->id, q->text->str);
+	(void)g_string_free(want, TRUE);
+	return same;
+}
+
+static bool
+plain_is_whole(struct sk *s, const struct sk_request *q, const char *stamp)
+{
+	char *want = g_strdup_printf("%s at %s", q->id, stamp);
+	const bool same = strcmp(want, q->text->str) == 0;
+
+	if (!same)
+		sk_breach(s, "mixed: %s got '%.100s' stamped '%s'", q->id,
+		    q->text->str, stamp);
+	g_free(want);
+	return same;
+}
+
+/// Whether a request was sent after the time that recovery may take.
+static bool
+is_late(const struct sk_request *q)
+{
+	return q->key != q->sk->revoked - 1 &&
+	    q->sent_us > q->sk->until_us + SK_RECOVER_US;
+}
+
+static void
+check_success(struct sk *s, struct sk_request *q)
+{
+	const char *stamp =
+	    hc_answer_header(s->http, q->call, "X-Acaciahinge-Server-Stamp");
+
+	if (stamp == NULL || q->runs == 0)
+		sk_breach(s, "mixed: %s succeeded, stamp %s, %u runs", q->id,
+		    stamp != NULL ? stamp : "none", q->runs);
+	else if (q->kind == SK_STREAM ? stream_is_whole(s, q)
+				      : plain_is_whole(s, q, stamp)) {
+		s->n_whole++;
+		s->n_late_whole += is_late(q);
+	}
+}
+
+/// Planned work alone cuts nothing that a server had begun to work on.
+static void
+check_cut(struct sk *s, const struct sk_request *q, const char *how)
+{
+	const struct sk_process *g = &s->gateways[q->gateway];
+
+	if (q->runs == 0 || q->sent_us < s->shaken_us + SK_CONTACT_US ||
+	    q->sent_us < g->troubled_us + SK_CONTACT_US ||
+	    sk_now(s) > q->sent_us + DEADLINE_US * 7 / 10)
+		return;
+	sk_breach(s, "lost: %s at %s ended by %s beside planned work", q->id,
+	    g->name, how);
+}
+
+static void
+on_data(void *arg, const uint8_t *bytes, size_t len)
+{
+	struct sk_request *q = arg;
+
+	(void)g_string_append_len(q->text, (const char *)bytes, (gssize)len);
+}
+
+static void
+on_end(void *arg, const struct hc_result *result)
+{
+	struct sk_request *q = arg;
+	struct sk *s = q->sk;
+	const int status = result->http_status;
+
+	q->ended_us = sk_now(s);
+	if (result->status != ST_OK) {
+		s->n_failed++;
+		if (result->status == ST_IO)
+			check_cut(s, q, "a closed connection");
+	} else if (status == 200) {
+		check_success(s, q);
+	} else if (status == 429 || status == 503) {
+		s->n_refused++;
+		q->refused = true;
+		if (q->runs > 0)
+			sk_breach(s, "refused: %s got %d and had run %u times",
+			    q->id, status, q->runs);
+	} else {
+		s->n_failed++;
+		if ((status == 401 || status == 404) && q->key > s->revoked)
+			sk_breach(s, "denied: %s at %s got %d", q->id,
+			    s->gateways[q->gateway].name, status);
+	}
+	q->call = HD_NONE;
+}
+
+/// Most show the newest key that every configuration holds, some one that was
+/// taken away.
+static uint32_t
+choose_key(struct sk *s)
+{
+	if (s->revoked > 0 && sk_below(s, OLD_KEY_IN) == 0)
+		return s->revoked - 1;
+	return s->revoked + 1;
+}
+
+static void
+send_request(struct sk *s)
+{
+	const struct sk_process *g = choose_gateway(s);
+	struct sk_request *q = g_new0(struct sk_request, 1);
+	char key[SK_ID_BYTES];
+	char *path;
+	struct hc_call call = {
+		.method = "GET",
+		.host = g->host,
+		.port = CALLERS_PORT,
+		.connect_us = CONNECT_US,
+		.timeout_us = DEADLINE_US,
+		.fresh = sk_below(s, 3) == 0,
+		.on_data = on_data,
+		.on_end = on_end,
+		.arg = q,
+	};
+
+	q->sk = s;
+	q->kind = (enum sk_kind)sk_below(s, 3);
+	q->gateway = g->number;
+	q->key = choose_key(s);
+	q->sent_us = sk_now(s);
+	q->events = 1 + sk_below(s, MAX_EVENTS);
+	q->text = g_string_new(NULL);
+	(void)g_snprintf(q->id, sizeof(q->id), "q%u", ++s->n_requests);
+	(void)g_snprintf(key, sizeof(key), "Bearer k%u", q->key);
+	(void)g_hash_table_insert(s->requests, q->id, q);
+	path = g_strdup_printf("%s%u", paths[q->kind], s->n_requests);
+	call.path = path;
+	call.headers[0] = (struct hc_header){ "Host", "desk.example" };
+	call.headers[1] =
+	    (struct hc_header){ "X-Acaciahinge-Request-Id", q->id };
+	call.headers[2] =
+	    (struct hc_header){ "X-Acaciahinge-Deadline-Ms", "2000" };
+	call.headers[3] = (struct hc_header){ "Authorization", key };
+	// A caller never asks for a customer or a reservation of its own.
+	call.headers[4] = (struct hc_header){ "X-Acaciahinge-Tenant", "other" };
+	call.headers[5] = (struct hc_header){ "X-Acaciahinge-Hold", "h" };
+	s->n_late += is_late(q);
+	q->call = hc_send(s->http, &call);
+	g_free(path);
+}
+
+static void
+on_send(void *arg, uint64_t now_us)
+{
+	struct sk *s = arg;
+
+	(void)now_us;
+	tm_arm_in(s->ticks[1], (uint64_t)rnd_exponential(s->rnd, MEAN_GAP_US));
+	if (s->configs->len > 0)
+		send_request(s);
+}
+
+static void
+on_probed(void *arg, const struct hc_result *result)
+{
+	struct sk_process *p = arg;
+	const bool ok = result->status == ST_OK && result->http_status == 200;
+
+	p->misses = ok ? 0 : p->misses + 1;
+	p->out = p->misses >= MAX_MISSES;
+}
+
+/// The balancer asks each gateway whether it is ready.
+static void
+on_probe(void *arg, uint64_t now_us)
+{
+	struct sk *s = arg;
+
+	(void)now_us;
+	tm_arm_in(s->ticks[2], PROBE_US);
+	for (uint32_t i = 0; i < s->n_gateways; i++) {
+		const struct hc_call call = {
+			.method = "GET",
+			.host = s->gateways[i].host,
+			.port = READY_PORT,
+			.path = "/api/readiness",
+			.timeout_us = PROBE_TIMEOUT_US,
+			.fresh = true,
+			.on_end = on_probed,
+			.arg = &s->gateways[i],
+		};
+
+		(void)hc_send(s->http, &call);
+	}
+}
+
+/// Starts callers and the balancer that deals their connections out.
+void
+sk_callers_start(struct sk *s)
+{
+	s->requests =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, request_free);
+	s->ticks[1] = tm_subscribe(s->timers, on_send, s);
+	s->ticks[2] = tm_subscribe(s->timers, on_probe, s);
+	tm_arm_in(s->ticks[1], 0);
+	tm_arm_in(s->ticks[2], 0);
+}
--- /dev/null
+++ b/test/soak/faults.c
@@ -0,0 +1,388 @@
+#include "soak.h"
+
+#include <signal.h>
+
+#define TICK_US (100 * TM_US_PER_MS)
+/// Trouble and planned work alone take turns.
+#define TROUBLE_US (8 * TM_US_PER_S)
+#define CALM_US (9 * TM_US_PER_S)
+/// Everything has started by then.
+#define FIRST_US (4 * TM_US_PER_S)
+#define MAX_ACTIVE 4
+#define FAULT_IN 5
+#define PLAN_IN 20
+/// A lost disk counts as lost until its process had time to catch up.
+#define WIPE_AGAIN_US (12 * TM_US_PER_S)
+#define WIPE_CALM_US (6 * TM_US_PER_S)
+/// A process may end itself for want of room, and notices room this late.
+#define EXCUSED_US TM_US_PER_S
+#define CLOCK_JUMP_MS 2500
+#define SYNC_SLOW_MS 60
+#define SYNC_STALL_MS 2500
+
+enum fault_kind {
+	HUB_KILL,
+	HUB_FREEZE,
+	HUB_KILL_ALL,
+	HUB_LOSE_DISK,
+	HUB_LINK,
+	HUB_CLOCK,
+	HUB_SLOW_SYNC,
+	HUB_STALL,
+	HUB_FULL,
+	GATEWAY_KILL,
+	GATEWAY_FREEZE,
+	GATEWAY_CLOCK,
+	GATEWAY_KILL_MOST,
+	SERVER_MANNER,
+	SERVER_LINK,
+	SERVER_CRASH,
+	PLATFORM_SILENT,
+	FAULTS,
+};
+
+enum plan_kind {
+	PLAN_STOP_GATEWAY,
+	PLAN_STOP_HUB,
+	PLAN_RELOAD,
+	PLAN_SERVER_LEAVES,
+	PLANS,
+};
+
+struct fault {
+	enum fault_kind kind;
+	struct sk_process *process;
+	struct sk_server *server;
+	uint64_t until_us; ///< 0: the place is free
+};
+
+static struct fault active[MAX_ACTIVE];
+static uint64_t hubs_calm_since_us;
+static uint64_t wiped_us;
+
+static const enum relay_mode link_faults[] = { RELAY_CUT, RELAY_TO_ONLY,
+	RELAY_BACK_ONLY, RELAY_SLOW, RELAY_RESET, RELAY_FORGET };
+static const enum sk_manner manners[] = { SK_FULL, SK_FAILS, SK_HANGS,
+	SK_CUTS };
+
+static enum relay_mode
+some_link_fault(struct sk *s)
+{
+	return link_faults[sk_below(s, G_N_ELEMENTS(link_faults))];
+}
+
+/// A process that nothing is done to at the moment, or NULL.
+static struct sk_process *
+some(struct sk *s, struct sk_process *all, uint32_t n)
+{
+	struct sk_process *p = &all[sk_below(s, n)];
+
+	for (uint32_t i = 0; i < MAX_ACTIVE; i++) {
+		if (active[i].until_us != 0 && active[i].process == p)
+			return NULL;
+	}
+	return p->pid > 0 && !p->ending ? p : NULL;
+}
+
+static bool
+may_lose_disk(const struct sk *s)
+{
+	const uint64_t now = sk_now(s);
+
+	for (uint32_t i = 0; i < s->n_hubs; i++) {
+		if (s->hubs[i].pid <= 0 || s->hubs[i].ending)
+			return false;
+	}
+	return now > hubs_calm_since_us + WIPE_CALM_US &&
+	    now > wiped_us + WIPE_AGAIN_US;
+}
+
+static void
+begin_hub(struct sk *s, struct fault *f)
+{
+	struct sk_process *p = f->process;
+
+	switch (f->kind) {
+	case HUB_KILL:
+		sk_process_end(s, p, SIGKILL, f->until_us - sk_now(s));
+		break;
+	case HUB_FREEZE:
+		sk_process_signal(s, p, SIGSTOP);
+		break;
+	case HUB_KILL_ALL:
+		for (uint32_t i = 0; i < s->n_hubs; i++)
+			sk_process_end(s, &s->hubs[i], SIGKILL, 0);
+		break;
+	case HUB_LOSE_DISK:
+		wiped_us = sk_now(s);
+		p->loses_disk = true;
+		sk_process_end(s, p, SIGKILL, f->until_us - sk_now(s));
+		break;
+	case HUB_LINK:
+		sk_link(s, p, some_link_fault(s));
+		break;
+	case HUB_SLOW_SYNC:
+		p->sync_ms = SYNC_SLOW_MS;
+		break;
+	case HUB_STALL:
+		p->sync_ms = SYNC_STALL_MS;
+		break;
+	case HUB_FULL:
+		p->full = true;
+		p->excused_us = f->until_us + EXCUSED_US;
+		break;
+	default:
+		break;
+	}
+	sk_process_misbehave(s, p);
+}
+
+static void
+kill_most_gateways(struct sk *s)
+{
+	for (uint32_t i = 0; i < s->n_gateways; i++) {
+		if (sk_below(s, 3) == 0)
+			continue;
+		s->gateways[i].troubled_us = sk_now(s);
+		sk_process_end(s, &s->gateways[i], SIGKILL, 0);
+	}
+}
+
+static void
+begin_other(struct sk *s, struct fault *f)
+{
+	struct sk_process *p = f->process;
+
+	switch (f->kind) {
+	case HUB_CLOCK:
+	case GATEWAY_CLOCK:
+		p->clock_ms =
+		    sk_below(s, 2) == 0 ? CLOCK_JUMP_MS : -CLOCK_JUMP_MS;
+		sk_process_misbehave(s, p);
+		break;
+	case GATEWAY_KILL:
+		sk_process_end(s, p, SIGKILL, f->until_us - sk_now(s));
+		break;
+	case GATEWAY_FREEZE:
+		sk_process_signal(s, p, SIGSTOP);
+		break;
+	case GATEWAY_KILL_MOST:
+		kill_most_gateways(s);
+		break;
+	case SERVER_MANNER:
+		f->server->manner = manners[sk_below(s, 4)];
+		break;
+	case SERVER_LINK:
+		sk_server_link(s, f->server, some_link_fault(s));
+		break;
+	case SERVER_CRASH:
+		sk_server_link(s, f->server, RELAY_RESET);
+		sk_server_boot(f->server);
+		break;
+	case PLATFORM_SILENT:
+		s->platform_silent = true;
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+begin(struct sk *s, struct fault *f)
+{
+	static const char *const names[FAULTS] = { "hub_kill", "hub_freeze",
+		"hub_kill_all", "hub_lose_disk", "hub_link", "hub_clock",
+		"hub_slow_sync", "hub_stall", "hub_full", "gateway_kill",
+		"gateway_freeze", "gateway_clock", "gateway_kill_most",
+		"server_manner", "server_link", "server_crash",
+		"platform_silent" };
+	const enum fault_kind kind = (enum fault_kind)sk_below(s, FAULTS);
+	const bool hub = kind <= HUB_FULL;
+
+	if (kind == HUB_LOSE_DISK && !may_lose_disk(s))
+		return;
+	f->process = hub ? some(s, s->hubs, s->n_hubs)
+			 : some(s, s->gateways, s->n_gateways);
+	f->server = &s->servers[sk_below(s, s->n_servers)];
+	if (f->process == NULL || f->server->draining_us != 0)
+		return;
+	f->kind = kind;
+	f->until_us = sk_now(s) + (500 + sk_below(s, 4000)) * TM_US_PER_MS;
+	s->n_faults++;
+	sk_say(s, "%s %s %s until=%.1f", names[kind], f->process->name,
+	    f->server->id,
+	    (double)(f->until_us - s->start_us) / (double)TM_US_PER_S);
+	if (hub && kind != HUB_CLOCK)
+		begin_hub(s, f);
+	else
+		begin_other(s, f);
+}
+
+static void
+end(struct sk *s, struct fault *f)
+{
+	struct sk_process *p = f->process;
+
+	f->until_us = 0;
+	switch (f->kind) {
+	case HUB_FREEZE:
+	case GATEWAY_FREEZE:
+		sk_process_signal(s, p, SIGCONT);
+		break;
+	case HUB_LINK:
+		sk_link(s, p, RELAY_OPEN);
+		break;
+	case HUB_CLOCK:
+	case GATEWAY_CLOCK:
+	case HUB_SLOW_SYNC:
+	case HUB_STALL:
+	case HUB_FULL:
+		p->clock_ms = 0;
+		p->sync_ms = 0;
+		p->full = false;
+		sk_process_misbehave(s, p);
+		break;
+	case SERVER_MANNER:
+		f->server->manner = SK_SOUND;
+		break;
+	case SERVER_LINK:
+	case SERVER_CRASH:
+		sk_server_link(s, f->server, RELAY_OPEN);
+		break;
+	case PLATFORM_SILENT:
+		s->platform_silent = false;
+		break;
+	default:
+		break;
+	}
+}
+
+/// Notes who is in trouble now; checks of what planned work may not do leave
+/// these out for a while.
+static void
+note_trouble(struct sk *s)
+{
+	const uint64_t now = sk_now(s);
+	bool any = false;
+
+	for (uint32_t i = 0; i < MAX_ACTIVE; i++) {
+		if (active[i].until_us == 0)
+			continue;
+		any = true;
+		active[i].process->troubled_us = now;
+		if (active[i].kind <= HUB_FULL)
+			hubs_calm_since_us = now;
+	}
+	for (uint32_t i = 0; i < s->n_hubs; i++) {
+		if (s->hubs[i].pid <= 0)
+			hubs_calm_since_us = now;
+		any = any || (now < s->hubs[i].excused_us);
+	}
+	if (any)
+		s->shaken_us = now;
+}
+
+static void
+server_leaves(struct sk *s)
+{
+	struct sk_server *v = &s->servers[sk_below(s, s->n_servers)];
+	uint32_t leaving = 0;
+
+	for (uint32_t i = 0; i < s->n_servers; i++)
+		leaving += s->servers[i].draining_us != 0;
+	if (leaving < 2)
+		v->draining_us =
+		    v->draining_us != 0 ? v->draining_us : sk_now(s);
+}
+
+/// Servers that have left come back under a new id.
+static void
+bring_servers_back(struct sk *s)
+{
+	for (uint32_t i = 0; i < s->n_servers; i++) {
+		struct sk_server *v = &s->servers[i];
+
+		if (v->draining_us != 0 &&
+		    sk_now(s) > v->draining_us + 3 * SK_DRAIN_US)
+			sk_server_boot(v);
+	}
+}
+
+static void
+plan(struct sk *s)
+{
+	struct sk_process *g = some(s, s->gateways, s->n_gateways);
+	struct sk_process *h = some(s, s->hubs, s->n_hubs);
+
+	switch ((enum plan_kind)sk_below(s, PLANS)) {
+	case PLAN_STOP_GATEWAY:
+		if (g != NULL)
+			sk_process_end(s, g, SIGTERM, 0);
+		break;
+	case PLAN_STOP_HUB:
+		if (h != NULL)
+			sk_process_end(s, h, SIGTERM, 0);
+		break;
+	case PLAN_RELOAD:
+		if (g != NULL)
+			sk_process_signal(s, g, SIGHUP);
+		if (h != NULL)
+			sk_process_signal(s, h, SIGHUP);
+		break;
+	case PLAN_SERVER_LEAVES:
+		server_leaves(s);
+		break;
+	case PLANS:
+		break;
+	}
+}
+
+static void
+on_tick(void *arg, uint64_t now_us)
+{
+	struct sk *s = arg;
+	const uint64_t age = sk_now(s) - s->start_us;
+
+	(void)now_us;
+	tm_arm_in(s->ticks[5], TICK_US);
+	for (uint32_t i = 0; i < MAX_ACTIVE; i++) {
+		struct fault *f = &active[i];
+
+		if (f->until_us != 0 && sk_now(s) >= f->until_us)
+			end(s, f);
+	}
+	note_trouble(s);
+	bring_servers_back(s);
+	if (age < FIRST_US || sk_now(s) >= s->until_us)
+		return;
+	if (sk_below(s, PLAN_IN) == 0)
+		plan(s);
+	if ((age - FIRST_US) % (TROUBLE_US + CALM_US) >= TROUBLE_US)
+		return;
+	for (uint32_t i = 0; i < MAX_ACTIVE; i++) {
+		if (active[i].until_us == 0 && sk_below(s, FAULT_IN) == 0) {
+			begin(s, &active[i]);
+			break;
+		}
+	}
+	note_trouble(s);
+}
+
+/// Ends all faults.
+void
+sk_faults_heal(struct sk *s)
+{
+	for (uint32_t i = 0; i < MAX_ACTIVE; i++) {
+		if (active[i].until_us != 0)
+			end(s, &active[i]);
+	}
+	s->shaken_us = sk_now(s);
+}
+
+/// Starts faults and planned work.
+void
+sk_faults_start(struct sk *s)
+{
+	s->ticks[5] = tm_subscribe(s->timers, on_tick, s);
+	tm_arm_in(s->ticks[5], TICK_US);
+}
--- /dev/null
+++ b/test/soak/main.c
@@ -0,0 +1,189 @@
+#include "soak.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define READ_BACK_US (500 * TM_US_PER_MS)
+/// How long callers are watched after the time that recovery may take.
+#define WATCH_US (4 * TM_US_PER_S)
+#define DEFAULT_SECONDS 40
+#define DEFAULT_HUBS 5
+#define DEFAULT_GATEWAYS 3
+#define DEFAULT_SERVERS 6
+
+/// Microseconds of the steady clock.
+uint64_t
+sk_now(const struct sk *s)
+{
+	return tm_now_us(s->timers);
+}
+
+static void
+say(const struct sk *s, const char *what, const char *format, va_list args)
+{
+	(void)printf("%8.3f %s",
+	    (double)(sk_now(s) - s->start_us) / (double)TM_US_PER_S, what);
+	(void)vprintf(format, args);
+	(void)putchar('\n');
+	(void)fflush(stdout);
+}
+
+/// Prints a line with the time since the start.
+void
+sk_say(struct sk *s, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	say(s, "", format, args);
+	va_end(args);
+}
+
+/// Notes a broken promise.
+void
+sk_breach(struct sk *s, const char *format, ...)
+{
+	va_list args;
+
+	s->n_breaches++;
+	va_start(args, format);
+	say(s, "BREACH ", format, args);
+	va_end(args);
+}
+
+/// Random number below a limit.
+uint32_t
+sk_below(struct sk *s, uint32_t limit)
+{
+	return (uint32_t)rnd_below(s->rnd, limit);
+}
+
+/// Heals everything once faults are over, then watches how callers fare.
+static void
+on_phase(void *arg, uint64_t now_us)
+{
+	struct sk *s = arg;
+	const uint64_t now = sk_now(s);
+
+	(void)now_us;
+	if (now < s->until_us) {
+		tm_arm(s->ticks[6], s->until_us);
+		return;
+	}
+	if (s->n_read_back == 0 && now < s->until_us + SK_RECOVER_US)
+		sk_faults_heal(s);
+	if (now < s->until_us + SK_RECOVER_US) {
+		tm_arm(s->ticks[6], s->until_us + SK_RECOVER_US);
+		return;
+	}
+	sk_operator_read_back(s);
+	if (now < s->until_us + SK_RECOVER_US + WATCH_US)
+		tm_arm_in(s->ticks[6], READ_BACK_US);
+	else
+		lp_end(s->loop, 0);
+}
+
+static void
+check_recovery(struct sk *s)
+{
+	if (s->n_late_whole * 4 < s->n_late || s->n_late == 0)
+		sk_breach(s, "recover: %u of %u requests served at the end",
+		    s->n_late_whole, s->n_late);
+	if (s->n_read_back == 0)
+		sk_breach(s, "config: it can't be read at the end");
+	for (uint32_t i = 0; i < s->n_gateways; i++) {
+		if (s->gateways[i].out)
+			sk_breach(s, "recover: %s is not ready at the end",
+			    s->gateways[i].name);
+	}
+}
+
+static int
+play(struct sk *s, uint64_t seed, uint32_t seconds)
+{
+	char folder[] = "/tmp/soak-XXXXXX";
+
+	s->folder = mkdtemp(folder);
+	s->net = (uint32_t)getpid() + 1000;
+	s->loop = lp_new(seed);
+	s->timers = lp_timers(s->loop);
+	s->rnd = rnd_new(seed);
+	s->http = hc_new(lp_base(s->loop));
+	s->start_us = sk_now(s);
+	s->until_us = s->start_us + seconds * TM_US_PER_S;
+	sk_world_start(s);
+	sk_servers_start(s);
+	sk_platform_start(s);
+	sk_operator_start(s);
+	sk_callers_start(s);
+	sk_faults_start(s);
+	s->ticks[6] = tm_subscribe(s->timers, on_phase, s);
+	tm_arm_in(s->ticks[6], 0);
+	lp_run(s->loop);
+	check_recovery(s);
+	sk_world_stop(s);
+	hc_free(s->http);
+	sk_servers_stop(s);
+	sk_platform_stop(s);
+	(void)printf("seed=%" G_GUINT64_FORMAT
+		     " faults=%u requests=%u whole=%u "
+		     "refused=%u failed=%u configs=%u late=%u late_whole=%u "
+		     "breaches=%u holds=%d\n",
+	    seed, s->n_faults, s->n_requests, s->n_whole, s->n_refused,
+	    s->n_failed, s->configs->len, s->n_late, s->n_late_whole,
+	    s->n_breaches, s->n_breaches == 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(s->ticks); i++)
+		tm_unsubscribe(s->ticks[i]);
+	g_hash_table_destroy(s->requests);
+	g_ptr_array_free(s->configs, TRUE);
+	rnd_free(s->rnd);
+	lp_free(s->loop);
+	return s->n_breaches == 0 ? 0 : 1;
+}
+
+static uint32_t
+number(const struct arg_int *arg, uint32_t most)
+{
+	const int n = arg->ival[0];
+
+	return n < 1 ? 1 : MIN((uint32_t)n, most);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "what is played");
+	struct arg_int *seconds =
+	    arg_int0(NULL, "seconds", "N", "how long faults come");
+	struct arg_int *hubs = arg_int0(NULL, "hubs", "N", "3 or more");
+	struct arg_int *gateways = arg_int0(NULL, "gateways", "N", NULL);
+	struct arg_int *servers = arg_int0(NULL, "servers", "N", NULL);
+	struct arg_end *end = arg_end(4);
+	void *table[] = { seed, seconds, hubs, gateways, servers, end };
+	static struct sk s;
+	char *slash;
+
+	seed->ival[0] = 1;
+	seconds->ival[0] = DEFAULT_SECONDS;
+	hubs->ival[0] = DEFAULT_HUBS;
+	gateways->ival[0] = DEFAULT_GATEWAYS;
+	servers->ival[0] = DEFAULT_SERVERS;
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, argv[0]);
+		return 2;
+	}
+	s.n_hubs = MAX(3, number(hubs, SK_MAX_HUBS));
+	s.n_gateways = number(gateways, SK_MAX_GATEWAYS);
+	s.n_servers = number(servers, SK_MAX_SERVERS);
+	s.bin = realpath(argv[0], NULL);
+	// build/test/soak: the programs are one folder up.
+	slash = strrchr(s.bin, '/');
+	*slash = '\0';
+	*strrchr(s.bin, '/') = '\0';
+	return play(&s, (uint64_t)seed->ival[0], number(seconds, 3600));
+}
--- /dev/null
+++ b/test/soak/operator.c
@@ -0,0 +1,268 @@
+#include "soak.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CHANGE_MIN_US (800 * TM_US_PER_MS)
+#define CHANGE_SPREAD_US 2000000
+#define RESEND_US (500 * TM_US_PER_MS)
+#define READ_US (350 * TM_US_PER_MS)
+#define CALL_US TM_US_PER_S
+#define MAX_REDIRECTS 2
+#define PORT 8229
+/// A change takes the oldest key away once in so many.
+#define REVOKE_IN 3
+/// Keys in a configuration: the oldest goes first.
+#define KEYS 5
+#define PATH "/api/config"
+
+/// One call of the operator, sent on to the leader where it is told to.
+struct call {
+	struct sk *sk;
+	const struct sk_config *config; ///< NULL: a read
+	uint32_t redirects;
+	uint64_t sent_us;
+	bool last; ///< the reading at the end
+	hd_t handle;
+};
+
+static void send_call(struct call *c, const char *host);
+
+/// Newest configuration that was acknowledged before a moment, or NULL.
+const struct sk_config *
+sk_config_acked(const struct sk *s, uint64_t before_us)
+{
+	for (guint i = s->configs->len; i > 0; i--) {
+		const struct sk_config *c =
+		    g_ptr_array_index(s->configs, i - 1);
+
+		if (c->acked_us != 0 && c->acked_us < before_us)
+			return c;
+	}
+	return NULL;
+}
+
+static char *
+text_of(uint32_t version, uint32_t first_key)
+{
+	GString *out = g_string_new(NULL);
+
+	g_string_append_printf(out,
+	    "{\"version\": %u, \"services\": [{\"name\": \"app\", "
+	    "\"health_path\": \"/health\"}], \"routes\": [",
+	    version);
+	g_string_append_printf(out,
+	    "{\"name\": \"plain\", \"host\": \"desk.example\", "
+	    "\"path_prefix\": \"/plain/\", \"kind\": \"idempotent\", "
+	    "\"timeout_ms\": 2000, \"target_latency_ms\": 100, "
+	    "\"service\": \"app\", \"max_attempts\": 2},");
+	g_string_append_printf(out,
+	    "{\"name\": \"book\", \"host\": \"desk.example\", "
+	    "\"path_prefix\": \"/book/\", \"kind\": \"non_idempotent\", "
+	    "\"timeout_ms\": 2000, \"target_latency_ms\": 100, "
+	    "\"service\": \"app\", \"max_attempts\": 1},");
+	g_string_append_printf(out,
+	    "{\"name\": \"stream\", \"host\": \"desk.example\", "
+	    "\"path_prefix\": \"/stream/\", \"kind\": \"streaming\", "
+	    "\"resumable\": true, \"timeout_ms\": 2000, "
+	    "\"target_latency_ms\": 100, \"gap_aim_ms\": 500, "
+	    "\"service\": \"app\", \"max_attempts\": 2}], \"tenants\": ["
+	    "{\"name\": \"depot\", \"api_keys\": [");
+	for (uint32_t i = 0; i < KEYS; i++)
+		g_string_append_printf(
+		    out, "%s\"k%u\"", i > 0 ? ", " : "", first_key + i);
+	(void)g_string_append(out, "], \"rate_per_s\": 0, \"burst\": 0}]}");
+	return g_string_free(out, FALSE);
+}
+
+static void
+take_ack(struct call *c)
+{
+	struct sk *s = c->sk;
+	struct sk_config *config =
+	    g_ptr_array_index(s->configs, s->configs->len - 1);
+
+	if (config != c->config || config->acked_us != 0)
+		return;
+	config->acked_us = sk_now(s);
+	if (config->first_key > s->revoked) {
+		s->revoked = config->first_key;
+		s->revoked_us = config->acked_us;
+	}
+}
+
+/// A reading isn't older than what was acknowledged before, and is as sent.
+static void
+check_read(struct call *c, const struct hc_result *result)
+{
+	struct sk *s = c->sk;
+	const uint64_t slack = c->last ? 0 : SK_APPLY_US;
+	const struct sk_config *acked =
+	    sk_config_acked(s, c->sent_us > slack ? c->sent_us - slack : 0);
+
+	for (guint i = 0; i < s->configs->len; i++) {
+		const struct sk_config *k = g_ptr_array_index(s->configs, i);
+
+		if (strlen(k->text) != result->len ||
+		    memcmp(k->text, result->body, result->len) != 0)
+			continue;
+		if (acked != NULL && k->version < acked->version)
+			sk_breach(s,
+			    "config: version %u was read after %u was "
+			    "acknowledged",
+			    k->version, acked->version);
+		if (c->last)
+			s->n_read_back++;
+		return;
+	}
+	sk_breach(s, "config: what was read was never sent: %.80s",
+	    (const char *)result->body);
+}
+
+static void
+follow(struct call *c)
+{
+	const char *to = hc_answer_header(c->sk->http, c->handle, "Location");
+	char host[SK_HOST_BYTES] = "";
+
+	if (to != NULL && ++c->redirects <= MAX_REDIRECTS &&
+	    sscanf(to, "http://%23[0-9.]", host) == 1)
+		send_call(c, host);
+	else
+		g_free(c);
+}
+
+static void
+on_end(void *arg, const struct hc_result *result)
+{
+	struct call *c = arg;
+	struct sk *s = c->sk;
+
+	if (result->status == ST_OK && result->http_status == 307) {
+		follow(c);
+		return;
+	}
+	if (result->status == ST_OK && result->http_status == 200) {
+		if (c->config != NULL)
+			take_ack(c);
+		else
+			check_read(c, result);
+	} else if (result->status == ST_OK && c->config != NULL &&
+	    result->http_status >= 400 && result->http_status < 500 &&
+	    result->http_status != 408 && result->http_status != 429) {
+		sk_breach(s, "config: version %u was refused with %d",
+		    c->config->version, result->http_status);
+	}
+	g_free(c);
+}
+
+static void
+send_call(struct call *c, const char *host)
+{
+	const struct hc_call call = {
+		.method = c->config != NULL ? "PUT" : "GET",
+		.host = host,
+		.port = PORT,
+		.path = PATH,
+		.headers = { { "Content-Type", "application/json" } },
+		.body =
+		    c->config != NULL ? (const uint8_t *)c->config->text : NULL,
+		.len = c->config != NULL ? strlen(c->config->text) : 0,
+		.timeout_us = CALL_US,
+		.fresh = true,
+		.on_end = on_end,
+		.arg = c,
+	};
+
+	c->handle = hc_send(c->sk->http, &call);
+	if (c->handle == HD_NONE)
+		g_free(c);
+}
+
+static void
+ask(struct sk *s, const struct sk_config *config, bool last)
+{
+	struct call *c = g_new0(struct call, 1);
+
+	c->sk = s;
+	c->config = config;
+	c->last = last;
+	c->sent_us = sk_now(s);
+	send_call(c, s->hubs[sk_below(s, s->n_hubs)].host);
+}
+
+static void
+make_change(struct sk *s)
+{
+	const struct sk_config *last = s->configs->len == 0
+	    ? NULL
+	    : g_ptr_array_index(s->configs, s->configs->len - 1);
+	struct sk_config *c = g_new0(struct sk_config, 1);
+	const bool revokes = last != NULL && sk_below(s, REVOKE_IN) == 0;
+
+	c->version = (last != NULL ? last->version : 0) + 1 + sk_below(s, 5);
+	c->first_key = s->revoked + (revokes ? 1 : 0);
+	c->text = text_of(c->version, c->first_key);
+	g_ptr_array_add(s->configs, c);
+}
+
+/// A change is sent again until it has a clear answer, then the next is due.
+static void
+on_change(void *arg, uint64_t now_us)
+{
+	struct sk *s = arg;
+	const struct sk_config *last;
+
+	(void)now_us;
+	if (s->configs->len == 0)
+		make_change(s);
+	last = g_ptr_array_index(s->configs, s->configs->len - 1);
+	if (last->acked_us == 0) {
+		ask(s, last, false);
+		tm_arm_in(s->ticks[3], RESEND_US);
+		return;
+	}
+	if (sk_now(s) < s->until_us) {
+		make_change(s);
+		tm_arm_in(
+		    s->ticks[3], CHANGE_MIN_US + sk_below(s, CHANGE_SPREAD_US));
+	}
+}
+
+static void
+on_read(void *arg, uint64_t now_us)
+{
+	struct sk *s = arg;
+
+	(void)now_us;
+	tm_arm_in(s->ticks[4], READ_US);
+	ask(s, NULL, false);
+}
+
+/// Reads what is in force at the end.
+void
+sk_operator_read_back(struct sk *s)
+{
+	ask(s, NULL, true);
+}
+
+static void
+config_free(void *arg)
+{
+	struct sk_config *c = arg;
+
+	g_free(c->text);
+	g_free(c);
+}
+
+/// Starts the operator.
+void
+sk_operator_start(struct sk *s)
+{
+	s->configs = g_ptr_array_new_with_free_func(config_free);
+	s->ticks[3] = tm_subscribe(s->timers, on_change, s);
+	s->ticks[4] = tm_subscribe(s->timers, on_read, s);
+	tm_arm_in(s->ticks[3], 0);
+	tm_arm_in(s->ticks[4], READ_US);
+}
--- /dev/null
+++ b/test/soak/servers.c
@@ -0,0 +1,262 @@
+#include "soak.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LISTENS_AT 71
+#define SLOTS 8
+#define WORK_MIN_US (5 * TM_US_PER_MS)
+#define WORK_SPREAD_US 30000
+#define EVENT_GAP_US (25 * TM_US_PER_MS)
+/// How long the check of a leaving server waits beyond the promise, for the
+/// gateway's reading of the list and the way to here.
+#define DRAIN_SLACK_US (700 * TM_US_PER_MS)
+
+/// One run of a request at a server.
+struct run {
+	struct sk *sk;
+	struct sk_server *server;
+	struct evhttp_request *http;
+	struct event *timer;
+	struct evhttp_connection *conn;
+	char id[SK_ID_BYTES];
+	char server_id[SK_ID_BYTES];
+	enum sk_manner manner;
+	uint32_t events;
+	uint32_t next;
+	bool stream;
+	bool started;
+};
+
+static void
+add_header(struct evhttp_request *http, const char *name, const char *value)
+{
+	(void)evhttp_add_header(
+	    evhttp_request_get_output_headers(http), name, value);
+}
+
+static const char *
+header(struct evhttp_request *http, const char *name)
+{
+	const char *v =
+	    evhttp_find_header(evhttp_request_get_input_headers(http), name);
+
+	return v != NULL ? v : "";
+}
+
+static void
+run_free(struct run *r)
+{
+	if (r->conn != NULL)
+		evhttp_connection_set_closecb(r->conn, NULL, NULL);
+	event_free(r->timer);
+	g_free(r);
+}
+
+static void
+on_closed(struct evhttp_connection *conn, void *arg)
+{
+	struct run *r = arg;
+
+	(void)conn;
+	r->conn = NULL;
+	run_free(r);
+}
+
+/// Ends a run by closing its connection.
+static void
+cut(struct run *r)
+{
+	struct evhttp_connection *conn = r->conn;
+
+	r->conn = NULL;
+	if (conn != NULL) {
+		evhttp_connection_set_closecb(conn, NULL, NULL);
+		evhttp_connection_free(conn);
+	}
+	event_free(r->timer);
+	g_free(r);
+}
+
+static void
+again(struct run *r, uint64_t in_us)
+{
+	const struct timeval tv = {
+		.tv_sec = (time_t)(in_us / TM_US_PER_S),
+		.tv_usec = (suseconds_t)(in_us % TM_US_PER_S),
+	};
+
+	(void)evtimer_add(r->timer, &tv);
+}
+
+static void
+send_event(struct run *r)
+{
+	struct evbuffer *out;
+
+	if (!r->started) {
+		r->started = true;
+		add_header(r->http, "Content-Type", "text/event-stream");
+		evhttp_send_reply_start(r->http, 200, "OK");
+	}
+	if (r->next > r->events) {
+		evhttp_send_reply_end(r->http);
+		run_free(r);
+		return;
+	}
+	if (r->manner == SK_CUTS && r->next > r->events / 2) {
+		cut(r);
+		return;
+	}
+	out = evbuffer_new();
+	(void)evbuffer_add_printf(
+	    out, "id: %u\ndata: %s %u\n\n", r->next, r->id, r->next);
+	evhttp_send_reply_chunk(r->http, out);
+	evbuffer_free(out);
+	r->next++;
+	again(r, EVENT_GAP_US);
+}
+
+static void
+send_plain(struct run *r)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	(void)evbuffer_add_printf(out, "%s at %s", r->id, r->server_id);
+	evhttp_send_reply(
+	    r->http, r->manner == SK_FAILS ? 500 : 200, "done", out);
+	evbuffer_free(out);
+	run_free(r);
+}
+
+static void
+on_work(evutil_socket_t fd, short what, void *arg)
+{
+	struct run *r = arg;
+
+	(void)fd;
+	(void)what;
+	if (r->manner == SK_HANGS)
+		return;
+	if (r->stream)
+		send_event(r);
+	else if (r->manner == SK_CUTS)
+		cut(r);
+	else
+		send_plain(r);
+}
+
+static void
+refuse(struct evhttp_request *http, int status)
+{
+	add_header(http, "X-Acaciahinge-Not-Run", "1");
+	evhttp_send_reply(http, status, "not run", NULL);
+}
+
+static void
+check_drain(struct sk_server *v, const struct sk_request *q)
+{
+	struct sk *s = v->sk;
+	const struct sk_process *g = &s->gateways[q->gateway];
+	const uint64_t now = sk_now(s);
+
+	if (v->draining_us == 0 ||
+	    now < v->draining_us + SK_DRAIN_US + DRAIN_SLACK_US ||
+	    now < s->shaken_us + SK_CONTACT_US ||
+	    now < g->troubled_us + SK_CONTACT_US)
+		return;
+	sk_breach(s, "drain: %s reached %s %.1f s after it began to leave",
+	    q->id, v->id, (double)(now - v->draining_us) / (double)TM_US_PER_S);
+}
+
+static void
+on_request(struct evhttp_request *http, void *arg)
+{
+	struct sk_server *v = arg;
+	struct sk *s = v->sk;
+	const char *id = header(http, "X-Acaciahinge-Request-Id");
+	struct sk_request *q = g_hash_table_lookup(s->requests, id);
+	const char *expected = header(http, "X-Acaciahinge-Expect-Instance");
+	const char *last = header(http, "Last-Event-Id");
+	struct run *r;
+
+	if (strcmp(expected, v->id) != 0) {
+		refuse(http, 421);
+		return;
+	}
+	if (v->manner == SK_FULL) {
+		refuse(http, 503);
+		return;
+	}
+	if (q == NULL) {
+		sk_breach(s, "unasked: '%s' ran at %s", id, v->id);
+		refuse(http, 400);
+		return;
+	}
+	if (strcmp(header(http, "X-Acaciahinge-Tenant"), "depot") != 0 ||
+	    header(http, "Authorization")[0] != '\0')
+		sk_breach(s, "unasked: %s ran for customer '%s', key '%s'", id,
+		    header(http, "X-Acaciahinge-Tenant"),
+		    header(http, "Authorization"));
+	check_drain(v, q);
+	sk_request_ran(s, q, v);
+	r = g_new0(struct run, 1);
+	r->sk = s;
+	r->server = v;
+	r->http = http;
+	r->manner = v->manner;
+	r->stream = q->kind == SK_STREAM;
+	r->events = q->events;
+	r->next = (uint32_t)strtoul(last, NULL, 10) + 1;
+	(void)g_strlcpy(r->id, id, sizeof(r->id));
+	(void)g_strlcpy(r->server_id, v->id, sizeof(r->server_id));
+	add_header(http, "X-Acaciahinge-Request-Id", id);
+	add_header(http, "X-Acaciahinge-Server-Stamp", v->id);
+	r->conn = evhttp_request_get_connection(http);
+	evhttp_connection_set_closecb(r->conn, on_closed, r);
+	r->timer = evtimer_new(lp_base(s->loop), on_work, r);
+	again(r, WORK_MIN_US + sk_below(s, WORK_SPREAD_US));
+}
+
+/// Starts a server anew, under a new id.
+void
+sk_server_boot(struct sk_server *v)
+{
+	v->boots++;
+	v->manner = SK_SOUND;
+	v->draining_us = 0;
+	v->listed = true;
+	(void)g_snprintf(v->id, sizeof(v->id), "i-%u-%u", v->number, v->boots);
+}
+
+/// Starts all servers.
+void
+sk_servers_start(struct sk *s)
+{
+	char host[SK_HOST_BYTES];
+
+	for (uint32_t i = 0; i < s->n_servers; i++) {
+		struct sk_server *v = &s->servers[i];
+
+		v->sk = s;
+		v->number = i;
+		sk_server_boot(v);
+		sk_host(s, LISTENS_AT + i, host);
+		v->http = evhttp_new(lp_base(s->loop));
+		evhttp_set_gencb(v->http, on_request, v);
+		if (evhttp_bind_socket(v->http, host, SK_PORT) != 0)
+			g_error("can't listen at %s:%d", host, SK_PORT);
+	}
+}
+
+void
+sk_servers_stop(struct sk *s)
+{
+	for (uint32_t i = 0; i < s->n_servers; i++)
+		evhttp_free(s->servers[i].http);
+}
--- /dev/null
+++ b/test/soak/world.c
@@ -0,0 +1,348 @@
+#include "soak.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <ftw.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define TICK_US (20 * TM_US_PER_MS)
+/// The platform starts what has ended after this.
+#define RESTART_US (200 * TM_US_PER_MS)
+/// Last numbers of addresses.
+#define HUB_AT 11
+#define HUB_LISTENS_AT 111
+#define GATEWAY_AT 131
+#define SERVER_AT 31
+#define SERVER_LISTENS_AT 71
+#define PLATFORM_AT 201
+#define PEER_PORT 7600
+#define MAX_OPEN_FOLDERS 16
+
+static const char *const zones[] = { "csepel", "angyalfold", "kelenfold" };
+
+/// Address of this soak's network.
+void
+sk_host(const struct sk *s, uint32_t last, char *out)
+{
+	(void)g_snprintf(out, SK_HOST_BYTES, "127.%u.%u.%u", 1 + s->net % 62,
+	    s->net / 62 % 4, last);
+}
+
+static char *
+path_of(const struct sk *s, const struct sk_process *p, const char *ending)
+{
+	return g_strdup_printf("%s/%s%s", s->folder, p->name, ending);
+}
+
+static void
+write_file(const char *path, const char *text)
+{
+	if (!g_file_set_contents(path, text, -1, NULL))
+		g_error("can't write %s", path);
+}
+
+/// Tells the shim of a process what its clock and disk do.
+void
+sk_process_misbehave(struct sk *s, const struct sk_process *p)
+{
+	char *path = path_of(s, p, ".faults");
+	char *text = g_strdup_printf(
+	    "%d %d %d\n", p->clock_ms, p->sync_ms, p->full ? 1 : 0);
+
+	write_file(path, text);
+	g_free(text);
+	g_free(path);
+}
+
+static char *
+seeds(const struct sk *s)
+{
+	GString *out = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < 3; i++)
+		g_string_append_printf(
+		    out, "%s\"%s:8229\"", i > 0 ? ", " : "", s->hubs[i].host);
+	return g_string_free(out, FALSE);
+}
+
+static void
+write_settings(struct sk *s, const struct sk_process *p, bool first_start)
+{
+	const char *zone = zones[p->number % G_N_ELEMENTS(zones)];
+	char listens[SK_HOST_BYTES];
+	char platform[SK_HOST_BYTES];
+	GString *out = g_string_new("{");
+	char *path = path_of(s, p, ".json");
+	char *list = seeds(s);
+
+	sk_host(s, HUB_LISTENS_AT + p->number, listens);
+	sk_host(s, PLATFORM_AT, platform);
+	if (p->role == SK_HUB)
+		g_string_append_printf(out,
+		    "\"role\": \"hub\", \"operators\": \"%s:8229\","
+		    "\"peer_listen\": \"%s:%d\","
+		    "\"data_folder\": \"%s/%s.data\",",
+		    p->host, listens, PEER_PORT, s->folder, p->name);
+	else
+		g_string_append_printf(out,
+		    "\"role\": \"gateway\", \"callers\": \"%s:8221\","
+		    "\"ready\": \"%s:8224\",",
+		    p->host, p->host);
+	g_string_append_printf(out,
+	    "\"node\": \"%s\", \"host\": \"%s\", \"data_centre\": \"%s\","
+	    "\"peer_port\": %d, \"seeds\": [%s], \"first_start\": %s,"
+	    "\"cloud\": \"%s:%d\","
+	    "\"duties\": [\"usage_report\", \"autoscaling\"],"
+	    "\"zones\": {\"csepel\": \"budapest\", \"angyalfold\": "
+	    "\"budapest\", \"kelenfold\": \"budapest\"},"
+	    "\"tolerated_vms\": 1, \"bounds\": {\"stop_s\": %d,"
+	    "\"usage_window_s\": 1, \"duty_lease_ms\": 500,"
+	    "\"contact_ms\": 3000, \"drain_ms\": 3000, \"apply_ms\": 2000,"
+	    "\"revoke_ms\": 3000}}\n",
+	    p->name, p->host, zone, PEER_PORT, list,
+	    first_start ? "true" : "false", platform, SK_PORT, SK_STOP_S);
+	write_file(path, out->str);
+	(void)g_string_free(out, TRUE);
+	g_free(list);
+	g_free(path);
+}
+
+static void
+run(const struct sk *s, const struct sk_process *p)
+{
+	char *program = g_strdup_printf("%s/acaciahinge", s->bin);
+	char *settings = path_of(s, p, ".json");
+	char *log = path_of(s, p, ".log");
+	char *faults = path_of(s, p, ".faults");
+	char *shim = g_strdup_printf("%s/test/libsoak_shim.so", s->bin);
+	const int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+	(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+	(void)dup2(fd, STDOUT_FILENO);
+	(void)dup2(fd, STDERR_FILENO);
+	(void)g_setenv("SOAK_FAULTS", faults, TRUE);
+	if (access(shim, R_OK) == 0)
+		(void)g_setenv("LD_PRELOAD", shim, TRUE);
+	(void)execl(program, program, p->role == SK_HUB ? "hub" : "gateway",
+	    "--settings", settings, (char *)NULL);
+	_exit(127);
+}
+
+static void
+start(struct sk *s, struct sk_process *p)
+{
+	p->start_us = 0;
+	p->ending = false;
+	p->frozen = false;
+	p->pid = fork();
+	if (p->pid == 0)
+		run(s, p);
+}
+
+/// Sends a signal to a process, if it runs.
+void
+sk_process_signal(struct sk *s, struct sk_process *p, int signal)
+{
+	(void)s;
+	if (p->pid <= 0)
+		return;
+	p->frozen = signal == SIGSTOP || (p->frozen && signal != SIGCONT);
+	(void)kill(p->pid, signal);
+}
+
+/// Ends a process by a signal; it starts again after a time.
+void
+sk_process_end(struct sk *s, struct sk_process *p, int signal, uint64_t away_us)
+{
+	if (p->pid <= 0 || p->ending)
+		return;
+	p->ending = true;
+	p->start_us = sk_now(s) + MAX(away_us, RESTART_US);
+	if (signal == SIGTERM)
+		p->kill_us = sk_now(s) + SK_STOP_S * TM_US_PER_S;
+	if (p->frozen && signal != SIGKILL)
+		sk_process_signal(s, p, SIGCONT);
+	(void)kill(p->pid, signal);
+}
+
+static int
+remove_entry(
+    const char *path, const struct stat *st, int kind, struct FTW *where)
+{
+	(void)st;
+	(void)kind;
+	(void)where;
+	return remove(path);
+}
+
+/// Removes the data of a process that has ended; it comes back as a newcomer.
+static void
+lose_disk(struct sk *s, struct sk_process *p)
+{
+	char *data = path_of(s, p, ".data");
+
+	(void)nftw(data, remove_entry, MAX_OPEN_FOLDERS, FTW_DEPTH | FTW_PHYS);
+	(void)g_mkdir_with_parents(data, 0755);
+	write_settings(s, p, false);
+	g_free(data);
+}
+
+static void
+take_end(struct sk *s, struct sk_process *p, int status)
+{
+	const bool sound = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+	const bool excused = sk_now(s) < p->excused_us;
+
+	p->pid = 0;
+	p->kill_us = 0;
+	if (p->loses_disk)
+		lose_disk(s, p);
+	p->loses_disk = false;
+	if (!p->ending && !excused)
+		sk_breach(s, "%s ended by itself, status %#x", p->name,
+		    (unsigned)status);
+	else if (p->ending && !sound && !WIFSIGNALED(status) && !excused)
+		sk_breach(s, "%s failed in its stop, status %#x", p->name,
+		    (unsigned)status);
+	if (p->start_us == 0)
+		p->start_us = sk_now(s) + RESTART_US;
+	p->misses = 2;
+	p->out = true;
+}
+
+static void
+watch(struct sk *s, struct sk_process *p)
+{
+	const uint64_t now = sk_now(s);
+	int status = 0;
+
+	if (p->pid > 0 && waitpid(p->pid, &status, WNOHANG) == p->pid)
+		take_end(s, p, status);
+	if (p->pid > 0 && p->kill_us != 0 && now > p->kill_us) {
+		sk_breach(s, "%s outlasted its stop", p->name);
+		(void)kill(p->pid, SIGKILL);
+		p->kill_us = 0;
+	}
+	if (p->pid == 0 && p->start_us != 0 && now >= p->start_us)
+		start(s, p);
+}
+
+static void
+on_tick(void *arg, uint64_t now_us)
+{
+	struct sk *s = arg;
+
+	(void)now_us;
+	tm_arm_in(s->ticks[0], TICK_US);
+	for (uint32_t i = 0; i < s->n_hubs; i++)
+		watch(s, &s->hubs[i]);
+	for (uint32_t i = 0; i < s->n_gateways; i++)
+		watch(s, &s->gateways[i]);
+}
+
+static void
+name_process(struct sk *s, struct sk_process *p, enum sk_role role, uint32_t i)
+{
+	p->role = role;
+	p->number = i;
+	p->out = true;
+	sk_host(s, (role == SK_HUB ? HUB_AT : GATEWAY_AT) + i, p->host);
+	(void)g_snprintf(p->name, sizeof(p->name), "%s-%u",
+	    role == SK_HUB ? "core" : "front", i);
+}
+
+/// Links to hubs come first, then those to servers.
+static void
+start_relay(struct sk *s)
+{
+	struct relay_link links[SK_MAX_HUBS + SK_MAX_SERVERS];
+	char to[SK_MAX_HUBS + SK_MAX_SERVERS][SK_HOST_BYTES];
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->n_hubs; i++, n++) {
+		sk_host(s, HUB_LISTENS_AT + i, to[n]);
+		links[n] = (struct relay_link){ PEER_PORT, PEER_PORT,
+			s->hubs[i].host, to[n] };
+	}
+	for (uint32_t i = 0; i < s->n_servers; i++, n++) {
+		sk_host(s, SERVER_AT + i, s->servers[i].host);
+		sk_host(s, SERVER_LISTENS_AT + i, to[n]);
+		links[n] = (struct relay_link){ SK_PORT, SK_PORT,
+			s->servers[i].host, to[n] };
+	}
+	s->relay = relay_new(links, n);
+}
+
+/// Sets what passes on the links to a hub.
+void
+sk_link(struct sk *s, const struct sk_process *hub, enum relay_mode mode)
+{
+	relay_set(s->relay, hub->number, mode);
+}
+
+/// Sets what passes on the connections to a server.
+void
+sk_server_link(struct sk *s, const struct sk_server *v, enum relay_mode mode)
+{
+	relay_set(s->relay, s->n_hubs + v->number, mode);
+}
+
+static void
+prepare(struct sk *s, struct sk_process *p)
+{
+	char *data = path_of(s, p, ".data");
+
+	if (p->role == SK_HUB)
+		(void)g_mkdir_with_parents(data, 0755);
+	write_settings(s, p, true);
+	sk_process_misbehave(s, p);
+	g_free(data);
+	start(s, p);
+}
+
+/// Starts all processes of the system and watches them.
+void
+sk_world_start(struct sk *s)
+{
+	for (uint32_t i = 0; i < s->n_hubs; i++)
+		name_process(s, &s->hubs[i], SK_HUB, i);
+	for (uint32_t i = 0; i < s->n_gateways; i++)
+		name_process(s, &s->gateways[i], SK_GATEWAY, i);
+	start_relay(s);
+	for (uint32_t i = 0; i < s->n_hubs; i++)
+		prepare(s, &s->hubs[i]);
+	for (uint32_t i = 0; i < s->n_gateways; i++)
+		prepare(s, &s->gateways[i]);
+	s->ticks[0] = tm_subscribe(s->timers, on_tick, s);
+	tm_arm_in(s->ticks[0], TICK_US);
+}
+
+static void
+end(struct sk_process *p)
+{
+	if (p->pid <= 0)
+		return;
+	(void)kill(p->pid, SIGKILL);
+	(void)waitpid(p->pid, NULL, 0);
+}
+
+/// Ends what was started; the folder stays when a promise was broken.
+void
+sk_world_stop(struct sk *s)
+{
+	for (uint32_t i = 0; i < s->n_hubs; i++)
+		end(&s->hubs[i]);
+	for (uint32_t i = 0; i < s->n_gateways; i++)
+		end(&s->gateways[i]);
+	relay_free(s->relay);
+	if (s->n_breaches == 0)
+		(void)nftw(s->folder, remove_entry, MAX_OPEN_FOLDERS,
+		    FTW_DEPTH | FTW_PHYS);
+	else
+		(void)printf("logs are kept in %s\n", s->folder);
+}
--- a/test/unit/replog/test_rl.cc
+++ b/test/unit/replog/test_rl.cc
@@ -282,6 +282,25 @@
 	EXPECT_TRUE(granted_vote(1, 1, false));
 }
 
+/// Voters that restarted refuse for an election's time each; whoever asks
+/// first must not wait for another whole one.
+TEST_F(Core, RefusedPreVoteIsAskedForAgainSoon)
+{
+	boot({ 1 });
+	now = deadline;
+	tick();
+	ASSERT_EQ(rl_role(core), RL_PRE_CANDIDATE);
+	const uint64_t first = now;
+	sent.clear();
+	now = deadline;
+	EXPECT_LE(now, first + ELECTION_US / 2);
+	tick();
+	EXPECT_EQ(rl_role(core), RL_PRE_CANDIDATE);
+	EXPECT_EQ(rl_term(core), 1U);
+	ASSERT_EQ(sent.size(), 2U);
+	EXPECT_EQ(sent[0].kind, RL_MSG_PRE_VOTE);
+}
+
 TEST_F(Core, MembersChangeOneStepAtATime)
 {
 	boot({});
