Requests wait at a gateway for a moment while control comes back

Ruled out: a shorter time to come back (a second refusal ends the request). Change: such a request is held for 400 ms, or a quarter of its caller's time, if this gateway could not serve for less than 1.5 s; then it is taken up with its own time of arrival, or refused. A longer loss is refused at once.

--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -83,6 +83,7 @@
 	gw_link_tick(g, now_us);
 	gw_list_tick(g, now_us);
 	gw_moves_tick(g, now_us);
+	gw_hold_step(g, now_us);
 	if (g->listed_us != 0 && now_us - g->listed_us > GW_LIST_OLD_US &&
 	    now_us - g->listed_us < GW_LIST_OLD_US + GW_TICK_US)
 		lg_event(LG_WARN, "list.old", "age_ms=%" PRIu64,
@@ -240,6 +241,7 @@
 		gw_request_free(q);
 	}
 	hd_free(g->requests);
+	gw_hold_clear(g);
 	fr_free(g->callers);
 	fr_free(g->ready);
 	fr_free(g->metrics);
--- a/src/gateway/gw_accept.c
+++ b/src/gateway/gw_accept.c
@@ -67,6 +67,7 @@
 	struct gw *g = q->gw;
 	const struct qt_limit limit =
 	    fc_quota(q->customer, &g->settings.bounds);
+	const uint64_t now = lp_now_us(g->loop);
 	const double units = units_of(q);
 	struct qt_view *view;
 	struct qt_answer a;
@@ -78,7 +79,7 @@
 		gw_fail(q, 503, GW_NOT_READY_US, "no word on the quota yet");
 		return false;
 	}
-	a = qt_take(view, &limit, q->arrived_us, g->n_gateways, units);
+	a = qt_take(view, &limit, now, g->n_gateways, units);
 	if (a.outcome == QT_TAKEN) {
 		if (qt_should_tell(view, &limit))
 			gw_report_soon(g);
@@ -89,10 +90,9 @@
 	    "request=%s customer=%s units=%.0f left=%.0f spent=%" PRIu64
 	    " told_ms=%" PRIu64 " rate=%.0f burst=%.0f",
 	    q->call.id, q->customer->name, units,
-	    qt_level(view, &limit, q->arrived_us, g->n_gateways),
-	    view->spent - view->counted,
-	    (q->arrived_us - view->told_us) / TM_US_PER_MS, limit.rate_per_s,
-	    limit.burst);
+	    qt_level(view, &limit, now, g->n_gateways),
+	    view->spent - view->counted, (now - view->told_us) / TM_US_PER_MS,
+	    limit.rate_per_s, limit.burst);
 	a.wait_us += rnd_below(lp_random(g->loop), GW_QUOTA_SPREAD_US);
 	gw_fail(q, 429, a.wait_us, "over the customer's quota");
 	return false;
@@ -134,7 +134,8 @@
 }
 
 static struct gw_request *
-request_new(struct gw *g, hd_t caller, const struct fr_request *req)
+request_new(struct gw *g, hd_t caller, const struct fr_request *req,
+    uint64_t arrived_us)
 {
 	void *item;
 	const hd_t self = hd_add(g->requests, &item);
@@ -147,7 +148,7 @@
 	q->caller = caller;
 	q->came_on = caller;
 	q->config = fc_ref(g->config);
-	q->arrived_us = lp_now_us(g->loop);
+	q->arrived_us = arrived_us;
 	q->verdict = VD_NOT_RUN;
 	q->method = g_strdup(req->method_name);
 	q->target = req->query[0] == '\0'
@@ -202,8 +203,12 @@
 	return 503;
 }
 
-static void
-take(struct gw *g, hd_t handle, const struct fr_request *req)
+/// Takes a request up, or answers it where that can't be.
+///
+/// @param was_held  it waited here already
+void
+gw_take(struct gw *g, hd_t handle, const struct fr_request *req,
+    uint64_t arrived_us, bool was_held)
 {
 	const char *why = "";
 	struct pf_call call;
@@ -215,6 +220,8 @@
 	if (g->stopping)
 		fr_close_after(g->callers, handle);
 	status = check_ready(g, &call, &why);
+	if (status == 503 && !was_held && gw_hold(g, handle, req, &call, why))
+		return;
 	if (status != 0) {
 		gw_refuse(g, handle, status, not_ready_us(g), call.id, why);
 		return;
@@ -224,7 +231,7 @@
 		gw_refuse(g, handle, 404, 0, call.id, "no route");
 		return;
 	}
-	q = request_new(g, handle, req);
+	q = request_new(g, handle, req, arrived_us);
 	q->call = call;
 	q->route = route;
 	set_times(q);
@@ -254,7 +261,7 @@
 	struct gw *g = arg;
 
 	g->n_requests->n++;
-	take(g, handle, req);
+	gw_take(g, handle, req, lp_now_us(g->loop), false);
 }
 
 /// The caller left: nobody works on its request any more.
@@ -267,8 +274,11 @@
 	struct gw_request *q =
 	    found == NULL ? NULL : hd_get(g->requests, (hd_t)*found);
 
-	if (q == NULL)
+	if (q == NULL) {
+		if (gw_hold_forget(g, handle))
+			g->n_cancelled->n++;
 		return;
+	}
 	g->n_cancelled->n++;
 	lg_event(LG_INFO, "request.cancelled",
 	    "request=%s route=%s server=%s attempts=%u after_ms=%" PRIu64,
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -94,6 +94,10 @@
 	uint32_t evidence_leader;
 	uint64_t next_evidence_us;
 
+	/// Requests that wait for control's word (gw_hold.c).
+	GQueue held; ///< of struct gw_held
+	size_t held_bytes;
+
 	struct hd_table *requests; ///< of struct gw_request
 	GHashTable *by_caller;     ///< caller's handle -> handle of the request
 
@@ -140,11 +144,10 @@
 	struct ro_choice choice;
 	char server[FC_NAME_BYTES];
 	uint64_t sent_us;
-	uint64_t first_us; ///< first event of the attempt; 0: none yet bool
-			   ///< weighed;      ///< its prompt is counted as work
-	bool weighed;      ///< its prompt is counted as work
-	uint32_t sent;     ///< attempts sent so far
-	uint32_t ran;      ///< of these, those that may have run
+	uint64_t first_us;   ///< first event of the attempt; 0: none yet
+	bool weighed;        ///< its prompt is counted as work
+	uint32_t sent;       ///< attempts sent so far
+	uint32_t ran;        ///< of these, those that may have run
 	bool dispatched_ran; ///< the attempt under way is known to run
 	struct rt_attempts attempts;
 	enum vd verdict; ///< of the attempts that ended
@@ -189,6 +192,15 @@
 
 /// gw_accept.c: requests as they come
 enum st gw_accept_start(struct gw *g);
+void gw_take(struct gw *g, hd_t handle, const struct fr_request *req,
+    uint64_t arrived_us, bool was_held);
+
+/// gw_hold.c: requests that wait until this gateway can serve
+bool gw_hold(struct gw *g, hd_t caller, const struct fr_request *req,
+    const struct pf_call *call, const char *why);
+bool gw_hold_forget(struct gw *g, hd_t caller);
+void gw_hold_step(struct gw *g, uint64_t now_us);
+void gw_hold_clear(struct gw *g);
 
 /// gw_send.c: attempts
 void gw_send(struct gw_request *q);
--- a/src/gateway/gw_link.c
+++ b/src/gateway/gw_link.c
@@ -288,6 +288,7 @@
 		    "version=%" PRIu64 " until_ms=%" PRIu64, s->version,
 		    (until - now) / TM_US_PER_MS);
 	g->lease_until_us = MAX(g->lease_until_us, until);
+	gw_hold_step(g, now);
 }
 
 static void
--- a/src/gateway/gw_list.c
+++ b/src/gateway/gw_list.c
@@ -122,6 +122,7 @@
 	if (g->listed_us == 0)
 		lg_event(LG_INFO, "list.known", "servers=%u", servers->len);
 	g->listed_us = now;
+	gw_hold_step(g, now);
 }
 
 /// Makes ready to read the list.
