Voters that restarted wait no longer than the old leader may lead

Cause: after a restart of all of control each voter refuses votes for an election's time, since a leader's lease may rest on what it acknowledged before; 0.4 to 0.8 s without a leader although none could have a lease. Ruled out: a shorter election time for all (leaders with slow disks would lose theirs); trusting the reboot of a VM to take longer than a lease. Change: the wait ends once every voter that may lead in the newest term has asked for pre-votes in a later one (docs/design/replicated-log.md has the argument); restarted voters ask after a quarter to a half of that time.

--- a/src/replog/rl.c
+++ b/src/replog/rl.c
@@ -380,11 +380,11 @@
 	rl_log_init(c, boot);
 	rl_peers_refresh(c);
 	c->role = RL_FOLLOWER;
+	rl_reset_deadline(c);
 	if (boot->restarted) {
-		c->heard = true;
-		c->heard_us = now_us;
+		rl_restart_begin(c);
+		rl_reset_pre_vote_deadline(c);
 	}
-	rl_reset_deadline(c);
 	return c;
 }
 
--- a/src/replog/rl_core.h
+++ b/src/replog/rl_core.h
@@ -25,6 +25,9 @@
 	uint32_t id;
 	bool voter;
 	bool granted; ///< Vote or pre-vote of this election.
+	/// Newest term it asked for pre-votes in while this voter waited after
+	/// a restart.
+	uint64_t asked_term;
 	enum rl_progress progress;
 	bool probing; ///< A probe is under way.
 	uint64_t match;
@@ -107,6 +110,7 @@
 	uint64_t armed_us;
 	bool heard; ///< heard_us is set.
 	uint64_t heard_us;
+	bool restart_waits; ///< heard_us is the start, no leader was heard.
 
 	struct rl_peer peers[RL_MAX_PEERS];
 	size_t n_peers;
@@ -154,6 +158,11 @@
 void rl_on_election_msg(struct rl_core *c, const struct rl_msg *m);
 void rl_election_tick(struct rl_core *c);
 bool rl_heard_lately(const struct rl_core *c);
+void rl_reset_pre_vote_deadline(struct rl_core *c);
+
+/* rl_restart.c */
+void rl_restart_begin(struct rl_core *c);
+void rl_restart_asked(struct rl_core *c, const struct rl_msg *m);
 
 /* rl_append.c */
 void rl_start_leading(struct rl_core *c);
--- a/src/replog/rl_election.c
+++ b/src/replog/rl_election.c
@@ -17,8 +17,8 @@
 
 /// A member that found no quorum for its pre-vote asks again soon: nobody is
 /// disturbed by it, and others' waits may end meanwhile.
-static void
-reset_pre_vote_deadline(struct rl_core *c)
+void
+rl_reset_pre_vote_deadline(struct rl_core *c)
 {
 	const uint64_t wait_us = c->election_us / PRE_VOTE_PART;
 
@@ -80,6 +80,7 @@
 	rl_become_follower(c, c->hard.term, leader);
 	c->heard = true;
 	c->heard_us = c->now_us;
+	c->restart_waits = false;
 	c->held_back = 0;
 	rl_reset_deadline(c);
 }
@@ -157,7 +158,7 @@
 	}
 	for (size_t i = 0; i < c->n_peers; i++)
 		c->peers[i].granted = false;
-	reset_pre_vote_deadline(c);
+	rl_reset_pre_vote_deadline(c);
 	if (c->role != RL_PRE_CANDIDATE)
 		change_role(c, RL_PRE_CANDIDATE, 0);
 	ask_votes(c, RL_MSG_PRE_VOTE, c->hard.term + 1);
@@ -202,12 +203,12 @@
 static void
 on_pre_vote(struct rl_core *c, const struct rl_msg *m)
 {
-	const bool ok =
-	    m->term > c->hard.term && up_to_date(c, m) && !rl_heard_lately(c);
-	struct rl_msg reply = { .kind = RL_MSG_PRE_VOTE_REPLY,
-		.term = ok ? m->term : c->hard.term,
-		.ok = ok };
+	struct rl_msg reply = { .kind = RL_MSG_PRE_VOTE_REPLY };
 
+	rl_restart_asked(c, m);
+	reply.ok =
+	    m->term > c->hard.term && up_to_date(c, m) && !rl_heard_lately(c);
+	reply.term = reply.ok ? m->term : c->hard.term;
 	rl_send(c, m->from, &reply);
 }
 
--- a/test/unit/replog/test_rl.cc
+++ b/test/unit/replog/test_rl.cc
@@ -26,7 +26,8 @@
 	std::vector<struct rl_msg> sent;
 	std::map<uint64_t, enum st> outcomes;
 
-	void boot(std::vector<uint64_t> terms, bool restarted = false)
+	void boot(std::vector<uint64_t> terms, bool restarted = false,
+	    uint64_t term = 0)
 	{
 		struct rl_boot b = {};
 		std::vector<struct rl_entry> entries;
@@ -36,7 +37,7 @@
 			    { i + 1, terms[i], RL_EMPTY, 0, nullptr });
 		b.group = 1;
 		b.self = 1;
-		b.hard.term = terms.empty() ? 0 : terms.back();
+		b.hard.term = term != 0 || terms.empty() ? term : terms.back();
 		b.members.n_voters = 3;
 		for (uint32_t i = 0; i < 3; i++)
 			b.members.voters[i] = i + 1;
@@ -187,6 +188,20 @@
 		ASSERT_EQ(rl_role(core), RL_LEADER);
 	}
 
+	bool granted_pre_vote(
+	    uint32_t from, uint64_t term, uint64_t index, uint64_t log_term)
+	{
+		struct rl_msg m = {};
+
+		m.kind = RL_MSG_PRE_VOTE;
+		m.term = term;
+		m.index = index;
+		m.log_term = log_term;
+		sent.clear();
+		receive(from, m);
+		return sent.size() == 1 && sent[0].ok;
+	}
+
 	bool granted_vote(uint64_t index, uint64_t log_term, bool forced)
 	{
 		struct rl_msg m = {};
@@ -282,6 +297,36 @@
 	EXPECT_TRUE(granted_vote(1, 1, false));
 }
 
+/// All voters restarted: the leader that any of them acknowledged is among
+/// those who ask now, so its lease needn't be waited for.
+TEST_F(Core, RestartedVoterWaitsNoLongerThanTheOldLeaderMayLead)
+{
+	boot({ 1, 2, 2 }, true);
+	EXPECT_FALSE(granted_pre_vote(2, 3, 3, 2));
+	EXPECT_FALSE(granted_pre_vote(2, 3, 3, 2));
+	EXPECT_TRUE(granted_pre_vote(3, 3, 3, 2));
+	EXPECT_TRUE(granted_pre_vote(2, 3, 3, 2));
+}
+
+/// A question from before the newest term says nothing about its leader.
+TEST_F(Core, RestartedVoterHeedsQuestionsOfLaterTermsOnly)
+{
+	boot({ 1, 2, 2 }, true);
+	EXPECT_FALSE(granted_pre_vote(2, 2, 3, 2));
+	EXPECT_FALSE(granted_pre_vote(3, 3, 3, 2));
+	EXPECT_FALSE(granted_pre_vote(3, 3, 3, 2));
+}
+
+/// Without an entry of the newest term its leader may be anybody.
+TEST_F(Core, RestartedVoterWaitsWhereItKnowsNoEntryOfTheTerm)
+{
+	boot({ 1, 2 }, true, 3);
+	EXPECT_FALSE(granted_pre_vote(2, 4, 3, 3));
+	EXPECT_FALSE(granted_pre_vote(3, 4, 3, 3));
+	now += ELECTION_US;
+	EXPECT_TRUE(granted_pre_vote(3, 4, 3, 3));
+}
+
 /// Voters that restarted refuse for an election's time each; whoever asks
 /// first must not wait for another whole one.
 TEST_F(Core, RefusedPreVoteIsAskedForAgainSoon)
