On-demand servers stay between recalls where too few would be left

Fixed ones ordered after the first wave were ordered away two seconds later for reclaimable ones that were only wished for and refused (fixed n=46 at 16.4 s, n=1 at 19.2 s), so the third wave left 40 servers for work that kept 75 busy. Change: the plan itself keeps them; where a data centre has no room for both kinds, wished-for ones give way while the next recall would leave too few.

--- a/src/fleet/sp.c
+++ b/src/fleet/sp.c
@@ -169,6 +169,54 @@
 	}
 }
 
+/// Servers that are left if the data centre with most reclaimable ones loses
+/// these.
+static uint32_t
+count_left(const struct sp_input *in, const struct sp_plan *plan)
+{
+	uint32_t n = 0;
+	uint32_t most = 0;
+
+	for (uint32_t i = 0; i < in->n_zones; i++) {
+		n += plan->zones[i].fixed + in->zones[i].spot;
+		if (in->zones[i].spot > most)
+			most = in->zones[i].spot;
+	}
+	return n - most;
+}
+
+/// Keeps the on-demand servers of a data centre as far as it has room beside
+/// the reclaimable ones. Where these are only wished for, they give way as long
+/// as the next recall would leave less than the work needs.
+static void
+keep_fixed_of(const struct sp_input *in, struct sp_plan *out, uint32_t i)
+{
+	const uint32_t need = (uint32_t)ceil(in->need);
+	const struct sp_zone *z = &in->zones[i];
+	struct sp_order *o = &out->zones[i];
+	const uint32_t there = least(z->spot + z->starting, o->spot);
+	const uint32_t beside = least(z->coming, in->max_servers - o->spot);
+	const uint32_t keep = least(z->coming, in->max_servers - there);
+	uint32_t left;
+
+	if (beside > o->fixed)
+		o->fixed = beside;
+	left = count_left(in, out);
+	if (keep <= o->fixed || left >= need)
+		return;
+	o->fixed = least(keep, o->fixed + need - left);
+	o->spot = least(o->spot, in->max_servers - o->fixed);
+}
+
+/// Recalls come in waves, and a server takes seconds to start: on-demand ones
+/// that are there or on their way stay for a while.
+static void
+keep_fixed(const struct sp_input *in, struct sp_plan *out)
+{
+	for (uint32_t i = 0; i < in->n_zones; i++)
+		keep_fixed_of(in, out, i);
+}
+
 /// Plans the servers of a service.
 void
 sp_plan(const struct sp_input *in, struct sp_plan *out)
@@ -181,6 +229,8 @@
 	fill_up(in, out);
 	if (in->spot_price > 0)
 		plan_spot(in, out);
+	if (in->recalled)
+		keep_fixed(in, out);
 }
 
 /// Notes how many reclaimable servers there are.
--- a/src/fleet/sp.h
+++ b/src/fleet/sp.h
@@ -15,6 +15,7 @@
 	uint32_t fixed;    ///< on-demand servers that take work or start
 	uint32_t spot;     ///< reclaimable ones that take work
 	uint32_t starting; ///< reclaimable ones that were ordered and accepted
+	uint32_t coming;   ///< on-demand ones there or ordered, see `recalled`
 	bool spot_dry;     ///< an order for reclaimable ones failed lately
 	bool fixed_dry;    ///< an order for on-demand ones failed lately
 };
@@ -26,6 +27,7 @@
 	uint32_t max_servers;
 	double spot_price; ///< as a share; 0: there are none
 	double need;       ///< servers that the work keeps busy
+	bool recalled;     ///< reclaimable ones were recalled lately
 };
 
 struct sp_order {
--- a/src/hub/hb_scale.c
+++ b/src/hub/hb_scale.c
@@ -132,22 +132,6 @@
 	send_order(h, o, n);
 }
 
-/// Orders no fewer fixed servers than are there or on their way, as far as the
-/// data centre's limit has room.
-static void
-keep_fixed(struct hb *h, const struct fc_service *s, const char *zone,
-    const struct sp_order *plan)
-{
-	const struct hb_order *o = order_of(h, s->name, zone, false);
-	const uint32_t have = count(h, s->name, zone, false);
-	const uint32_t coming = o->ordered ? o->wanted : 0;
-	const uint32_t limit = s->scaling.max_servers;
-	const uint32_t room = limit > plan->spot ? limit - plan->spot : 0;
-	const uint32_t keep = MIN(room, MAX(have, coming));
-
-	want(h, s->name, zone, false, MAX(plan->fixed, keep));
-}
-
 /// @return whether the data centre recalled servers of late
 static bool
 fill_zone(struct hb *h, const struct fc_service *s,
@@ -160,6 +144,7 @@
 	out->price = price->price;
 	out->fixed = count(h, s->name, price->zone, false);
 	out->spot = count(h, s->name, price->zone, true);
+	out->coming = MAX(out->fixed, fixed->ordered ? fixed->wanted : 0);
 	if (spot->ordered && !spot->calling && spot->wanted > out->spot &&
 	    now < spot->sent_us + HB_ORDER_AGAIN_US)
 		out->starting = spot->wanted - out->spot;
@@ -293,19 +278,14 @@
 		.need = need_of(h, s),
 	};
 	struct sp_plan plan;
-	bool recalled = false;
 
 	if (in.need <= 0)
 		return;
 	for (uint32_t i = 0; i < in.n_zones; i++)
-		recalled |= fill_zone(h, s, &c->zones[i], &in.zones[i]);
+		in.recalled |= fill_zone(h, s, &c->zones[i], &in.zones[i]);
 	sp_plan(&in, &plan);
 	for (uint32_t i = 0; i < in.n_zones; i++) {
 		want(h, s->name, c->zones[i].zone, true, plan.zones[i].spot);
-		if (recalled) {
-			keep_fixed(h, s, c->zones[i].zone, &plan.zones[i]);
-			continue;
-		}
 		// Servers that are to be replaced go once others are there.
 		if (plan.zones[i].fixed >= in.zones[i].fixed ||
 		    in.zones[i].spot >= plan.zones[i].spot)
--- a/test/unit/fleet/test_servers.cc
+++ b/test/unit/fleet/test_servers.cc
@@ -92,6 +92,45 @@
 	}
 }
 
+/// Reclaimed runners of several data centres, seconds apart: on-demand ones
+/// that were ordered after the first wave must not go for reclaimable ones that
+/// are only wished for.
+TEST(Plan, RunnersReclaimedInWavesWithNoneToBeHad)
+{
+	struct sp_input in = three_zones(9);
+	struct sp_plan p;
+
+	in.zones[0].coming = 5;
+	in.zones[1].spot = 5;
+	in.zones[1].fixed = in.zones[1].coming = 1;
+	in.zones[2].spot_dry = true;
+	sp_plan(&in, &p);
+	EXPECT_LT(p.zones[0].fixed, 5U) << "without a recall they may go";
+	in.recalled = true;
+	sp_plan(&in, &p);
+	EXPECT_EQ(p.zones[0].fixed, 5U);
+	for (unsigned i = 0; i < 3; i++)
+		EXPECT_LE(p.zones[i].fixed + p.zones[i].spot, in.max_servers);
+}
+
+/// Where enough is left after another recall, the cheap ones keep their place.
+TEST(Plan, ARecallThatLeavesEnoughKeepsNothingBeyondTheRoom)
+{
+	struct sp_input in = three_zones(3);
+	struct sp_plan without;
+	struct sp_plan with;
+
+	for (unsigned i = 0; i < 3; i++) {
+		in.zones[i].spot = 5;
+		in.zones[i].fixed = in.zones[i].coming = 1;
+	}
+	sp_plan(&in, &without);
+	in.recalled = true;
+	sp_plan(&in, &with);
+	for (unsigned i = 0; i < 3; i++)
+		EXPECT_EQ(with.zones[i].fixed, without.zones[i].fixed);
+}
+
 TEST(Plan, OnDemandServersGoOnceReclaimableOnesAreBack)
 {
 	struct sp_input in = three_zones(9);
