--- a/cmake/proofs.cmake
+++ b/cmake/proofs.cmake
@@ -1,6 +1,7 @@
 # ac_proof(NAME SEED), one line for each run in CI.
 ac_proof(rollout_random 1)
 ac_proof(rollout_random 2)
+ac_proof(rollout_bounds 1)
 ac_proof(placement_random 1)
 ac_proof(path_thin 1)
 ac_proof(state_notes_random 1)
--- a/test/common/rollout_fake.c
+++ b/test/common/rollout_fake.c
@@ -148,11 +148,18 @@
 	return RF_ROUTES - 1;
 }
 
+static bool
+is_in_move(const struct fleet *f)
+{
+	return f->now_us >= f->c->move_us && f->now_us < f->c->deadline_us;
+}
+
 static void
 count_new(struct fleet *f, bool affected)
 {
 	struct rf_result *o = f->out;
 
+	o->in_move_new += is_in_move(f);
 	o->to_new++;
 	o->last_us = f->now_us;
 	f->window_to_new++;
@@ -161,6 +168,10 @@
 	if (affected && o->shown_us == 0)
 		o->shown_us = f->now_us;
 	o->affected += affected;
+	if (o->affected >= RF_BAD_SHOWN && o->known_us == 0)
+		o->known_us = f->now_us;
+	o->late +=
+	    o->known_us != 0 && f->now_us > o->known_us + RF_TAKE_BACK_US;
 	o->exposed += o->shown_us != 0;
 }
 
@@ -182,6 +193,7 @@
 	x->answer = make_answer(f, version, draw_route(f->r), &affected);
 	g_queue_push_tail(&f->answers, x);
 	f->out->requests++;
+	f->out->in_move += is_in_move(f);
 	f->window_stated += f->share_permille / 1000.0;
 	if (version == RF_V2)
 		count_new(f, affected);
--- a/test/common/rollout_fake.h
+++ b/test/common/rollout_fake.h
@@ -15,6 +15,12 @@
 #define RF_TICK_US 50000ULL
 #define RF_LEASE_US 3000000ULL
 #define RF_LAG_MAX_US 500000ULL
+/// What users allow a bad version: a share of the requests and some more, and
+/// none after this time since so many bad answers.
+#define RF_SHARE_MAX 0.1
+#define RF_SLACK_MAX 50
+#define RF_BAD_SHOWN 50
+#define RF_TAKE_BACK_US 5000000ULL
 
 enum rf_when {
 	RF_GOOD,
@@ -63,11 +69,15 @@
 
 struct rf_result {
 	uint64_t requests;
-	uint64_t to_new;   ///< requests that went to the new version
-	uint64_t affected; ///< of these, the ones that met its fault
-	uint64_t exposed;  ///< to the new version since its fault showed
-	uint64_t shown_us; ///< first affected answer; 0: none
-	uint64_t last_us;  ///< last request to it
+	uint64_t to_new;      ///< requests that went to the new version
+	uint64_t in_move;     ///< requests between the order and its deadline
+	uint64_t in_move_new; ///< of these, to the new version
+	uint64_t affected;    ///< of these, the ones that met its fault
+	uint64_t exposed;     ///< to the new version since its fault showed
+	uint64_t shown_us;    ///< first affected answer; 0: none
+	uint64_t known_us;    ///< when RF_BAD_SHOWN of them had come; 0: never
+	uint64_t late;        ///< requests to it RF_TAKE_BACK_US after that
+	uint64_t last_us;     ///< last request to it
 	uint64_t complete_us;
 	uint64_t back_us; ///< when it was taken back; 0: not
 	uint64_t over;    ///< windows with more than the stated share
--- a/test/proof/rollout_random.c
+++ b/test/proof/rollout_random.c
@@ -120,3 +120,43 @@
 	rnd_free(r);
 	return holds ? 0 : 1;
 }
+
+/// What users ask of bad versions, over the same moves: each that showed is
+/// taken back, gets no request five seconds after its fiftieth bad answer, and
+/// no more of the requests between the order and its deadline than the share
+/// and some more.
+int
+proof_rollout_bounds(uint64_t seed)
+{
+	struct rnd *r = rnd_new(seed);
+	uint64_t shown = 0;
+	uint64_t back = 0;
+	uint64_t late = 0;
+	uint64_t over = 0;
+	bool holds;
+
+	for (int i = 0; i < CASES; i++) {
+		const struct rf_case c =
+		    rf_draw(r, (enum rf_when)(i % RF_WHENS), true);
+		struct rf_policy policy;
+		struct rf_result o;
+		struct rf_ours *ours = rf_ours_new(r, &policy);
+
+		rf_run(r, &c, &policy, &o);
+		rf_ours_free(ours);
+		if (c.when == RF_GOOD || o.shown_us == 0)
+			continue;
+		shown++;
+		back += o.back_us != 0;
+		late += o.late > 0;
+		over += (double)o.in_move_new >
+		    RF_SHARE_MAX * (double)o.in_move + RF_SLACK_MAX;
+	}
+	holds = back == shown && late == 0 && over == 0;
+	(void)printf("holds=%d bad_shown=%llu bad_back=%llu late=%llu "
+		     "over_share=%llu\n",
+	    holds, (unsigned long long)shown, (unsigned long long)back,
+	    (unsigned long long)late, (unsigned long long)over);
+	rnd_free(r);
+	return holds ? 0 : 1;
+}
