The soak's own addresses are stated once

Cause: the last numbers of the addresses of servers and of the platform's interface stood in two files each, and would have had to change together; one constant was used nowhere. Ruled out: nothing. Change: both in soak.h.

--- a/test/soak/platform.c
+++ b/test/soak/platform.c
@@ -6,7 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PLATFORM_AT 201
 #define SLOTS 8
 
 static void
@@ -131,7 +130,7 @@
 {
 	char host[SK_HOST_BYTES];
 
-	sk_host(s, PLATFORM_AT, host);
+	sk_host(s, SK_PLATFORM_AT, host);
 	s->usage =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->fences =
--- a/test/soak/servers.c
+++ b/test/soak/servers.c
@@ -8,8 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LISTENS_AT 71
-#define SLOTS 8
 #define WORK_MIN_US (5 * TM_US_PER_MS)
 #define WORK_SPREAD_US 30000
 #define EVENT_GAP_US (25 * TM_US_PER_MS)
@@ -246,7 +244,7 @@
 		v->sk = s;
 		v->number = i;
 		sk_server_boot(v);
-		sk_host(s, LISTENS_AT + i, host);
+		sk_host(s, SK_SERVER_LISTENS_AT + i, host);
 		v->http = evhttp_new(lp_base(s->loop));
 		evhttp_set_gencb(v->http, on_request, v);
 		if (evhttp_bind_socket(v->http, host, SK_PORT) != 0)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -33,6 +33,10 @@
 #define SK_STOP_S 4
 #define SK_PORT 8080
 
+/// Last numbers of the addresses that this process listens at itself.
+#define SK_SERVER_LISTENS_AT 71
+#define SK_PLATFORM_AT 201
+
 enum sk_role {
 	SK_HUB,
 	SK_GATEWAY,
--- a/test/soak/world.c
+++ b/test/soak/world.c
@@ -18,8 +18,6 @@
 #define HUB_LISTENS_AT 111
 #define GATEWAY_AT 131
 #define SERVER_AT 31
-#define SERVER_LISTENS_AT 71
-#define PLATFORM_AT 201
 #define PEER_PORT 7600
 #define MAX_OPEN_FOLDERS 16
 
@@ -81,7 +79,7 @@
 	char *list = seeds(s);
 
 	sk_host(s, HUB_LISTENS_AT + p->number, listens);
-	sk_host(s, PLATFORM_AT, platform);
+	sk_host(s, SK_PLATFORM_AT, platform);
 	if (p->role == SK_HUB)
 		g_string_append_printf(out,
 		    "\"role\": \"hub\", \"operators\": \"%s:8229\","
@@ -271,7 +269,7 @@
 	}
 	for (uint32_t i = 0; i < s->n_servers; i++, n++) {
 		sk_host(s, SERVER_AT + i, s->servers[i].host);
-		sk_host(s, SERVER_LISTENS_AT + i, to[n]);
+		sk_host(s, SK_SERVER_LISTENS_AT + i, to[n]);
 		links[n] = (struct relay_link){ SK_PORT, SK_PORT,
 			s->servers[i].host, to[n] };
 	}
