Control sends the list of servers only while it can read it

Evidence: script_control_without_list. Hubs have a platform of their own that is ended; the gateways' one then shows a server as draining. On: no `server.leaving` in ten seconds, requests go to both servers. Cause, as a class: a copy is passed on as current by a process that doesn't know whether it still is. Looked for elsewhere: a configuration is sent under the leader's lease and a gateway's own lease runs out; quotas carry what was acknowledged; the clock carries the round trip. None of these has the fault. Change: a leader whose list is older than a second sends none. Gateways read it themselves after two seconds without one, under the shared call limit, as they do while control is silent. Ruled out: telling gateways the list's age (a new message format for the same effect).

--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -1,9 +1,13 @@
 #include "hub/hub_internal.h"
 
 #define HUB_LIST_INTERVAL_US (700 * USEC_PER_MSEC)
+/// A list that was read longer ago is not sent, so that gateways read it
+/// themselves.
+#define HUB_LIST_OLD_US USEC_PER_SEC
 
 /// Fills in the changes of the list that a gateway lacks, or the whole list if
-/// its revision isn't one of the last ones.
+/// its revision isn't one of the last ones. Without a current list the revision
+/// stays 0.
 ///
 /// @param has  revision of the list that the gateway has
 /// @param s    its `changes` point into `h`
@@ -12,6 +16,8 @@
 {
 	struct listdiff_update update;
 
+	if (loop_now_us(h->loop) >= h->list_fresh_us + HUB_LIST_OLD_US)
+		return;
 	listdiff_update(h->list, has, &update);
 	s->list_revision = listdiff_revision(h->list);
 	s->changes_since = update.since;
