Log the parts of a prompt when an attempt is sent

Cause: no line named the parts of a prompt, so the logs couldn't show whether the requests in flight at crashed servers have one in common. Change: attempt.sent of the gateway has `parts`, all but the last one.

--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -221,6 +221,14 @@
 void gateway_quota_on_timeout(struct gateway_request *q);
 void gateway_quota_on_answer(struct gateway *g, const struct wire_bytes *bytes);
 
+/// Room for gateway_parts_text(): a 64-bit number in hexadecimal and a comma
+/// for each part.
+#define GATEWAY_PARTS_TEXT_BYTES (API_MAX_PROMPT_PARTS * 17)
+
+/// gateway_parts.c: parts of prompts
+void gateway_parts_text(
+    const struct gateway_request *q, char *out, size_t size);
+
 /// gateway_waitq.c: requests that wait until this gateway is ready
 bool gateway_waitq_add(struct gateway *g, handle_t caller,
     const struct httpd_request *req, const struct api_request *call,
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -540,14 +540,16 @@
 		.on_end = on_end,
 		.arg = q,
 	};
+	char parts[GATEWAY_PARTS_TEXT_BYTES];
 
 	set_headers(q, s, now_us);
+	gateway_parts_text(q, parts, sizeof(parts));
 	call.extra_headers = api_headers_array(q->headers);
 	call.n_extra_headers = api_headers_count(q->headers);
 	logger_event(LOGGER_INFO, "attempt.sent",
-	    "request=%s attempt=%u server=%s recompute=%u queue=%.0f",
+	    "request=%s attempt=%u server=%s recompute=%u queue=%.0f parts=%s",
 	    q->call.id, q->n_sent, s->instance.id, q->choice.recompute_tokens,
-	    q->choice.queue_tokens);
+	    q->choice.queue_tokens, parts);
 	q->call_handle = httpc_send(g->http, &call);
 	if (q->call_handle == HANDLE_NONE) {
 		attempt_failed(
