Block parts of prompts that crash servers, at all gateways

Cause, as a class: a poison pill. The server was blamed for every lost request, never what the lost requests have in common; each gateway sees a part of them only, and no two are alike. Evidence: with `parts` in attempt.sent, one part is in flight at 94 of 94 crashes and never answered, another in 94 and answered 17 times. Change: gateways check a server that lost connections, and report the parts in flight to the leader. The leader (fleet/crashlog, a core) suspects a part for each crash since its last complete answer; at three crashes apart in time it asks all gateways and blocks the strongest suspect, in the replicated state. Gateways refuse requests with it (503, not run), and cancel those in flight.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -248,6 +248,9 @@
 	case WIRE_CONTROL_STATUS:
 	case WIRE_QUOTA_ASK:
 	case WIRE_QUOTA_ANSWER:
+	case WIRE_CRASH:
+	case WIRE_PARTS:
+	case WIRE_PARTS_ANSWER:
 	case WIRE_KIND_COUNT:
 		break;
 	}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define GATEWAY_TICK_US (50 * USEC_PER_MSEC)
+/// Parts of prompts whose last complete answer is remembered, at least.
+#define GATEWAY_ANSWERED_PARTS 4096
 #define GATEWAY_SHUTDOWN_CHECK_US (20 * USEC_PER_MSEC)
 /// Time from the start of a graceful stop after which keep-alive connections
 /// are drained.
@@ -160,6 +162,10 @@
 	    metrics_counter(registry, "ac_streams_resumed_total", "");
 	g->n_cancelled =
 	    metrics_counter(registry, "ac_requests_cancelled_total", "");
+	g->n_blocked =
+	    metrics_counter(registry, "ac_requests_blocked_total", "");
+	g->n_server_crashes =
+	    metrics_counter(registry, "ac_server_crashes_total", "");
 	g->first_event_latency =
 	    metrics_hist(registry, "ac_first_event_seconds", "");
 	g->total_latency = metrics_hist(registry, "ac_answer_seconds", "");
@@ -207,6 +213,10 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->rollouts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->answered_parts = partlog_new(GATEWAY_ANSWERED_PARTS);
+	g->blocked_parts =
+	    g_array_new(FALSE, TRUE, sizeof(struct gateway_blocked_part));
+	gateway_crashes_start(g);
 	g->requests = slotmap_new(sizeof(struct gateway_request));
 	g->by_caller =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -287,6 +297,9 @@
 	g_hash_table_destroy(g->loads);
 	g_hash_table_destroy(g->usage);
 	g_hash_table_destroy(g->by_caller);
+	gateway_crashes_clear(g);
+	g_array_unref(g->blocked_parts);
+	partlog_free(g->answered_parts);
 	fleetcfg_unref(g->config);
 	g_free(g);
 }
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -123,15 +123,22 @@
 	return q;
 }
 
-/// Chooses the request's service by its id's hash, and its priority.
-static void
-set_service(struct gateway_request *q)
+/// The request's service, by its id's hash.
+static const struct fleetcfg_service *
+pick_service(const struct gateway_request *q)
 {
 	const uint64_t hash =
 	    XXH64(q->call.id, strlen(q->call.id), fleetcfg_version(q->config));
 
-	q->service =
-	    fleetcfg_service(q->config, fleetcfg_pick_service(q->route, hash));
+	return fleetcfg_service(
+	    q->config, fleetcfg_pick_service(q->route, hash));
+}
+
+/// Sets the request's service and its priority.
+static void
+set_service(struct gateway_request *q)
+{
+	q->service = pick_service(q);
 	q->priority = q->customer != NULL && q->customer->has_priority
 	    ? q->customer->priority
 	    : q->route->priority;
@@ -179,6 +186,7 @@
 	struct gateway_request *q;
 	const struct fleetcfg_route *route;
 	enum gateway_quota quota;
+	uint64_t blocked_until;
 	int status;
 
 	api_request_read(g->callers, handle, &call);
@@ -207,6 +215,12 @@
 		gateway_fail(q, status, 0, why);
 		return;
 	}
+	blocked_until =
+	    gateway_parts_blocked_until(g, pick_service(q)->name, &q->call);
+	if (blocked_until != 0) {
+		gateway_parts_refuse(q, blocked_until);
+		return;
+	}
 	quota =
 	    q->customer != NULL ? gateway_quota_take(q) : GATEWAY_QUOTA_GRANTED;
 	if (quota == GATEWAY_QUOTA_REFUSED)
--- /dev/null
+++ b/src/gateway/gateway_crashes.c
@@ -0,0 +1,167 @@
+#include "gateway/gateway_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/partmsg.h"
+
+/// Time in which a server that lost connections must accept a new one.
+#define GATEWAY_CHECK_US (300 * USEC_PER_MSEC)
+/// Crashes that a new leader hears of again.
+#define GATEWAY_REPORTED_US (10 * USEC_PER_SEC)
+#define GATEWAY_MAX_REPORTED 64
+
+/// A server that lost connections with requests in flight. It is checked
+/// whether it crashed, or broke off responses only.
+struct crash {
+	struct gateway *gateway;
+	uint64_t at_us;
+	struct partmsg_crash report;
+};
+
+static void
+crash_free(gpointer p)
+{
+	struct crash *crash = p;
+
+	partmsg_crash_clear(&crash->report);
+	g_free(crash);
+}
+
+/// Makes the tables of crashes.
+void
+gateway_crashes_start(struct gateway *g)
+{
+	g->crash_checks =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, crash_free);
+	g_queue_init(&g->reported_crashes);
+}
+
+/// Releases the tables of crashes.
+void
+gateway_crashes_clear(struct gateway *g)
+{
+	g_hash_table_destroy(g->crash_checks);
+	g_queue_clear_full(&g->reported_crashes, crash_free);
+}
+
+static void
+send_report(struct gateway *g, struct crash *crash)
+{
+	const struct gateway_hub *leader =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->leader));
+	struct wire_msg msg = { .kind = WIRE_CRASH };
+	uint8_t *bytes;
+
+	if (leader == NULL)
+		return;
+	crash->report.age_us = loop_now_us(g->loop) - crash->at_us;
+	partmsg_crash_encode(&crash->report, &bytes, &msg.payload.len);
+	msg.payload.data = bytes;
+	(void)transport_send(g->links, leader->link, &msg);
+	free(bytes);
+}
+
+/// Sends the newest crashes to a new leader, which has no evidence yet.
+void
+gateway_crashes_on_leader(struct gateway *g)
+{
+	const uint64_t now = loop_now_us(g->loop);
+
+	for (GList *l = g->reported_crashes.head; l != NULL; l = l->next) {
+		struct crash *crash = l->data;
+
+		if (now < crash->at_us + GATEWAY_REPORTED_US)
+			send_report(g, crash);
+	}
+}
+
+static void
+on_checked(void *arg, const struct httpc_result *result)
+{
+	struct crash *crash = arg;
+	struct gateway *g = crash->gateway;
+
+	// A process that ends may still accept the connection, and drop it.
+	if (result->status != STATUS_UNAVAILABLE &&
+	    result->status != STATUS_IO) {
+		(void)g_hash_table_remove(
+		    g->crash_checks, crash->report.server);
+		return;
+	}
+	(void)g_hash_table_steal(g->crash_checks, crash->report.server);
+	g->n_server_crashes->value++;
+	logger_event(LOGGER_INFO, "server.crashed",
+	    "server=%s service=%s parts=%u", crash->report.server,
+	    crash->report.service, crash->report.in_flight->len);
+	g_queue_push_tail(&g->reported_crashes, crash);
+	if (g_queue_get_length(&g->reported_crashes) > GATEWAY_MAX_REPORTED)
+		crash_free(g_queue_pop_head(&g->reported_crashes));
+	send_report(g, crash);
+}
+
+/// Requests a server's health over a new connection: one that crashed refuses
+/// the connection or drops it.
+static bool
+start_check(struct crash *crash, const struct gateway_server *s,
+    const struct fleetcfg_service *service)
+{
+	struct gateway *g = crash->gateway;
+	const struct httpc_request call = {
+		.method = "GET",
+		.host = s->instance.host,
+		.port = s->instance.port,
+		.path = service->health_path,
+		.connect_us = GATEWAY_CHECK_US,
+		.timeout_us = GATEWAY_CHECK_US,
+		.new_connection = true,
+		.on_end = on_checked,
+		.arg = crash,
+	};
+
+	return httpc_send(g->http, &call) != HANDLE_NONE;
+}
+
+static void
+add_parts(struct crash *crash, const struct gateway_request *q)
+{
+	for (uint32_t i = 0; i + 1 < q->call.n_parts; i++) {
+		const struct crashlog_in_flight p = {
+			.id = q->call.parts[i].id,
+			.position = i,
+		};
+
+		g_array_append_val(crash->report.in_flight, p);
+	}
+}
+
+/// The connection of a request's attempt was lost before the response was
+/// complete: checks whether the server crashed.
+void
+gateway_crashes_on_lost(const struct gateway_request *q)
+{
+	struct gateway *g = q->gateway;
+	const struct gateway_server *s =
+	    g_hash_table_lookup(g->servers, q->server);
+	struct crash *crash = g_hash_table_lookup(g->crash_checks, q->server);
+
+	if (s == NULL || q->call.n_parts < 2)
+		return;
+	if (crash != NULL) {
+		add_parts(crash, q);
+		return;
+	}
+	crash = g_new0(struct crash, 1);
+	crash->gateway = g;
+	crash->at_us = loop_now_us(g->loop);
+	partmsg_crash_init(&crash->report);
+	(void)g_strlcpy(
+	    crash->report.server, q->server, sizeof(crash->report.server));
+	(void)g_strlcpy(crash->report.service, q->service->name,
+	    sizeof(crash->report.service));
+	add_parts(crash, q);
+	(void)g_hash_table_insert(g->crash_checks, crash->report.server, crash);
+	if (!start_check(crash, s, q->service))
+		(void)g_hash_table_remove(g->crash_checks, q->server);
+}
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -7,9 +7,11 @@
 #include "back/httpc.h"
 #include "base/logger.h"
 #include "base/verdict.h"
+#include "fleet/crashlog.h"
 #include "fleet/evstream.h"
 #include "fleet/fleetcfg.h"
 #include "fleet/hubmsg.h"
+#include "fleet/partlog.h"
 #include "fleet/quota.h"
 #include "fleet/instance.h"
 #include "front/httpd.h"
@@ -47,9 +49,17 @@
 	uint64_t tokens;      ///< of prompts, to be computed by servers
 	double tokens_per_ms; ///< that a server computes, estimated; 0: unknown
 	uint64_t work_us;     ///< that ended attempts took
+	uint64_t answered_us; ///< when a prompt was last answered completely;
+			      ///< 0: never
 	struct retry *retries; ///< this gateway's part of the retry budget
 };
 
+/// A part of prompts that crashes the servers of its service.
+struct gateway_blocked_part {
+	struct crashlog_part part;
+	uint64_t until_us; ///< prompts with it are refused until then
+};
+
 struct gateway {
 	struct loop *loop;
 	struct bootstrap_settings settings;
@@ -94,6 +104,14 @@
 	GHashTable *loads;  ///< service -> struct gateway_service_load
 	GHashTable *usage;  ///< "window customer" -> struct hubmsg_usage
 
+	/// Parts of prompts that crash servers (gateway_parts.c,
+	/// gateway_crashes.c).
+	struct partlog *answered_parts;
+	GArray *blocked_parts;     ///< struct gateway_blocked_part
+	uint64_t blocked_revision; ///< of control's blocked parts; 0: none
+	GHashTable *crash_checks;  ///< server's id -> struct crash
+	GQueue reported_crashes;   ///< struct crash, oldest first
+
 	/// Rollouts of services' versions (gateway_rollout.c).
 	struct rollout_entry *rollout_entry;
 	GHashTable *rollouts;  ///< service -> struct hubmsg_rollout
@@ -113,6 +131,8 @@
 	struct metrics_value *n_retries;
 	struct metrics_value *n_resumed;
 	struct metrics_value *n_cancelled;
+	struct metrics_value *n_blocked; ///< refused for a part of the prompt
+	struct metrics_value *n_server_crashes;
 	struct metrics_hist *first_event_latency; ///< or that of the response
 	struct metrics_hist *total_latency;
 };
@@ -228,6 +248,18 @@
 /// gateway_parts.c: parts of prompts
 void gateway_parts_text(
     const struct gateway_request *q, char *out, size_t size);
+void gateway_parts_answered(const struct gateway_request *q);
+uint64_t gateway_parts_blocked_until(const struct gateway *g,
+    const char *service, const struct api_request *call);
+void gateway_parts_refuse(struct gateway_request *q, uint64_t until_us);
+void gateway_parts_on_state(
+    struct gateway *g, handle_t link, const struct wire_bytes *bytes);
+
+/// gateway_crashes.c: crashes of servers
+void gateway_crashes_start(struct gateway *g);
+void gateway_crashes_clear(struct gateway *g);
+void gateway_crashes_on_leader(struct gateway *g);
+void gateway_crashes_on_lost(const struct gateway_request *q);
 
 /// gateway_waitq.c: requests that wait until this gateway is ready
 bool gateway_waitq_add(struct gateway *g, handle_t caller,
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -293,10 +293,12 @@
 	if (s->echo_us > now)
 		return;
 	g->leader_contact_us = now;
-	if (g->leader != sender_slot)
+	if (g->leader != sender_slot) {
 		logger_event(
 		    LOGGER_INFO, "control.leader", "slot=%u", sender_slot);
-	g->leader = sender_slot;
+		g->leader = sender_slot;
+		gateway_crashes_on_leader(g);
+	}
 	g->n_gateways = s->n_gateways;
 	balancer_set_entries(g->balancer, s->n_gateways);
 	apply_config(g, s);
@@ -325,7 +327,8 @@
 	struct gateway *g = arg;
 	struct hubmsg_state s;
 
-	(void)link;
+	if (msg->kind == WIRE_PARTS)
+		gateway_parts_on_state(g, link, &msg->payload);
 	if (msg->kind == WIRE_ROLLOUT_STATS)
 		gateway_rollout_on_ack(g, &msg->payload);
 	if (msg->kind == WIRE_QUOTA_ANSWER)
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -349,6 +349,8 @@
 		gateway_rollout_on_response(q, q->status >= 500);
 	}
 	q->verdict = VERDICT_RAN;
+	if (q->status >= 200 && q->status < 300)
+		gateway_parts_answered(q);
 	gateway_count_usage(q);
 	gateway_forward_response(q, q->status, body, len);
 }
@@ -390,12 +392,15 @@
 	}
 	if (q->is_stream) {
 		if (evstream_has_partial(q->events)) {
+			gateway_crashes_on_lost(q);
 			attempt_failed(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN,
 			    "the stream ended within an event");
 			return;
 		}
 		end_attempt(q, BALANCER_DONE);
 		q->verdict = VERDICT_RAN;
+		if (evstream_n_events(q->events) > 0)
+			gateway_parts_answered(q);
 		gateway_rollout_on_response(q, false);
 		gateway_stream_end(q);
 		return;
@@ -434,6 +439,8 @@
 		finish_response(q, result);
 		return;
 	}
+	if (result->verdict != VERDICT_NOT_RUN)
+		gateway_crashes_on_lost(q);
 	attempt_failed(q, BALANCER_FAILED, result->verdict,
 	    result->verdict == VERDICT_NOT_RUN ? "no connection"
 					       : "the answer broke off");
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -65,6 +65,7 @@
 	hub_members_tick(h);
 	hub_servers_tick(h, now_us);
 	hub_rollout_tick(h, now_us);
+	hub_crashes_tick(h, now_us);
 	hub_duty_tick(h, now_us);
 }
 
@@ -117,6 +118,7 @@
 		    "can't derive a slot from address %s", settings->host);
 	h->http = httpc_new(loop_event_base(loop));
 	h->state = hubstate_new();
+	h->crashlog = crashlog_new();
 	h->peers =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	h->gateways = g_hash_table_new_full(
@@ -203,6 +205,7 @@
 	g_hash_table_destroy(h->sizing_by_service);
 	g_hash_table_destroy(h->scale_orders);
 	listdiff_free(h->list);
+	crashlog_free(h->crashlog);
 	rollout_control_free(h->rollout_control);
 	fleetcfg_unref(h->config);
 	hubstate_free(h->state);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -6,6 +6,7 @@
 
 #include "back/httpc.h"
 #include "base/logger.h"
+#include "fleet/crashlog.h"
 #include "fleet/duty.h"
 #include "fleet/fleetcfg.h"
 #include "fleet/hubmsg.h"
@@ -42,8 +43,10 @@
 	uint64_t list_revision; ///< of its list of servers; 0: not from control
 	int64_t clock_offset_us; ///< its time since 1970 minus our steady clock
 	bool stopping;
-	GArray *usage;       ///< struct hubmsg_usage of its newest report
-	GArray *quotas;      ///< struct hubmsg_quota of its newest report
+	GArray *usage;             ///< struct hubmsg_usage of its newest report
+	GArray *quotas;            ///< struct hubmsg_quota of its newest report
+	uint64_t blocked_revision; ///< of the blocked parts in force there
+	uint64_t parts_question;   ///< that it answered last
 	bool quotas_counted; ///< this leader's buckets include what it had
 			     ///< spent when its reports began
 };
@@ -101,6 +104,15 @@
 	    *rollout_control;    ///< NULL: not built yet by this leader
 	bool committing_rollout; ///< a decision on a rollout is being committed
 
+	/// Parts of prompts that crash servers (hub_crashes.c).
+	struct crashlog *crashlog; ///< kept by the leader
+	bool crashes_changed;      ///< since gateways were last asked
+	uint64_t parts_question;   ///< number of the last question to gateways
+	uint64_t asked_parts_us;   ///< when it was asked
+	bool asked_parts;          ///< it is open
+	bool has_suspects;         ///< there were some when it was asked
+	bool blocking_part;        ///< a block is being committed
+
 	struct metrics_value *n_operator_requests;
 	struct metrics_value *n_invalid_requests;
 	struct metrics_hist *ack_latency; ///< of operators' commands
@@ -144,6 +156,14 @@
     double duration_s, replica_done_cb done, void *arg);
 const char *hub_rollout_state_name(const struct hubstate_rollout *v);
 
+/// hub_crashes.c: parts of prompts that crash servers (leader)
+void hub_crashes_reset(struct hub *h);
+void hub_crashes_send_blocked(struct hub *h, const struct hub_gateway *g);
+void hub_crashes_on_report(struct hub *h, const struct wire_bytes *bytes);
+void hub_crashes_on_answer(
+    struct hub *h, struct hub_gateway *g, const struct wire_bytes *bytes);
+void hub_crashes_tick(struct hub *h, uint64_t now_us);
+
 /// hub_servers.c: the list of servers
 void hub_servers_start(struct hub *h);
 void hub_servers_tick(struct hub *h, uint64_t now_us);
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -121,6 +121,9 @@
 	hubmsg_state_init(&s);
 	s.echo_us = g->echo_us;
 	s.is_leader = hub_is_leader(h);
+	// Before the state, which puts a new gateway into service.
+	if (s.is_leader)
+		hub_crashes_send_blocked(h, g);
 	s.leader = st.leader & RAFT_SLOT_MASK;
 	fill_members(&st, &s);
 	if (s.is_leader) {
@@ -216,6 +219,16 @@
 		p->accepted = link;
 }
 
+static void
+on_parts_answer(struct hub *h, const struct wire_hello *hello,
+    const struct wire_bytes *bytes)
+{
+	struct hub_gateway *g = g_hash_table_lookup(h->gateways, hello->node);
+
+	if (g != NULL && g->incarnation == hello->incarnation)
+		hub_crashes_on_answer(h, g, bytes);
+}
+
 static void
 on_message(void *arg, handle_t link, const struct wire_hello *hello,
     const struct wire_msg *msg)
@@ -240,6 +253,14 @@
 		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
 			hub_rollout_on_stats(h, link, &msg->payload);
 		break;
+	case WIRE_CRASH:
+		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
+			hub_crashes_on_report(h, &msg->payload);
+		break;
+	case WIRE_PARTS_ANSWER:
+		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
+			on_parts_answer(h, hello, &msg->payload);
+		break;
 	default:
 		logger_event(LOGGER_WARN, "link.unexpected", "peer=%s kind=%d",
 		    hello->node, (int)msg->kind);
--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -131,6 +131,7 @@
 		hub_quota_start(h);
 		hub_servers_reset(h);
 		hub_rollout_reset(h);
+		hub_crashes_reset(h);
 		timerq_arm_in(h->tick, 0);
 	}
 	h->was_leader = hub_is_leader(h);
--- a/src/hub/hubstate.c
+++ b/src/hub/hubstate.c
@@ -7,16 +7,24 @@
 /// Windows whose final usage is kept, so that a repeated report is the same.
 #define HUBSTATE_KEEP_WINDOWS 24
 #define HUBSTATE_MAX_COUNTS 4096
+/// Parts of prompts that are known to crash servers; the one whose block ends
+/// first makes room for another.
+#define HUBSTATE_MAX_BLOCKS 256
+/// Formats of a snapshot. One without blocked parts is written in the first, so
+/// that older processes can read it.
 #define HUBSTATE_FORMAT 1
+#define HUBSTATE_FORMAT_BLOCKS 2
 
 struct hubstate {
 	uint64_t version;
 	uint8_t *manifest;
 	size_t manifest_len;
 	struct hubstate_duty duty;
-	GQueue *usage;    ///< struct hubstate_usage, oldest first
-	GArray *needs;    ///< struct need
-	GArray *rollouts; ///< struct hubstate_rollout
+	GQueue *usage;            ///< struct hubstate_usage, oldest first
+	GArray *needs;            ///< struct need
+	GArray *rollouts;         ///< struct hubstate_rollout
+	GArray *blocks;           ///< struct hubstate_block
+	uint64_t blocks_revision; ///< log index of their last change; 0: none
 };
 
 /// Servers that a service needs, as last recorded.
@@ -43,6 +51,7 @@
 	s->usage = g_queue_new();
 	s->needs = g_array_new(FALSE, TRUE, sizeof(struct service_need));
 	s->rollouts = g_array_new(FALSE, TRUE, sizeof(struct hubstate_rollout));
+	s->blocks = g_array_new(FALSE, TRUE, sizeof(struct hubstate_block));
 	return s;
 }
 
@@ -55,6 +64,7 @@
 	g_queue_free_full(s->usage, usage_free);
 	g_array_unref(s->needs);
 	g_array_unref(s->rollouts);
+	g_array_unref(s->blocks);
 	g_free(s->manifest);
 	g_free(s);
 }
@@ -102,6 +112,15 @@
 	codec_enum(m, &v->record.reason, ROLLOUT_REASON_NOTE + 1);
 }
 
+static void
+code_block(struct codec *m, struct hubstate_block *b)
+{
+	codec_str(m, b->part.service, sizeof(b->part.service));
+	codec_u64(m, &b->part.id);
+	codec_u64(m, &b->until_us);
+	codec_u32(m, &b->n_blocks);
+}
+
 static void
 code_command(struct codec *m, struct hubstate_command *c)
 {
@@ -124,6 +143,9 @@
 	case HUBSTATE_ROLLOUT:
 		code_rollout(m, &c->rollout);
 		break;
+	case HUBSTATE_BLOCK:
+		code_block(m, &c->block);
+		break;
 	case HUBSTATE_N_KINDS:
 		codec_fail(m);
 		break;
@@ -229,6 +251,80 @@
 	v->sequence = index;
 }
 
+static struct hubstate_block *
+find_block(const struct hubstate *s, const struct crashlog_part *part)
+{
+	for (guint i = 0; i < s->blocks->len; i++) {
+		struct hubstate_block *b =
+		    &g_array_index(s->blocks, struct hubstate_block, i);
+
+		if (b->part.id == part->id &&
+		    strcmp(b->part.service, part->service) == 0)
+			return b;
+	}
+	return NULL;
+}
+
+static void
+drop_block_that_ends_first(struct hubstate *s)
+{
+	guint first = 0;
+
+	for (guint i = 1; i < s->blocks->len; i++) {
+		if (g_array_index(s->blocks, struct hubstate_block, i)
+			.until_us <
+		    g_array_index(s->blocks, struct hubstate_block, first)
+			.until_us)
+			first = i;
+	}
+	g_array_remove_index(s->blocks, first);
+}
+
+static void
+set_block(struct hubstate *s, uint64_t index, const struct hubstate_block *new)
+{
+	struct hubstate_block *b = find_block(s, &new->part);
+
+	s->blocks_revision = index;
+	if (b != NULL) {
+		*b = *new;
+		return;
+	}
+	if (s->blocks->len >= HUBSTATE_MAX_BLOCKS)
+		drop_block_that_ends_first(s);
+	g_array_append_val(s->blocks, *new);
+}
+
+/// What is known of a part of prompts that crashed servers; NULL if it never
+/// did. Valid until the next change of `s`.
+const struct hubstate_block *
+hubstate_block(const struct hubstate *s, const struct crashlog_part *part)
+{
+	return find_block(s, part);
+}
+
+/// Number of parts that are or were blocked.
+size_t
+hubstate_n_blocks(const struct hubstate *s)
+{
+	return s->blocks->len;
+}
+
+/// A part that is or was blocked, by its index; valid until the next change of
+/// `s`.
+const struct hubstate_block *
+hubstate_block_at(const struct hubstate *s, size_t i)
+{
+	return &g_array_index(s->blocks, struct hubstate_block, i);
+}
+
+/// Grows with each change of the blocked parts; 0: there were none.
+uint64_t
+hubstate_blocks_revision(const struct hubstate *s)
+{
+	return s->blocks_revision;
+}
+
 /// A service's newest rollout, or NULL; valid until the next change of `s`.
 const struct hubstate_rollout *
 hubstate_rollout(const struct hubstate *s, const char *service)
@@ -294,6 +390,9 @@
 		case HUBSTATE_ROLLOUT:
 			set_rollout(s, index, &c.rollout);
 			break;
+		case HUBSTATE_BLOCK:
+			set_block(s, index, &c.block);
+			break;
 		case HUBSTATE_N_KINDS:
 			break;
 		}
@@ -304,14 +403,32 @@
 			   "a command of the log can't be decoded");
 }
 
+static void
+code_blocks(struct codec *m, struct hubstate *s)
+{
+	uint32_t n = s->blocks->len;
+
+	codec_u64(m, &s->blocks_revision);
+	codec_u32(m, &n);
+	if (!codec_is_writer(m)) {
+		if (n > HUBSTATE_MAX_BLOCKS)
+			codec_fail(m);
+		g_array_set_size(s->blocks, codec_failed(m) ? 0 : n);
+	}
+	for (guint i = 0; i < s->blocks->len; i++)
+		code_block(
+		    m, &g_array_index(s->blocks, struct hubstate_block, i));
+}
+
 static void
 code_state(struct codec *m, struct hubstate *s, const uint8_t **manifest)
 {
-	uint32_t format = HUBSTATE_FORMAT;
+	uint32_t format =
+	    s->blocks->len > 0 ? HUBSTATE_FORMAT_BLOCKS : HUBSTATE_FORMAT;
 	uint32_t n = g_queue_get_length(s->usage);
 
 	codec_u32(m, &format);
-	if (format != HUBSTATE_FORMAT)
+	if (format != HUBSTATE_FORMAT && format != HUBSTATE_FORMAT_BLOCKS)
 		codec_fail(m);
 	codec_u64(m, &s->version);
 	codec_bytes(m, manifest, &s->manifest_len);
@@ -355,6 +472,8 @@
 	for (guint i = 0; i < s->rollouts->len; i++)
 		code_rollout(
 		    m, &g_array_index(s->rollouts, struct hubstate_rollout, i));
+	if (format == HUBSTATE_FORMAT_BLOCKS)
+		code_blocks(m, s);
 }
 
 /// Encodes the whole state for a snapshot.
--- a/src/hub/hubstate.h
+++ b/src/hub/hubstate.h
@@ -3,12 +3,14 @@
 
 #include <glib.h>
 
+#include "fleet/crashlog.h"
 #include "fleet/hubmsg.h"
 #include "rollout/rollout.h"
 
 /// Replicated state of a deployment: the configuration in force, the holder of
-/// the duties, final usage, the size of services and their rollouts. Has no
-/// I/O; the same commands applied in the same order give the same state.
+/// the duties, final usage, the size of services, their rollouts and blocked
+/// parts of prompts. Has no I/O; the same commands applied in the same order
+/// give the same state.
 
 struct hubstate;
 
@@ -18,6 +20,7 @@
 	HUBSTATE_USAGE,  ///< Usage of a window; the first command is final.
 	HUBSTATE_NEEDED_SERVERS, ///< Number of servers that a service needs.
 	HUBSTATE_ROLLOUT, ///< A rollout was started, or its state changed.
+	HUBSTATE_BLOCK,   ///< Prompts with a part crash servers.
 	HUBSTATE_N_KINDS,
 };
 
@@ -37,6 +40,15 @@
 	uint64_t sequence; ///< log index of the last change
 };
 
+/// A part of prompts that crashes servers. It stays known when the block has
+/// ended.
+struct hubstate_block {
+	struct crashlog_part part;
+	uint64_t until_us; ///< since 1970; prompts with it are refused until
+			   ///< then
+	uint32_t n_blocks; ///< how often it was blocked
+};
+
 /// A command for the replicated log. Only the fields of its kind are set; the
 /// command doesn't own `manifest` or `usage.counts`.
 struct hubstate_command {
@@ -49,6 +61,7 @@
 	char service[FLEETCFG_NAME_BYTES];
 	uint32_t needed_milliservers; ///< thousandths of a server
 	struct hubstate_rollout rollout;
+	struct hubstate_block block;
 };
 
 /// The process that may make the calls of the duties, and their fencing number.
@@ -77,6 +90,12 @@
 size_t hubstate_n_rollouts(const struct hubstate *s);
 const struct hubstate_rollout *hubstate_rollout_at(
     const struct hubstate *s, size_t i);
+const struct hubstate_block *hubstate_block(
+    const struct hubstate *s, const struct crashlog_part *part);
+size_t hubstate_n_blocks(const struct hubstate *s);
+const struct hubstate_block *hubstate_block_at(
+    const struct hubstate *s, size_t i);
+uint64_t hubstate_blocks_revision(const struct hubstate *s);
 const struct hubstate_usage *hubstate_usage(
     const struct hubstate *s, uint64_t window);
 
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -113,6 +113,9 @@
 	case WIRE_CONTROL_STATUS:
 	case WIRE_QUOTA_ASK:
 	case WIRE_QUOTA_ANSWER:
+	case WIRE_CRASH:
+	case WIRE_PARTS:
+	case WIRE_PARTS_ANSWER:
 		put_kind(p, m->kind, 1);
 		put_bytes(p, m->payload);
 		break;
@@ -305,6 +308,9 @@
 	case WIRE_CONTROL_STATUS:
 	case WIRE_QUOTA_ASK:
 	case WIRE_QUOTA_ANSWER:
+	case WIRE_CRASH:
+	case WIRE_PARTS:
+	case WIRE_PARTS_ANSWER:
 		m->payload = get_bytes(r);
 		break;
 	case WIRE_EXECUTE:
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -39,6 +39,10 @@
 	WIRE_QUOTA_ASK,      ///< gateway to leader: a request needs a grant of
 			     ///< its customer's quota
 	WIRE_QUOTA_ANSWER,   ///< leader to gateway: the grant, or the wait
+	WIRE_CRASH,          ///< gateway to leader: a server crashed
+	WIRE_PARTS,          ///< leader to gateway: blocked and suspected parts
+			     ///< of prompts
+	WIRE_PARTS_ANSWER,   ///< gateway to leader: response to WIRE_PARTS
 	WIRE_KIND_COUNT,
 };
 
@@ -124,8 +128,9 @@
 		struct wire_propose propose; ///< also WIRE_QUERY
 		struct wire_outcome outcome;
 		/// Encoded body of WIRE_ROLLOUT_STATS, WIRE_SLO_COUNTERS,
-		/// WIRE_GATEWAY_REPORT, WIRE_CONTROL_STATUS, WIRE_QUOTA_ASK and
-		/// WIRE_QUOTA_ANSWER.
+		/// WIRE_GATEWAY_REPORT, WIRE_CONTROL_STATUS, WIRE_QUOTA_ASK,
+		/// WIRE_QUOTA_ANSWER, WIRE_CRASH, WIRE_PARTS and
+		/// WIRE_PARTS_ANSWER.
 		struct wire_bytes payload;
 		struct wire_bytes execute; ///< of WIRE_EXECUTE
 	};
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -2,6 +2,9 @@
 
 #include <glib.h>
 #include <string.h>
+#include <unistd.h>
+
+#define CRASH_EXIT 9
 
 /// A backend server as the platform runs them: it serves requests for one
 /// instance id, puts its identity into the headers of each response, and sends
@@ -134,6 +137,26 @@
 	evbuffer_free(out);
 }
 
+/// Whether the prompt has the part in the setting "crash_on".
+static bool
+has_crashing_part(const struct backend *b, struct evhttp_request *req)
+{
+	const char *part = standin_get_str(b->env->settings, "crash_on", "");
+	const char *prompt =
+	    standin_request_header(req, "X-Acaciahinge-Prompt-Prefix", "");
+	bool found = false;
+	char **parts;
+
+	if (part[0] == '\0')
+		return false;
+	parts = g_strsplit(prompt, ",", -1);
+	for (char **p = parts; *p != NULL; p++)
+		found |=
+		    g_str_has_prefix(*p, part) && (*p)[strlen(part)] == ':';
+	g_strfreev(parts);
+	return found;
+}
+
 static void
 backend_request(void *self, struct evhttp_request *req)
 {
@@ -152,6 +175,8 @@
 		return;
 	}
 	b->runs++;
+	if (has_crashing_part(b, req))
+		_exit(CRASH_EXIT);
 	if (standin_get_int(b->env->settings, "mute", 0) != 0)
 		return;
 	if (standin_get_int(b->env->settings, "lose", 0) != 0) {
--- a/test/unit/hub/test_hubstate.cc
+++ b/test/unit/hub/test_hubstate.cc
@@ -166,6 +166,39 @@
 	EXPECT_EQ(hubstate_duty(s).holder, 9U);
 }
 
+TEST_F(State, BlockedPartsAreKeptBySnapshotsAndBounded)
+{
+	struct hubstate_command c = {};
+	struct hubstate *copy;
+	uint8_t *bytes;
+	size_t len;
+
+	c.kind = HUBSTATE_BLOCK;
+	strcpy(c.block.part.service, "llm");
+	for (uint64_t i = 1; i <= 300; i++) {
+		c.block.part.id = i;
+		c.block.until_us = 1000 + i;
+		c.block.n_blocks = 1;
+		Apply(c);
+	}
+	EXPECT_EQ(hubstate_n_blocks(s), 256U);
+	c.block.until_us = 9000;
+	c.block.n_blocks = 2;
+	Apply(c);
+	EXPECT_EQ(hubstate_blocks_revision(s), index);
+	hubstate_save(s, &bytes, &len);
+	ASSERT_EQ(hubstate_load(bytes, len, &copy), STATUS_OK);
+	hubstate_free(s);
+	s = copy;
+	free(bytes);
+	EXPECT_EQ(hubstate_n_blocks(s), 256U);
+	EXPECT_EQ(hubstate_blocks_revision(s), index);
+	EXPECT_EQ(hubstate_block(s, &c.block.part)->n_blocks, 2U);
+	EXPECT_EQ(hubstate_block(s, &c.block.part)->until_us, 9000U);
+	c.block.part.id = 1;
+	EXPECT_EQ(hubstate_block(s, &c.block.part), nullptr);
+}
+
 TEST_F(State, ACommandThatCantBeDecodedChangesNothing)
 {
 	Config(7, "seven");
