Only parts that gateways were asked about are blocked

Cause: the leader asked about the 64 strongest suspects, but chose among all when the answers had come. A part that became a suspect meanwhile, or was the 65th, could be blocked although a gateway had just answered prompts with it. Ruled out: asking about all suspects (one crash may have hundreds of parts in flight). Fields are named after the question.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -119,6 +119,7 @@
 	h->http = httpc_new(loop_event_base(loop));
 	h->state = hubstate_new();
 	h->crashlog = crashlog_new();
+	h->asked_parts = g_array_new(FALSE, TRUE, sizeof(struct crashlog_part));
 	h->peers =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	h->gateways = g_hash_table_new_full(
@@ -206,6 +207,7 @@
 	g_hash_table_destroy(h->scale_orders);
 	listdiff_free(h->list);
 	crashlog_free(h->crashlog);
+	g_array_unref(h->asked_parts);
 	rollout_control_free(h->rollout_control);
 	fleetcfg_unref(h->config);
 	hubstate_free(h->state);
--- a/src/hub/hub_crashes.c
+++ b/src/hub/hub_crashes.c
@@ -28,10 +28,8 @@
 }
 
 /// Sends a gateway the blocked parts and the open question, if there is one.
-///
-/// @param suspects  struct crashlog_suspect; NULL: no question
 static void
-send_parts(struct hub *h, const struct hub_gateway *g, const GArray *suspects)
+send_parts(struct hub *h, const struct hub_gateway *g)
 {
 	struct wire_msg msg = { .kind = WIRE_PARTS };
 	const uint64_t wall = hub_wall_clock_us(h);
@@ -50,14 +48,10 @@
 		if (out.time_us > 0)
 			g_array_append_val(s.blocked, out);
 	}
-	s.question = suspects != NULL ? h->parts_question : 0;
-	for (guint i = 0;
-	     suspects != NULL && i < MIN(suspects->len, HUB_MAX_SUSPECTS);
-	     i++) {
-		const struct crashlog_suspect *p =
-		    &g_array_index(suspects, struct crashlog_suspect, i);
-
-		g_array_append_val(s.suspects, p->part);
+	if (h->question_is_open) {
+		s.question = h->parts_question;
+		g_array_append_vals(
+		    s.suspects, h->asked_parts->data, h->asked_parts->len);
 	}
 	partmsg_state_encode(&s, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
@@ -71,7 +65,7 @@
 hub_crashes_send_blocked(struct hub *h, const struct hub_gateway *g)
 {
 	if (g->blocked_revision < hubstate_blocks_revision(h->state))
-		send_parts(h, g, NULL);
+		send_parts(h, g);
 }
 
 /// The parts that may be to blame for enough crashes to be blocked.
@@ -94,8 +88,8 @@
 	return all;
 }
 
-/// Asks all live gateways when they last answered prompts with the suspected
-/// parts. Does nothing while an earlier question or a block is open.
+/// Asks all live gateways when they last answered prompts with the strongest
+/// suspects. Does nothing while an earlier question or a block is open.
 static void
 ask(struct hub *h)
 {
@@ -103,22 +97,26 @@
 	GHashTableIter it;
 	gpointer value;
 
-	if (h->asked_parts || h->blocking_part)
+	if (h->question_is_open || h->blocking_part)
 		return;
 	h->crashes_changed = false;
 	suspects = find_suspects(h);
 	h->has_suspects = suspects->len > 0;
-	if (h->has_suspects) {
-		h->asked_parts = true;
-		h->asked_parts_us = loop_now_us(h->loop);
-		h->parts_question++;
-		g_hash_table_iter_init(&it, h->gateways);
-		while (g_hash_table_iter_next(&it, NULL, &value)) {
-			if (hub_gateway_is_alive(h, value))
-				send_parts(h, value, suspects);
-		}
-	}
+	g_array_set_size(h->asked_parts, 0);
+	for (guint i = 0; i < MIN(suspects->len, HUB_MAX_SUSPECTS); i++)
+		g_array_append_val(h->asked_parts,
+		    g_array_index(suspects, struct crashlog_suspect, i).part);
 	g_array_unref(suspects);
+	if (!h->has_suspects)
+		return;
+	h->question_is_open = true;
+	h->asked_us = loop_now_us(h->loop);
+	h->parts_question++;
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (hub_gateway_is_alive(h, value))
+			send_parts(h, value);
+	}
 }
 
 static void
@@ -167,19 +165,32 @@
 	hub_propose(h, &c, on_blocked, h);
 }
 
-/// Ends the open question: blocks the strongest suspect of a service that
-/// answers other prompts.
+static bool
+was_asked(const struct hub *h, const struct crashlog_part *part)
+{
+	for (guint i = 0; i < h->asked_parts->len; i++) {
+		const struct crashlog_part *p =
+		    &g_array_index(h->asked_parts, struct crashlog_part, i);
+
+		if (p->id == part->id && strcmp(p->service, part->service) == 0)
+			return true;
+	}
+	return false;
+}
+
+/// Ends the open question: blocks the strongest suspect, if gateways were asked
+/// about it and its service answers other prompts.
 static void
 decide(struct hub *h)
 {
 	GArray *suspects = find_suspects(h);
 
-	h->asked_parts = false;
+	h->question_is_open = false;
 	for (guint i = 0; i < suspects->len && !h->blocking_part; i++) {
 		const struct crashlog_suspect *p =
 		    &g_array_index(suspects, struct crashlog_suspect, i);
 
-		if (p->service_answers)
+		if (p->service_answers && was_asked(h, &p->part))
 			block(h, p);
 	}
 	g_array_unref(suspects);
@@ -267,11 +278,10 @@
 		    status_last());
 	} else {
 		g->blocked_revision = a.blocked_revision;
-		if (hub_is_leader(h) && a.question == h->parts_question) {
-			g->parts_question = a.question;
-			record_answer(h, &a);
-		}
-		if (h->asked_parts && all_have_answered(h))
+		g->parts_question = a.question;
+		record_answer(h, &a);
+		if (hub_is_leader(h) && h->question_is_open &&
+		    all_have_answered(h))
 			decide(h);
 	}
 	partmsg_answer_clear(&a);
@@ -287,7 +297,7 @@
 
 	crashlog_reset(h->crashlog);
 	h->crashes_changed = false;
-	h->asked_parts = false;
+	h->question_is_open = false;
 	h->has_suspects = false;
 	g_hash_table_iter_init(&it, h->gateways);
 	while (g_hash_table_iter_next(&it, NULL, &value))
@@ -299,9 +309,9 @@
 void
 hub_crashes_tick(struct hub *h, uint64_t now_us)
 {
-	if (h->asked_parts && now_us >= h->asked_parts_us + HUB_ANSWER_US)
+	if (h->question_is_open && now_us >= h->asked_us + HUB_ANSWER_US)
 		decide(h);
 	if (h->crashes_changed ||
-	    (h->has_suspects && now_us >= h->asked_parts_us + HUB_ASK_AGAIN_US))
+	    (h->has_suspects && now_us >= h->asked_us + HUB_ASK_AGAIN_US))
 		ask(h);
 }
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -108,8 +108,9 @@
 	struct crashlog *crashlog; ///< kept by the leader
 	bool crashes_changed;      ///< since gateways were last asked
 	uint64_t parts_question;   ///< number of the last question to gateways
-	uint64_t asked_parts_us;   ///< when it was asked
-	bool asked_parts;          ///< it is open
+	GArray *asked_parts;       ///< struct crashlog_part that it is about
+	uint64_t asked_us;         ///< when it was asked
+	bool question_is_open;     ///< not all live gateways have answered it
 	bool has_suspects;         ///< there were some when it was asked
 	bool blocking_part;        ///< a block is being committed
 
