Blocked parts are sent only to gateways that know the message

Cause: the leader sent blocked parts to every gateway until it confirmed them. A gateway of the version before closes the link on a message that it doesn't know, so that during an upgrade one blocked part would have closed its link at every state, and in the end taken it out of service. Found by reading, before any landing. Two more found so: a draining server that ends with requests in flight was taken for a crash, and the limit to connect of a check was as long as the check. Ruled out: a version in the greeting (older processes refuse another length). Change: a gateway tells each process of control that leads, once, which blocked parts it has; the leader sends blocked parts and questions to such gateways alone. A crash of a draining server isn't reported.

--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -6,7 +6,9 @@
 
 #include "fleet/partmsg.h"
 
-/// Time in which a server that lost connections must accept a new one.
+/// Time in which a server that lost connections must accept a new one, and time
+/// to respond over it.
+#define GATEWAY_CHECK_CONNECT_US (200 * USEC_PER_MSEC)
 #define GATEWAY_CHECK_US (300 * USEC_PER_MSEC)
 /// Crashes that a new leader hears of again.
 #define GATEWAY_REPORTED_US (10 * USEC_PER_SEC)
@@ -113,7 +115,7 @@
 		.host = s->instance.host,
 		.port = s->instance.port,
 		.path = service->health_path,
-		.connect_us = GATEWAY_CHECK_US,
+		.connect_us = GATEWAY_CHECK_CONNECT_US,
 		.timeout_us = GATEWAY_CHECK_US,
 		.new_connection = true,
 		.on_end = on_checked,
@@ -137,7 +139,8 @@
 }
 
 /// The connection of a request's attempt was lost before the response was
-/// complete: checks whether the server crashed.
+/// complete: checks whether the server crashed. One that is draining may end
+/// with requests in flight.
 void
 gateway_crashes_on_lost(const struct gateway_request *q)
 {
@@ -146,7 +149,7 @@
 	    g_hash_table_lookup(g->servers, q->server);
 	struct crash *crash = g_hash_table_lookup(g->crash_checks, q->server);
 
-	if (s == NULL || q->call.n_parts < 2)
+	if (s == NULL || s->instance.draining || q->call.n_parts < 2)
 		return;
 	if (crash != NULL) {
 		add_parts(crash, q);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -27,6 +27,8 @@
 struct gateway_hub {
 	uint32_t slot; ///< encodes its address, see slotaddr.h
 	handle_t link;
+	uint64_t incarnation; ///< of the process that the link led to last
+	bool told_parts;      ///< it was sent the revision of the blocked parts
 	uint64_t last_contact_us;     ///< when it last sent its state; 0: never
 	uint64_t unanswered_since_us; ///< when the first report without a
 				      ///< response was sent; 0: none
@@ -252,6 +254,7 @@
 uint64_t gateway_parts_blocked_until(const struct gateway *g,
     const char *service, const struct api_request *call);
 void gateway_parts_refuse(struct gateway_request *q, uint64_t until_us);
+void gateway_parts_tell_revision(struct gateway *g, handle_t link);
 void gateway_parts_on_state(
     struct gateway *g, handle_t link, const struct wire_bytes *bytes);
 
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -299,6 +299,10 @@
 		g->leader = sender_slot;
 		gateway_crashes_on_leader(g);
 	}
+	if (h != NULL && !h->told_parts) {
+		h->told_parts = true;
+		gateway_parts_tell_revision(g, h->link);
+	}
 	g->n_gateways = s->n_gateways;
 	balancer_set_entries(g->balancer, s->n_gateways);
 	apply_config(g, s);
@@ -349,9 +353,15 @@
 on_link_up(void *arg, handle_t link, const struct wire_hello *hello)
 {
 	struct gateway *g = arg;
+	struct gateway_hub *h =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(hello->id));
 
 	(void)link;
 	logger_event(LOGGER_INFO, "link.up", "peer=%s", hello->node);
+	if (h != NULL && h->incarnation != hello->incarnation) {
+		h->incarnation = hello->incarnation;
+		h->told_parts = false;
+	}
 	g->next_report_us = 0;
 }
 
--- a/src/gateway/gateway_parts.c
+++ b/src/gateway/gateway_parts.c
@@ -139,36 +139,56 @@
 	}
 }
 
+static void
+send_answer(
+    struct gateway *g, handle_t link, const struct partmsg_state *question)
+{
+	struct wire_msg msg = { .kind = WIRE_PARTS_ANSWER };
+	struct partmsg_answer answer;
+	uint8_t *bytes;
+
+	partmsg_answer_init(&answer);
+	answer.blocked_revision = g->blocked_revision;
+	answer.question = question->question;
+	for (guint i = 0; i < question->suspects->len; i++)
+		add_answered(g,
+		    &g_array_index(question->suspects, struct crashlog_part, i),
+		    &answer);
+	partmsg_answer_encode(&answer, &bytes, &msg.payload.len);
+	msg.payload.data = bytes;
+	(void)transport_send(g->links, link, &msg);
+	free(bytes);
+	partmsg_answer_clear(&answer);
+}
+
+/// Tells a control process the revision of the blocked parts in force here.
+/// Blocked parts are sent only to gateways that do so: an older gateway would
+/// close the link. For the same reason this is sent to a process only once.
+void
+gateway_parts_tell_revision(struct gateway *g, handle_t link)
+{
+	struct partmsg_state no_question;
+
+	partmsg_state_init(&no_question);
+	send_answer(g, link, &no_question);
+	partmsg_state_clear(&no_question);
+}
+
 /// Handles the leader's message about blocked and suspected parts, and responds
 /// to it.
 void
 gateway_parts_on_state(
     struct gateway *g, handle_t link, const struct wire_bytes *bytes)
 {
-	struct wire_msg msg = { .kind = WIRE_PARTS_ANSWER };
 	struct partmsg_state s;
-	struct partmsg_answer answer;
-	uint8_t *encoded;
 
 	partmsg_state_init(&s);
-	if (partmsg_state_decode(bytes->data, bytes->len, &s) != STATUS_OK) {
+	if (partmsg_state_decode(bytes->data, bytes->len, &s) == STATUS_OK) {
+		apply_blocked(g, &s);
+		send_answer(g, link, &s);
+	} else {
 		logger_event(LOGGER_WARN, "parts.unreadable", "reason=\"%s\"",
 		    status_last());
-		partmsg_state_clear(&s);
-		return;
 	}
-	apply_blocked(g, &s);
-	partmsg_answer_init(&answer);
-	answer.blocked_revision = g->blocked_revision;
-	answer.question = s.question;
-	for (guint i = 0; i < s.suspects->len; i++)
-		add_answered(g,
-		    &g_array_index(s.suspects, struct crashlog_part, i),
-		    &answer);
-	partmsg_answer_encode(&answer, &encoded, &msg.payload.len);
-	msg.payload.data = encoded;
-	(void)transport_send(g->links, link, &msg);
-	free(encoded);
-	partmsg_answer_clear(&answer);
 	partmsg_state_clear(&s);
 }
--- a/src/hub/hub_crashes.c
+++ b/src/hub/hub_crashes.c
@@ -64,7 +64,8 @@
 void
 hub_crashes_send_blocked(struct hub *h, const struct hub_gateway *g)
 {
-	if (g->blocked_revision < hubstate_blocks_revision(h->state))
+	if (g->knows_parts &&
+	    g->blocked_revision < hubstate_blocks_revision(h->state))
 		send_parts(h, g);
 }
 
@@ -88,6 +89,12 @@
 	return all;
 }
 
+static bool
+can_be_asked(const struct hub *h, const struct hub_gateway *g)
+{
+	return g->knows_parts && hub_gateway_is_alive(h, g);
+}
+
 /// Asks all live gateways when they last answered prompts with the strongest
 /// suspects. Does nothing while an earlier question or a block is open.
 static void
@@ -114,7 +121,7 @@
 	h->parts_question++;
 	g_hash_table_iter_init(&it, h->gateways);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		if (hub_gateway_is_alive(h, value))
+		if (can_be_asked(h, value))
 			send_parts(h, value);
 	}
 }
@@ -206,7 +213,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct hub_gateway *g = value;
 
-		if (hub_gateway_is_alive(h, g) &&
+		if (can_be_asked(h, g) &&
 		    g->parts_question != h->parts_question)
 			return false;
 	}
@@ -277,12 +284,15 @@
 		logger_event(LOGGER_WARN, "parts.unreadable", "reason=\"%s\"",
 		    status_last());
 	} else {
+		g->knows_parts = true;
 		g->blocked_revision = a.blocked_revision;
 		g->parts_question = a.question;
 		record_answer(h, &a);
 		if (hub_is_leader(h) && h->question_is_open &&
 		    all_have_answered(h))
 			decide(h);
+		if (hub_is_leader(h))
+			hub_crashes_send_blocked(h, g);
 	}
 	partmsg_answer_clear(&a);
 }
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -43,8 +43,9 @@
 	uint64_t list_revision; ///< of its list of servers; 0: not from control
 	int64_t clock_offset_us; ///< its time since 1970 minus our steady clock
 	bool stopping;
-	GArray *usage;             ///< struct hubmsg_usage of its newest report
-	GArray *quotas;            ///< struct hubmsg_quota of its newest report
+	GArray *usage;    ///< struct hubmsg_usage of its newest report
+	GArray *quotas;   ///< struct hubmsg_quota of its newest report
+	bool knows_parts; ///< has sent a message about parts of prompts
 	uint64_t blocked_revision; ///< of the blocked parts in force there
 	uint64_t parts_question;   ///< that it answered last
 	bool quotas_counted; ///< this leader's buckets include what it had
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -121,7 +121,6 @@
 	hubmsg_state_init(&s);
 	s.echo_us = g->echo_us;
 	s.is_leader = hub_is_leader(h);
-	// Before the state, which puts a new gateway into service.
 	if (s.is_leader)
 		hub_crashes_send_blocked(h, g);
 	s.leader = st.leader & RAFT_SLOT_MASK;
