Log what servers say of themselves in their responses

The adapter reads Server-Limit, Server-Leaving and Retry-After of a response into one struct; malformed values and repeated headers count as not given. Gateways log a changed limit and the first malformed value of a server, and count responses with each signal. Nothing acts on them yet.

Retry-After was read before as well, with strtod(), which takes exponents, signs and names of numbers; nobody used it.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -166,6 +166,14 @@
 	    metrics_counter(registry, "ac_requests_blocked_total", "");
 	g->n_server_crashes =
 	    metrics_counter(registry, "ac_server_crashes_total", "");
+	g->n_signals[API_SIGNAL_LIMIT] =
+	    metrics_counter(registry, "ac_server_limit_responses_total", "");
+	g->n_signals[API_SIGNAL_LEAVING] =
+	    metrics_counter(registry, "ac_server_leaving_responses_total", "");
+	g->n_signals[API_SIGNAL_RETRY_AFTER] = metrics_counter(
+	    registry, "ac_server_retry_after_responses_total", "");
+	g->n_malformed_signals =
+	    metrics_counter(registry, "ac_server_malformed_signals_total", "");
 	g->first_event_latency =
 	    metrics_hist(registry, "ac_first_event_seconds", "");
 	g->total_latency = metrics_hist(registry, "ac_answer_seconds", "");
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -40,6 +40,8 @@
 	handle_t balancer_handle;
 	uint64_t list_round; ///< gateway's list_round when it was last listed
 	uint64_t n_reports;  ///< load reports in its responses
+	double limit_per_s;  ///< that its last response named; 0: none
+	bool malformed_logged[API_N_SIGNALS];
 };
 
 /// A service's work at this gateway. The counts but `running` are those since
@@ -135,6 +137,9 @@
 	struct metrics_value *n_cancelled;
 	struct metrics_value *n_blocked; ///< refused for a part of the prompt
 	struct metrics_value *n_server_crashes;
+	/// Responses in which a server says so of itself.
+	struct metrics_value *n_signals[API_N_SIGNALS];
+	struct metrics_value *n_malformed_signals;
 	struct metrics_hist *first_event_latency; ///< or that of the response
 	struct metrics_hist *total_latency;
 };
@@ -264,6 +269,9 @@
 void gateway_crashes_on_leader(struct gateway *g);
 void gateway_crashes_on_lost(const struct gateway_request *q);
 
+/// gateway_signals.c: what servers say of themselves
+void gateway_signals_on_head(const struct gateway_request *q);
+
 /// gateway_waitq.c: requests that wait until this gateway is ready
 bool gateway_waitq_add(struct gateway *g, handle_t caller,
     const struct httpd_request *req, const struct api_request *call,
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -220,6 +220,7 @@
 	q->status = http_status;
 	api_response_read(g->http, q->call_handle, &q->response);
 	record_load(q);
+	gateway_signals_on_head(q);
 	q->is_stream = q->events != NULL && http_status == 200 &&
 	    response_matches(q) && !was_not_run(q);
 	if (!q->is_stream || q->response_headers != NULL)
--- a/src/platform/api_names.h
+++ b/src/platform/api_names.h
@@ -30,6 +30,11 @@
 #define API_HDR_NOT_RUN "X-Acaciahinge-Not-Run"
 /// "RUNNING,WAITING,SLOTS": requests at the backend server and its slots.
 #define API_HDR_SERVER_LOAD "X-Acaciahinge-Server-Load"
+/// Requests per second that the backend server takes from all senders together,
+/// a decimal number.
+#define API_HDR_SERVER_LIMIT "Server-Limit"
+/// "1": the backend server leaves.
+#define API_HDR_SERVER_LEAVING "Server-Leaving"
 #define API_HDR_DUTY_HOLDER "X-Acaciahinge-Duty-Holder"
 /// Fencing number of the duty.
 #define API_HDR_FENCE "X-Acaciahinge-Fence-Token"
--- a/src/platform/api_request.c
+++ b/src/platform/api_request.c
@@ -191,10 +191,8 @@
 		read_load(value, out);
 	else if (g_ascii_strcasecmp(name, "Content-Encoding") == 0)
 		out->encoded = g_ascii_strcasecmp(value, "identity") != 0;
-	else if (g_ascii_strcasecmp(name, "Retry-After") == 0)
-		out->retry_after_ms =
-		    (uint32_t)(CLAMP(g_ascii_strtod(value, NULL), 0, 3600) *
-			1000);
+	else
+		(void)api_signals_read(&out->signals, name, value);
 }
 
 /// Reads the headers of a backend server's response; only within on_head or
--- a/src/platform/api_request.h
+++ b/src/platform/api_request.h
@@ -7,6 +7,7 @@
 
 #include "back/httpc.h"
 #include "front/httpd.h"
+#include "platform/api_signals.h"
 
 /// Headers of callers' requests and of backend servers' responses: parsing, and
 /// the lists of headers that are forwarded.
@@ -53,7 +54,7 @@
 	uint32_t running; ///< requests
 	uint32_t waiting; ///< requests
 	uint32_t slots;
-	uint32_t retry_after_ms; ///< 0: none
+	struct api_signals signals;
 };
 
 /// List of headers to forward; owns copies of their names and values.
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -29,7 +29,7 @@
 		esac
 	done <"$build/includes"
 done
-names=$(git grep -lIE 'X-Acaciahinge-|"/api/|desired_count|window_seq|traffic_split' \
+names=$(git grep -lIE 'X-Acaciahinge-|"/api/|desired_count|window_seq|traffic_split|Server-Limit|Server-Leaving' \
     -- src ':!src/platform' || true)
 if [ -n "$names" ]; then
 	echo "names of the platform's interface outside src/platform: $names"
