--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -5,13 +5,16 @@
 #include <unistd.h>
 
 #define CRASH_EXIT 9
+#define WINDOW_US 4000000
 
 /// A backend server as the platform runs them: it serves requests for one
 /// instance id, puts its identity into the headers of each response, and sends
 /// server-sent events for paths that contain /stream/.
 struct backend {
 	struct standin_env *env;
-	int64_t runs; ///< Requests that were run, not refused.
+	int64_t runs;     ///< Requests that were run, not refused.
+	GArray *arrivals; ///< uint64_t: times of requests since the settings
+			  ///< last changed.
 };
 
 /// A stream of events in flight.
@@ -28,13 +31,16 @@
 	struct backend *b = g_new0(struct backend, 1);
 
 	b->env = env;
+	b->arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	return b;
 }
 
 static void
 backend_changed(void *self)
 {
-	(void)self;
+	struct backend *b = self;
+
+	(void)g_array_set_size(b->arrivals, 0);
 }
 
 static void
@@ -44,11 +50,24 @@
 	    evhttp_request_get_output_headers(req), name, value);
 }
 
-/// Adds the headers that every response carries: the request's id and the
-/// server's own id.
+/// Adds what the server says of itself, if a setting gives it a value.
+static void
+add_signal(const struct backend *b, struct evhttp_request *req,
+    const char *name, const char *setting)
+{
+	const char *value = standin_get_str(b->env->settings, setting, "");
+
+	if (value[0] != '\0')
+		add_header(req, name, value);
+}
+
+/// Adds the headers that every response carries: the request's id, the
+/// server's own id, and what it says of itself.
 static void
 add_identity_headers(const struct backend *b, struct evhttp_request *req)
 {
+	add_signal(b, req, "Server-Limit", "limit");
+	add_signal(b, req, "Server-Leaving", "leaving");
 	add_header(req, "X-Acaciahinge-Request-Id",
 	    standin_request_header(req, "X-Acaciahinge-Request-Id", ""));
 	add_header(req, "X-Acaciahinge-Server-Stamp",
@@ -162,6 +181,7 @@
 {
 	struct backend *b = self;
 	const char *id = standin_get_str(b->env->settings, "id", "");
+	const uint64_t now = standin_now_us();
 
 	if (strcmp(standin_request_header(
 		       req, "X-Acaciahinge-Expect-Instance", id),
@@ -169,7 +189,9 @@
 		standin_reply_error(req, 421, "another server has the address");
 		return;
 	}
+	(void)g_array_append_val(b->arrivals, now);
 	if (standin_get_int(b->env->settings, "full", 0) != 0) {
+		add_signal(b, req, "Retry-After", "retry_after");
 		add_header(req, "X-Acaciahinge-Not-Run", "1");
 		standin_reply_error(req, 503, "full");
 		return;
@@ -189,13 +211,33 @@
 		send_response(b, req);
 }
 
+/// Most requests that arrived within four seconds.
+static uint32_t
+most_in_window(const struct backend *b)
+{
+	uint32_t most = 0;
+	guint first = 0;
+
+	for (guint i = 0; i < b->arrivals->len; i++) {
+		const uint64_t at = g_array_index(b->arrivals, uint64_t, i);
+
+		while (at - g_array_index(b->arrivals, uint64_t, first) >=
+		    WINDOW_US)
+			first++;
+		most = MAX(most, i - first + 1);
+	}
+	return most;
+}
+
 static json_t *
 backend_stats(void *self, struct evhttp_request *req)
 {
 	const struct backend *b = self;
 
 	(void)req;
-	return json_pack("{s:I}", "runs", (json_int_t)b->runs);
+	return json_pack("{s:I, s:I, s:I}", "runs", (json_int_t)b->runs,
+	    "arrived", (json_int_t)b->arrivals->len, "most_in_window",
+	    (json_int_t)most_in_window(b));
 }
 
 const struct standin_kind standin_backend = {
