Gateways share the limit that a server names

The class: a server's own word about its load is data that is passed through, while balancing rests on what gateways infer.

Weighed: an even part of the limit for each gateway (with 291 gateways and one request a second, independent phases make bursts above the rule, or half of the limit is given away), and grants by the leader (a message a request, nothing without control). Chosen: turns. Time since 1970, by control's clock, is cut into turns of 1/limit; turn k belongs to gateway k mod n, for a second. A gateway needs its number only, which the leader gives out and which stays valid without it. A new leader gives out numbers after two seconds, when all gateways have reported. In any four seconds at most 5 * limit + 1 requests are sent; the rule allows 6 * limit + 5, which leaves a second in which two gateways may have a turn.

Limits and their end are passed on through the leader, so that a gateway whose turn is minutes away doesn't keep a limit that has ended. A limit ends with a server's own success without it, to a request that was sent when the limit was known here. The messages have a kind of their own: older gateways never get it, an older control process closes the link once.

--- /dev/null
+++ b/src/fleet/limitmsg.c
@@ -0,0 +1,103 @@
+#include "fleet/limitmsg.h"
+
+#include <math.h>
+
+#include "codec/codec.h"
+
+/// More servers than any deployment has; a longer array fails to decode.
+#define MAX_LIMITS 8192
+#define MILLI 1000.0
+/// A server that names zero still has a limit.
+#define MIN_MILLI 1
+
+/// Makes an empty message, to be released with limitmsg_clear().
+void
+limitmsg_init(struct limitmsg *m)
+{
+	*m = (struct limitmsg){
+		.limits =
+		    g_array_new(FALSE, TRUE, sizeof(struct limitmsg_limit)),
+	};
+}
+
+/// Releases a message's array.
+void
+limitmsg_clear(struct limitmsg *m)
+{
+	g_array_unref(m->limits);
+}
+
+/// Appends a server's limit.
+///
+/// @param per_s  requests per second; 0: the limit has ended
+void
+limitmsg_add(struct limitmsg *m, const char *server, double per_s)
+{
+	struct limitmsg_limit limit = {
+		.milli_per_s = MAX((uint64_t)lround(per_s * MILLI), MIN_MILLI),
+		.limited = per_s > 0,
+	};
+
+	(void)g_strlcpy(limit.server, server, sizeof(limit.server));
+	g_array_append_val(m->limits, limit);
+}
+
+/// Requests per second of a limit; 0: it has ended.
+double
+limitmsg_per_s(const struct limitmsg_limit *limit)
+{
+	return limit->limited ? (double)limit->milli_per_s / MILLI : 0;
+}
+
+static void
+code_message(struct codec *c, struct limitmsg *m)
+{
+	uint32_t n = m->limits->len;
+
+	codec_bool(c, &m->whole);
+	codec_u32(c, &m->number);
+	codec_u32(c, &m->n);
+	codec_u32(c, &n);
+	if (n > MAX_LIMITS || (m->n > 0 && m->number >= m->n)) {
+		codec_fail(c);
+		return;
+	}
+	g_array_set_size(m->limits, n);
+	for (uint32_t i = 0; i < n; i++) {
+		struct limitmsg_limit *limit =
+		    &g_array_index(m->limits, struct limitmsg_limit, i);
+
+		codec_str(c, limit->server, sizeof(limit->server));
+		codec_u64(c, &limit->milli_per_s);
+		codec_bool(c, &limit->limited);
+	}
+}
+
+/// Encodes a message.
+///
+/// @param bytes  gets the message, to be released with free()
+void
+limitmsg_encode(const struct limitmsg *m, uint8_t **bytes, size_t *len)
+{
+	struct limitmsg copy = *m;
+	struct codec *c = codec_writer();
+
+	code_message(c, &copy);
+	codec_take(c, bytes, len);
+}
+
+/// Decodes a message into one made by limitmsg_init().
+///
+/// @return STATUS_CORRUPT when the bytes are malformed
+enum status
+limitmsg_decode(const uint8_t *bytes, size_t len, struct limitmsg *out)
+{
+	struct codec *c = codec_reader(bytes, len);
+	bool decoded;
+
+	code_message(c, out);
+	decoded = codec_at_end(c);
+	codec_free(c);
+	return decoded ? STATUS_OK
+		       : status_fail(STATUS_CORRUPT, "limits can't be decoded");
+}
--- /dev/null
+++ b/src/fleet/limitmsg.h
@@ -0,0 +1,35 @@
+#ifndef FLEET_LIMITMSG_H
+#define FLEET_LIMITMSG_H
+
+#include <glib.h>
+
+#include "fleet/fleetcfg.h"
+
+/// Message, in both directions, about the limits that backend servers name. A
+/// gateway tells the leader of each change that it hears from a server, and a
+/// new leader of all limits that it knows; a new leader's response has all that
+/// it knows. The leader passes changes on to all other gateways, and gives each
+/// of them its number for the turns (route/turns.h).
+
+struct limitmsg_limit {
+	char server[FLEETCFG_NAME_BYTES];
+	uint64_t milli_per_s; ///< thousandths of a request; see `limited`
+	bool limited;         ///< false: the limit has ended
+};
+
+struct limitmsg {
+	bool whole;      ///< all limits that the sender knows
+	uint32_t number; ///< of the gateway that gets it, from 0
+	uint32_t n;      ///< numbered gateways; 0: `number` isn't given
+	GArray *limits;  ///< struct limitmsg_limit
+};
+
+void limitmsg_init(struct limitmsg *m);
+void limitmsg_clear(struct limitmsg *m);
+void limitmsg_add(struct limitmsg *m, const char *server, double per_s);
+double limitmsg_per_s(const struct limitmsg_limit *limit);
+void limitmsg_encode(const struct limitmsg *m, uint8_t **bytes, size_t *len);
+enum status limitmsg_decode(
+    const uint8_t *bytes, size_t len, struct limitmsg *out);
+
+#endif
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -29,6 +29,8 @@
 	handle_t link;
 	uint64_t incarnation; ///< of the process that the link led to last
 	bool told_parts;      ///< it was sent the revision of the blocked parts
+	bool told_limits;     ///< it was sent the known limits, as the leader
+	bool answers_limits;  ///< it has responded to that
 	uint64_t last_contact_us;     ///< when it last sent its state; 0: never
 	uint64_t unanswered_since_us; ///< when the first report without a
 				      ///< response was sent; 0: none
@@ -40,7 +42,9 @@
 	handle_t balancer_handle;
 	uint64_t list_round; ///< gateway's list_round when it was last listed
 	uint64_t n_reports;  ///< load reports in its responses
-	double limit_per_s;  ///< that its last response named; 0: none
+	double limit_per_s; ///< requests that it takes from all gateways; 0: no
+			    ///< limit
+	uint64_t limit_since_us; ///< when that became known here
 	bool malformed_logged[API_N_SIGNALS];
 };
 
@@ -103,6 +107,8 @@
 	uint64_t next_list_us;
 	struct api_lister *lister;
 
+	struct turns_seat seat; ///< for the limits of servers
+
 	/// Customers and services.
 	GHashTable *quotas; ///< customer -> struct quota_view
 	GHashTable *loads;  ///< service -> struct gateway_service_load
@@ -269,8 +275,16 @@
 void gateway_crashes_on_leader(struct gateway *g);
 void gateway_crashes_on_lost(const struct gateway_request *q);
 
+/// A server that names a limit of zero gets this many requests per second: only
+/// a response can say that the limit has ended.
+#define GATEWAY_MIN_LIMIT_PER_S 0.05
+
 /// gateway_signals.c: what servers say of themselves
 void gateway_signals_on_head(const struct gateway_request *q);
+void gateway_signals_on_leader(struct gateway *g, handle_t link);
+void gateway_signals_on_message(
+    struct gateway *g, uint32_t slot, const struct wire_bytes *bytes);
+void gateway_signals_apply_seat(struct gateway *g);
 
 /// gateway_waitq.c: requests that wait until this gateway is ready
 bool gateway_waitq_add(struct gateway *g, handle_t caller,
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -263,6 +263,22 @@
 	logger_event(LOGGER_WARN, "clock.corrected", "by_ms=%" PRId64,
 	    error_us / (int64_t)USEC_PER_MSEC);
 	g->clock_offset_us = offset_us;
+	gateway_signals_apply_seat(g);
+}
+
+/// A process that leads again has dropped the limits that it was told before.
+static void
+forget_told_limits(struct gateway *g)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->hubs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct gateway_hub *h = value;
+
+		h->told_limits = h->told_limits && !h->answers_limits;
+	}
 }
 
 /// Applies a state from the control process with slot `sender_slot`. Only the
@@ -298,11 +314,16 @@
 		    LOGGER_INFO, "control.leader", "slot=%u", sender_slot);
 		g->leader = sender_slot;
 		gateway_crashes_on_leader(g);
+		forget_told_limits(g);
 	}
 	if (h != NULL && !h->told_parts) {
 		h->told_parts = true;
 		gateway_parts_tell_revision(g, h->link);
 	}
+	if (h != NULL && !h->told_limits) {
+		h->told_limits = true;
+		gateway_signals_on_leader(g, h->link);
+	}
 	g->n_gateways = s->n_gateways;
 	balancer_set_entries(g->balancer, s->n_gateways);
 	apply_config(g, s);
@@ -337,6 +358,8 @@
 		gateway_rollout_on_ack(g, &msg->payload);
 	if (msg->kind == WIRE_QUOTA_ANSWER)
 		gateway_quota_on_answer(g, &msg->payload);
+	if (msg->kind == WIRE_LIMITS)
+		gateway_signals_on_message(g, hello->id, &msg->payload);
 	if (msg->kind != WIRE_CONTROL_STATUS)
 		return;
 	hubmsg_state_init(&s);
@@ -361,7 +384,13 @@
 	if (h != NULL && h->incarnation != hello->incarnation) {
 		h->incarnation = hello->incarnation;
 		h->told_parts = false;
+		h->told_limits = false;
+		h->answers_limits = false;
 	}
+	// Changes that were sent meanwhile are lost. An older control process,
+	// which doesn't respond, closed the link when it was told of limits.
+	if (h != NULL && h->answers_limits)
+		h->told_limits = false;
 	g->next_report_us = 0;
 }
 
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -48,6 +48,9 @@
 	bool knows_parts; ///< has sent a message about parts of prompts
 	uint64_t blocked_revision; ///< of the blocked parts in force there
 	uint64_t parts_question;   ///< that it answered last
+	bool knows_limits;         ///< has sent a message about limits
+	uint32_t number;           ///< for the turns of limited servers
+	uint32_t n_numbered; ///< gateways with numbers then; 0: it has none
 	bool quotas_counted; ///< this leader's buckets include what it had
 			     ///< spent when its reports began
 };
@@ -115,6 +118,10 @@
 	bool has_suspects;         ///< there were some when it was asked
 	bool blocking_part;        ///< a block is being committed
 
+	/// Limits that servers name (hub_limits.c).
+	GHashTable *limits; ///< server's id -> double, requests per second
+	uint64_t next_numbers_us;
+
 	struct metrics_value *n_operator_requests;
 	struct metrics_value *n_invalid_requests;
 	struct metrics_hist *ack_latency; ///< of operators' commands
@@ -166,6 +173,13 @@
     struct hub *h, struct hub_gateway *g, const struct wire_bytes *bytes);
 void hub_crashes_tick(struct hub *h, uint64_t now_us);
 
+/// hub_limits.c: limits that backend servers name (leader)
+void hub_limits_reset(struct hub *h);
+void hub_limits_on_message(
+    struct hub *h, struct hub_gateway *g, const struct wire_bytes *bytes);
+void hub_limits_prune(struct hub *h, const GArray *servers);
+void hub_limits_tick(struct hub *h, uint64_t now_us);
+
 /// hub_servers.c: the list of servers
 void hub_servers_start(struct hub *h);
 void hub_servers_tick(struct hub *h, uint64_t now_us);
--- /dev/null
+++ b/src/hub/hub_limits.c
@@ -0,0 +1,196 @@
+#include "hub/hub_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/limitmsg.h"
+
+/// A new leader gives out numbers after this time, when all live gateways have
+/// reported to it: until then they keep those of the last leader.
+#define HUB_LIMITS_SETTLE_US (2 * USEC_PER_SEC)
+#define HUB_LIMITS_NUMBER_US (400 * USEC_PER_MSEC)
+
+static void
+send_message(
+    struct hub *h, const struct hub_gateway *g, const struct limitmsg *m)
+{
+	struct wire_msg msg = { .kind = WIRE_LIMITS };
+	uint8_t *bytes;
+
+	limitmsg_encode(m, &bytes, &msg.payload.len);
+	msg.payload.data = bytes;
+	(void)transport_send(h->links, g->link, &msg);
+	free(bytes);
+}
+
+/// Drops the limits and numbers of an earlier term as the leader. The gateways
+/// tell a new leader what they know.
+void
+hub_limits_reset(struct hub *h)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_remove_all(h->limits);
+	h->next_numbers_us = loop_now_us(h->loop) + HUB_LIMITS_SETTLE_US;
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct hub_gateway *)value)->n_numbered = 0;
+}
+
+/// Applies the changes in a message.
+static void
+apply(struct hub *h, const struct limitmsg *m)
+{
+	for (guint i = 0; i < m->limits->len; i++) {
+		const struct limitmsg_limit *limit =
+		    &g_array_index(m->limits, struct limitmsg_limit, i);
+		double *per_s;
+
+		if (!limit->limited) {
+			(void)g_hash_table_remove(h->limits, limit->server);
+			continue;
+		}
+		per_s = g_new(double, 1);
+		*per_s = limitmsg_per_s(limit);
+		(void)g_hash_table_insert(
+		    h->limits, g_strdup(limit->server), per_s);
+	}
+}
+
+/// Sends the changes in a message to all other gateways.
+static void
+pass_on(struct hub *h, const struct hub_gateway *from, const struct limitmsg *m)
+{
+	const struct limitmsg changes = { .limits = m->limits };
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->gateways);
+	while (
+	    m->limits->len > 0 && g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct hub_gateway *g = value;
+
+		if (g != from && g->knows_limits && hub_gateway_is_alive(h, g))
+			send_message(h, g, &changes);
+	}
+}
+
+/// Sends all limits, and the gateway's number if it has one.
+static void
+send_all(struct hub *h, const struct hub_gateway *g)
+{
+	GHashTableIter it;
+	gpointer server;
+	gpointer per_s;
+	struct limitmsg m;
+
+	limitmsg_init(&m);
+	m.whole = true;
+	m.number = g->number;
+	m.n = g->n_numbered;
+	g_hash_table_iter_init(&it, h->limits);
+	while (g_hash_table_iter_next(&it, &server, &per_s))
+		limitmsg_add(&m, server, *(const double *)per_s);
+	send_message(h, g, &m);
+	limitmsg_clear(&m);
+}
+
+/// Handles a gateway's message.
+void
+hub_limits_on_message(
+    struct hub *h, struct hub_gateway *g, const struct wire_bytes *bytes)
+{
+	struct limitmsg m;
+
+	if (!hub_is_leader(h))
+		return;
+	limitmsg_init(&m);
+	if (limitmsg_decode(bytes->data, bytes->len, &m) != STATUS_OK) {
+		logger_event(LOGGER_WARN, "limits.unreadable", "reason=\"%s\"",
+		    status_last());
+		limitmsg_clear(&m);
+		return;
+	}
+	apply(h, &m);
+	pass_on(h, g, &m);
+	g->knows_limits = true;
+	if (m.whole)
+		send_all(h, g);
+	limitmsg_clear(&m);
+}
+
+/// Drops the limits of servers that the list doesn't show any more.
+///
+/// @param servers  struct instance
+void
+hub_limits_prune(struct hub *h, const GArray *servers)
+{
+	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	gpointer server;
+
+	for (guint i = 0; i < servers->len; i++)
+		(void)g_hash_table_add(
+		    listed, g_array_index(servers, struct instance, i).id);
+	g_hash_table_iter_init(&it, h->limits);
+	while (g_hash_table_iter_next(&it, &server, NULL)) {
+		if (!g_hash_table_contains(listed, server))
+			g_hash_table_iter_remove(&it);
+	}
+	g_hash_table_destroy(listed);
+}
+
+static gint
+by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(((const struct hub_gateway *)a)->name,
+	    ((const struct hub_gateway *)b)->name);
+}
+
+/// Numbers the live gateways by their names, and tells those whose number
+/// changed.
+static void
+number_gateways(struct hub *h)
+{
+	GList *sorted = NULL;
+	GHashTableIter it;
+	gpointer value;
+	uint32_t n;
+	uint32_t number = 0;
+
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (hub_gateway_is_alive(h, value))
+			sorted = g_list_prepend(sorted, value);
+	}
+	sorted = g_list_sort(sorted, by_name);
+	n = g_list_length(sorted);
+	for (const GList *l = sorted; l != NULL; l = l->next, number++) {
+		struct hub_gateway *g = l->data;
+		struct limitmsg m;
+
+		if (g->number == number && g->n_numbered == n)
+			continue;
+		g->number = number;
+		g->n_numbered = n;
+		if (!g->knows_limits)
+			continue;
+		limitmsg_init(&m);
+		m.number = number;
+		m.n = n;
+		send_message(h, g, &m);
+		limitmsg_clear(&m);
+	}
+	g_list_free(sorted);
+}
+
+/// Keeps the numbers of the gateways up to date.
+void
+hub_limits_tick(struct hub *h, uint64_t now_us)
+{
+	if (now_us < h->next_numbers_us)
+		return;
+	h->next_numbers_us = now_us + HUB_LIMITS_NUMBER_US;
+	number_gateways(h);
+}
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -228,6 +228,16 @@
 		hub_crashes_on_answer(h, g, bytes);
 }
 
+static void
+on_limits(struct hub *h, const struct wire_hello *hello,
+    const struct wire_bytes *bytes)
+{
+	struct hub_gateway *g = g_hash_table_lookup(h->gateways, hello->node);
+
+	if (g != NULL && g->incarnation == hello->incarnation)
+		hub_limits_on_message(h, g, bytes);
+}
+
 static void
 on_message(void *arg, handle_t link, const struct wire_hello *hello,
     const struct wire_msg *msg)
@@ -260,6 +270,10 @@
 		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
 			on_parts_answer(h, hello, &msg->payload);
 		break;
+	case WIRE_LIMITS:
+		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
+			on_limits(h, hello, &msg->payload);
+		break;
 	default:
 		logger_event(LOGGER_WARN, "link.unexpected", "peer=%s kind=%d",
 		    hello->node, (int)msg->kind);
--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -37,6 +37,7 @@
 	if (servers == NULL)
 		return;
 	h->list_fresh_us = loop_now_us(h->loop);
+	hub_limits_prune(h, servers);
 	if (listdiff_set(h->list, servers, first))
 		timerq_arm_in(h->push, 0);
 }
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -8,6 +8,7 @@
 #include "base/slotmap.h"
 #include "base/rnd.h"
 #include "base/status.h"
+#include "route/turns.h"
 
 /// Load balancing: chooses the backend server of a request. A core without
 /// I/O. Costs are in tokens, so that recomputing a prompt on an idle server can
@@ -184,6 +185,22 @@
 void balancer_events_lost(
     struct balancer *r, uint64_t now_us, handle_t server, uint64_t missed);
 
+/// Limits that servers name; see turns.h.
+void balancer_set_seat(struct balancer *r, uint64_t now_us,
+    struct turns_seat seat, int64_t time_offset_us);
+void balancer_set_limit(
+    struct balancer *r, uint64_t now_us, handle_t server, double per_s);
+
+/// When the servers of a pool that take no request now will take some.
+struct balancer_openings {
+	uint64_t next_us;   ///< of the first one
+	double per_s;       ///< requests per second to servers with a limit
+	bool any_unlimited; ///< a server without a limit is among them
+};
+
+bool balancer_openings(const struct balancer *r, uint64_t now_us,
+    const char *name, struct balancer_openings *out);
+
 enum status balancer_choose(struct balancer *r, uint64_t now_us,
     struct rnd *rnd, const struct balancer_request *request,
     struct balancer_choice *out);
--- a/src/route/balancer_choose.c
+++ b/src/route/balancer_choose.c
@@ -76,7 +76,7 @@
 is_eligible(const struct search *s, const struct balancer_server *p)
 {
 	return !balancer__is_unavailable(p) && serves_version(s, p) &&
-	    !is_excluded(s, p);
+	    !is_excluded(s, p) && balancer__is_open(s->r, p, s->now_us);
 }
 
 /// Collects the servers to choose among in r->usable. Ejected ones are left
@@ -104,7 +104,7 @@
 	if (n_all == 0)
 		return status_fail(STATUS_UNAVAILABLE,
 		    "every server of pool %s that serves the version is "
-		    "draining, reclaimed or excluded",
+		    "draining, reclaimed, excluded or takes no more now",
 		    s->pool->name);
 	s->panic = n_healthy == 0 ||
 	    n_healthy * 100 < s->r->params.panic_percent * n_all;
@@ -233,7 +233,8 @@
 	return x ^ (x >> 32);
 }
 
-/// Finds the server that all entries prefer for the shared prompt.
+/// Finds the server that all entries prefer for the shared prompt. One with a
+/// limit takes requests for moments only, and at another time for each entry.
 static void
 find_preferred(struct search *s)
 {
@@ -243,7 +244,7 @@
 		const struct balancer_server *p = s->r->usable[i];
 		const uint64_t x = rendezvous_score(s->request->shared_hash, p);
 
-		if (s->preferred != NULL && x <= best)
+		if (p->turns.per_s > 0 || (s->preferred != NULL && x <= best))
 			continue;
 		s->preferred = p;
 		best = x;
@@ -347,6 +348,8 @@
 		.probe = probe,
 		.panic = s->panic,
 	};
+	inv_check(balancer__is_open(s->r, p, s->now_us), "route.limit",
+	    "server=%s per_s=%g", p->conf.name, p->turns.per_s);
 	inv_check(!balancer__is_unavailable(p) && !is_excluded(s, p),
 	    "route.no_new_work", "server=%s leaving=%d data_centre=%s",
 	    p->conf.name, p->draining, p->conf.data_centre);
@@ -358,7 +361,7 @@
 /// @param out  the choice, for balancer_begin()
 /// @return STATUS_OK; STATUS_NOT_FOUND: no such pool, or no server of it serves
 ///         the version; STATUS_UNAVAILABLE: all that do are draining,
-///         reclaimed or excluded
+///         reclaimed, excluded, or take no more requests now
 enum status
 balancer_choose(struct balancer *r, uint64_t now_us, struct rnd *rnd,
     const struct balancer_request *request, struct balancer_choice *out)
--- /dev/null
+++ b/src/route/balancer_intake.c
@@ -0,0 +1,105 @@
+#include "route/balancer_internal.h"
+
+#include <glib.h>
+
+/// Which servers take a request now: those whose limit has a turn of this
+/// process, and that haven't asked for a pause.
+
+/// Time that all processes share, for the turns.
+static uint64_t
+shared_us(const struct balancer *r, uint64_t now_us)
+{
+	return (uint64_t)((int64_t)now_us + r->time_offset_us);
+}
+
+static void
+set_turns(struct balancer *r, struct balancer_server *p, uint64_t now_us,
+    double per_s)
+{
+	turns_set(&p->turns, shared_us(r, now_us), per_s, r->seat,
+	    (uint32_t)p->name_hash);
+}
+
+/// Sets this process's number among those that send to the servers.
+///
+/// @param time_offset_us  time since 1970 minus the clock of `now_us`
+void
+balancer_set_seat(struct balancer *r, uint64_t now_us, struct turns_seat seat,
+    int64_t time_offset_us)
+{
+	if (seat.number == r->seat.number && seat.n == r->seat.n &&
+	    time_offset_us == r->time_offset_us)
+		return;
+	r->seat = seat;
+	r->time_offset_us = time_offset_us;
+	for (uint32_t i = 0; i < r->n_slots; i++) {
+		if (r->slots[i] != NULL)
+			set_turns(
+			    r, r->slots[i], now_us, r->slots[i]->turns.per_s);
+	}
+}
+
+/// Limits the requests that a server gets from all processes together.
+///
+/// @param per_s  0: no limit
+void
+balancer_set_limit(
+    struct balancer *r, uint64_t now_us, handle_t server, double per_s)
+{
+	struct balancer_server *p = balancer__server(r, server);
+
+	if (p != NULL)
+		set_turns(r, p, now_us, per_s);
+}
+
+/// When a server takes the next request; UINT64_MAX: not known.
+static uint64_t
+opens_us(
+    const struct balancer *r, const struct balancer_server *p, uint64_t now_us)
+{
+	const uint64_t shared = shared_us(r, now_us);
+	const uint64_t next = turns_next_us(&p->turns, shared);
+
+	return next == UINT64_MAX ? next : now_us + (next - shared);
+}
+
+/// Whether a server takes a request now.
+bool
+balancer__is_open(
+    const struct balancer *r, const struct balancer_server *p, uint64_t now_us)
+{
+	return turns_is_open(&p->turns, shared_us(r, now_us));
+}
+
+/// Counts a request that is sent to a server.
+void
+balancer__count_sent(
+    struct balancer *r, struct balancer_server *p, uint64_t now_us)
+{
+	turns_use(&p->turns, shared_us(r, now_us));
+}
+
+/// When servers of a pool take requests again, and how many.
+///
+/// @return false when the pool has no server that will
+bool
+balancer_openings(const struct balancer *r, uint64_t now_us, const char *name,
+    struct balancer_openings *out)
+{
+	const struct balancer_pool *pool = g_hash_table_lookup(r->pools, name);
+
+	*out = (struct balancer_openings){ .next_us = UINT64_MAX };
+	for (uint32_t i = 0; pool != NULL && i < pool->n_peers; i++) {
+		const struct balancer_server *p = pool->peers[i];
+		const uint64_t at_us = opens_us(r, p, now_us);
+
+		if (balancer__is_unavailable(p) || at_us == UINT64_MAX)
+			continue;
+		out->next_us = MIN(out->next_us, at_us);
+		if (p->turns.per_s > 0)
+			out->per_s += p->turns.per_s / p->turns.seat.n;
+		else
+			out->any_unlimited = true;
+	}
+	return out->next_us != UINT64_MAX;
+}
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -44,6 +44,8 @@
 	bool draining;
 	uint64_t draining_since_us;
 
+	struct turns turns; ///< of the limit that it names
+
 	struct balancer_report report;
 	uint64_t report_us;      ///< When its figures were taken; 0: none yet.
 	uint32_t other_requests; ///< Reported requests of other entries.
@@ -116,6 +118,8 @@
 
 struct balancer {
 	struct balancer_params params;
+	struct turns_seat seat;
+	int64_t time_offset_us;     ///< Time since 1970 minus that of `now_us`.
 	struct slotmap *servers;    ///< of struct balancer_server
 	struct slotmap *dispatches; ///< of struct balancer_dispatch
 	void *servers_by_name; ///< GHashTable: name -> struct balancer_server
@@ -139,6 +143,11 @@
 double balancer__staleness(
     const struct balancer *r, const struct balancer_server *p, uint64_t now_us);
 
+bool balancer__is_open(
+    const struct balancer *r, const struct balancer_server *p, uint64_t now_us);
+void balancer__count_sent(
+    struct balancer *r, struct balancer_server *p, uint64_t now_us);
+
 void balancer__record_success(struct balancer *r, struct balancer_server *p,
     uint64_t now_us, handle_t dispatch);
 void balancer__record_failure(struct balancer *r, struct balancer_server *p,
--- /dev/null
+++ b/src/route/turns.h
@@ -0,0 +1,38 @@
+#ifndef ROUTE_TURNS_H
+#define ROUTE_TURNS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/// Divides a server's limit of requests per second among the processes that
+/// send to it, without messages: time since 1970 is cut into turns of
+/// 1 / limit, and each turn belongs to one of the processes, by their numbers.
+/// A core without I/O. A turn allows one request, until TURNS_VALID_US after
+/// its start.
+///
+/// In any W seconds the processes together send at most limit * (W + 1) + 1
+/// requests. While their numbers change, two processes may have the same turn,
+/// for as long as one knows the new numbers and the other doesn't.
+
+#define TURNS_VALID_US 1000000
+
+/// One process's number among all of them.
+struct turns_seat {
+	uint32_t number; ///< from 0
+	uint32_t n;      ///< processes; 0: not known, no turn belongs to this
+};
+
+struct turns {
+	double per_s; ///< 0: no limit
+	struct turns_seat seat;
+	uint32_t offset; ///< differs between servers
+	int64_t used;    ///< own turn that was used or given up last
+};
+
+void turns_set(struct turns *t, uint64_t time_us, double per_s,
+    struct turns_seat seat, uint32_t offset);
+bool turns_is_open(const struct turns *t, uint64_t time_us);
+uint64_t turns_next_us(const struct turns *t, uint64_t time_us);
+void turns_use(struct turns *t, uint64_t time_us);
+
+#endif
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -116,6 +116,7 @@
 	case WIRE_CRASH:
 	case WIRE_PARTS:
 	case WIRE_PARTS_ANSWER:
+	case WIRE_LIMITS:
 		put_kind(p, m->kind, 1);
 		put_bytes(p, m->payload);
 		break;
@@ -311,6 +312,7 @@
 	case WIRE_CRASH:
 	case WIRE_PARTS:
 	case WIRE_PARTS_ANSWER:
+	case WIRE_LIMITS:
 		m->payload = get_bytes(r);
 		break;
 	case WIRE_EXECUTE:
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -43,6 +43,8 @@
 	WIRE_PARTS,          ///< leader to gateway: blocked and suspected parts
 			     ///< of prompts
 	WIRE_PARTS_ANSWER,   ///< gateway to leader: response to WIRE_PARTS
+	WIRE_LIMITS, ///< gateway to leader and back: limits that backend
+		     ///< servers name
 	WIRE_KIND_COUNT,
 };
 
@@ -129,8 +131,8 @@
 		struct wire_outcome outcome;
 		/// Encoded body of WIRE_ROLLOUT_STATS, WIRE_SLO_COUNTERS,
 		/// WIRE_GATEWAY_REPORT, WIRE_CONTROL_STATUS, WIRE_QUOTA_ASK,
-		/// WIRE_QUOTA_ANSWER, WIRE_CRASH, WIRE_PARTS and
-		/// WIRE_PARTS_ANSWER.
+		/// WIRE_QUOTA_ANSWER, WIRE_CRASH, WIRE_PARTS,
+		/// WIRE_PARTS_ANSWER and WIRE_LIMITS.
 		struct wire_bytes payload;
 		struct wire_bytes execute; ///< of WIRE_EXECUTE
 	};
--- /dev/null
+++ b/test/unit/route/test_balancer_intake.cc
@@ -0,0 +1,119 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "base/rnd.h"
+#include "route/balancer.h"
+}
+
+#include <cstdio>
+
+namespace
+{
+
+constexpr uint64_t kSecond = 1000000;
+
+class BalancerIntake : public ::testing::Test
+{
+      protected:
+	~BalancerIntake() override
+	{
+		balancer_free(r);
+		rnd_free(rnd);
+	}
+
+	handle_t Add(const char *name)
+	{
+		struct balancer_server_conf s = {};
+
+		balancer_set_data_centre(r, "csepel", 0, false);
+		(void)snprintf(s.name, sizeof(s.name), "%s", name);
+		(void)snprintf(s.pool, sizeof(s.pool), "desk");
+		(void)snprintf(s.data_centre, sizeof(s.data_centre), "csepel");
+		return balancer_set_server(r, now, &s);
+	}
+
+	/// Sends a request.
+	///
+	/// @return the chosen server; HANDLE_NONE: none takes it
+	handle_t Send(enum balancer_outcome end = BALANCER_DONE)
+	{
+		const handle_t d = Begin();
+
+		balancer_end(r, now, d, end, 1, UINT32_MAX);
+		return choice.server;
+	}
+
+	handle_t Begin()
+	{
+		request.pool = "desk";
+		request.prompt_tokens = 100;
+		choice = {};
+		if (balancer_choose(r, now, rnd, &request, &choice) !=
+		    STATUS_OK) {
+			choice.server = HANDLE_NONE;
+			return HANDLE_NONE;
+		}
+		return balancer_begin(r, now, &request, &choice);
+	}
+
+	/// Sends one request each 10 ms, and counts those to a server.
+	int CountFor(handle_t server, uint64_t us)
+	{
+		int n = 0;
+
+		for (const uint64_t end = now + us; now < end; now += 10000)
+			n += Send() == server;
+		return n;
+	}
+
+	struct balancer *r = balancer_new(&balancer_defaults);
+	struct rnd *rnd = rnd_new(1);
+	uint64_t now = kSecond;
+	struct balancer_request request = {};
+	struct balancer_choice choice = {};
+};
+
+// Guards against choosing a server beyond its limit while others are free.
+TEST_F(BalancerIntake, LimitedServerGetsItsTurnsOnly)
+{
+	const handle_t limited = Add("a");
+
+	(void)Add("b");
+	balancer_set_seat(r, now, { 1, 4 }, 0);
+	balancer_set_limit(r, now, limited, 2);
+	EXPECT_NEAR(CountFor(limited, 20 * kSecond), 10, 2);
+	balancer_set_limit(r, now, limited, 0);
+	EXPECT_GT(CountFor(limited, 20 * kSecond), 500);
+}
+
+// Guards against a request going to a limited server that no turn allows, where
+// no other server is left.
+TEST_F(BalancerIntake, NoneIsChosenBetweenTurns)
+{
+	const handle_t only = Add("a");
+	struct balancer_openings open;
+
+	balancer_set_seat(r, now, { 1, 4 }, 0);
+	balancer_set_limit(r, now, only, 2);
+	EXPECT_NEAR(CountFor(only, 20 * kSecond), 10, 2);
+	EXPECT_EQ(Send(), HANDLE_NONE);
+	ASSERT_TRUE(balancer_openings(r, now, "desk", &open));
+	EXPECT_GT(open.next_us, now);
+	EXPECT_LE(open.next_us, now + 2 * kSecond);
+	EXPECT_DOUBLE_EQ(open.per_s, 0.5);
+	EXPECT_FALSE(open.any_unlimited);
+	now = open.next_us;
+	EXPECT_EQ(Send(), only);
+}
+
+TEST_F(BalancerIntake, LimitNeedsANumber)
+{
+	const handle_t only = Add("a");
+	struct balancer_openings open;
+
+	balancer_set_limit(r, now, only, 2);
+	EXPECT_EQ(CountFor(only, 20 * kSecond), 0);
+	EXPECT_FALSE(balancer_openings(r, now, "desk", &open));
+}
+
+} // namespace
