Requests wait until a server takes more, or are refused at once

Cause: with all servers of a service limited, a gateway refused every request between two turns with a Retry-After of a quarter second, although a turn was due within its deadline, and told callers to come back long before anything could be served.

Change: a queue a service (gateway_openq), by priority. A request is put there when the limits leave a place before its deadline less the route's target, else it is refused at once; Retry-After is when its place would come, plus up to a quarter at random, 30 s at most. A later request isn't sent before those that wait.

Limits hold as before.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -55,6 +55,7 @@
 	struct gateway_service_load *l = p;
 
 	retry_free(l->retries);
+	timerq_timer_free(l->opening);
 	g_free(l);
 }
 
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -89,6 +89,8 @@
 	(void)now_us;
 	if (q->waits_for_quota)
 		gateway_quota_on_timeout(q);
+	else if (q->awaits_opening)
+		gateway_openq_on_timeout(q);
 	else
 		gateway_send(q);
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -60,6 +60,10 @@
 	uint64_t answered_us; ///< when a prompt was last answered completely;
 			      ///< 0: never
 	struct retry *retries; ///< this gateway's part of the retry budget
+	/// Requests that wait until a server takes more (gateway_openq.c):
+	/// struct gateway_request, by priority.
+	GQueue waiting;
+	struct timerq_timer *opening; ///< NULL: none has waited yet
 };
 
 /// A part of prompts that crashes the servers of its service.
@@ -189,6 +193,7 @@
 	uint64_t attempt_sent_us;
 	uint64_t first_event_us; ///< when its first event came; 0: none yet
 	bool waits_for_quota;    ///< control is asked for a grant
+	bool awaits_opening;     ///< in its service's queue
 	bool work_counted; ///< the prompt is counted in the service's load
 	uint32_t n_sent;   ///< attempts sent so far
 	uint32_t n_ran;    ///< of these, those that may have run
@@ -286,6 +291,12 @@
     struct gateway *g, uint32_t slot, const struct wire_bytes *bytes);
 void gateway_signals_apply_seat(struct gateway *g);
 
+/// gateway_openq.c: requests that wait until a server takes more
+bool gateway_openq_is_waiting(const struct gateway_request *q);
+bool gateway_openq_add(struct gateway_request *q);
+void gateway_openq_remove(struct gateway_request *q);
+void gateway_openq_on_timeout(struct gateway_request *q);
+
 /// gateway_waitq.c: requests that wait until this gateway is ready
 bool gateway_waitq_add(struct gateway *g, handle_t caller,
     const struct httpd_request *req, const struct api_request *call,
@@ -309,6 +320,7 @@
 
 /// gateway_send.c: attempts at backend servers
 void gateway_send(struct gateway_request *q);
+bool gateway_try_send(struct gateway_request *q);
 void gateway_cancel_attempt(
     struct gateway_request *q, enum balancer_outcome how);
 void gateway_request_free(struct gateway_request *q);
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -59,6 +59,7 @@
 	struct gateway *g = q->gateway;
 	const gint64 key = (gint64)q->original_caller;
 
+	gateway_openq_remove(q);
 	(void)g_hash_table_remove(g->by_caller, &key);
 	timerq_timer_free(q->timer);
 	api_headers_free(q->headers);
@@ -610,10 +611,11 @@
 			      : "no answer in time");
 }
 
-/// Called when a request's timer expires, and for its first attempt: sends an
-/// attempt, or gives up the one in flight.
-void
-gateway_send(struct gateway_request *q)
+/// Sends an attempt to the server chosen for it.
+///
+/// @return false when no server takes the request now
+bool
+gateway_try_send(struct gateway_request *q)
 {
 	struct gateway *g = q->gateway;
 	const uint64_t now = loop_now_us(g->loop);
@@ -621,14 +623,8 @@
 	const struct gateway_server *s;
 	struct balancer_request query;
 
-	if (q->call_handle != HANDLE_NONE) {
-		abandon_attempt(q);
-		return;
-	}
-	if (choose_server(q, &query) != STATUS_OK) {
-		gateway_give_up(q, "no backend server to be had");
-		return;
-	}
+	if (choose_server(q, &query) != STATUS_OK)
+		return false;
 	count_work(q);
 	conf = balancer_get(g->balancer, q->choice.server);
 	s = g_hash_table_lookup(g->servers, conf->name);
@@ -636,4 +632,17 @@
 	(void)g_strlcpy(q->server, s->instance.id, sizeof(q->server));
 	begin_attempt(q, &query, now);
 	send_to(q, s, now);
+	return true;
+}
+
+/// Called when a request's timer expires, and for its first attempt: sends an
+/// attempt, or gives up the one in flight.
+void
+gateway_send(struct gateway_request *q)
+{
+	if (q->call_handle != HANDLE_NONE)
+		abandon_attempt(q);
+	else if ((gateway_openq_is_waiting(q) || !gateway_try_send(q)) &&
+	    !gateway_openq_add(q))
+		gateway_give_up(q, "no backend server to be had");
 }
--- a/test/script/server_limit.sh
+++ b/test/script/server_limit.sh
@@ -13,7 +13,12 @@
 load() {
 	until=$(($(date +%s) + $2))
 	while [ "$(date +%s)" -lt $until ]; do
-		status_of "$1" /plain/a k1 -m 3
+		if [ $timed = 1 ]; then
+			call "$1" /plain/a k1 -o /dev/null \
+			    -w '%{http_code} %{time_total} %header{retry-after}\n' | sed 's/^status //'
+		else
+			status_of "$1" /plain/a k1 -m 3
+		fi
 		sleep 0.01
 	done >>"load-$1.out"
 }
@@ -41,6 +46,7 @@
 	rm -f load-*.out
 }
 
+timed=0
 deployment ""
 gateway 22
 gateway 23
@@ -75,15 +81,22 @@
 for gw in 21 22 23; do wait_for 200 ready $gw; done
 rm -f load-*.out
 
-echo "== all servers name a limit: none waits for its deadline in vain"
+echo "== all servers name a limit: requests that can't be served in time are refused at once"
 set_standin 41 '{"limit": "1"}'
 set_standin 42 '{"limit": "1"}'
 load_all 6
 within "requests in four seconds" "$(stat_of 42 most_in_window)" 1 60
 set_standin 42 '{"limit": "1"}'
+rm -f load-*.out
+timed=1
 load_all 6
+timed=0
 within "requests in four seconds" "$(stat_of 41 most_in_window)" 1 11
 within "requests in four seconds" "$(stat_of 42 most_in_window)" 1 11
+# Of the refusals those later than 0.2 s, and those without a proper Retry-After.
+cat load-*.out | awk '$1 == 503 { n++; late += $2 > 0.2; bad += $3 < 0.1 || $3 > 12 }
+    END { print "late " (late > n / 10 ? late " of " n : "few"), "wrong times " bad + 0 }'
+sed -i 's/ .*//' load-*.out
 statuses
 
 echo "== the limit ends"
