A refusal on a kept connection must have the request's id

Cause: a response without a request's id was taken for this request's unless it was a success. Requests that may run once only were safe: each has a connection of its own. The class: proof of identity asked of good news only.

Change: where a kept-alive connection is possible, a refusal without the id counts as a response that isn't this request's: it may have run, and the connection is closed. A refusal with the same id, written once more after a retry of the same request to the same server, can't be told apart; such requests may run again.

The stand-in "raw" writes given bytes. The stand-in backend now has the id in refusals, as servers do.

--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -191,25 +191,29 @@
 	    g->balancer, loop_now_us(g->loop), s->balancer_handle, &report);
 }
 
+static bool
+was_not_run(const struct gateway_request *q)
+{
+	return q->response.not_run || q->status == GATEWAY_HTTP_MISDIRECTED;
+}
+
 /// Whether the response's headers allow that it is this request's. One with
 /// another request's id isn't. A 2xx must have the id and a backend server's
-/// stamp, and no content encoding.
+/// stamp, and no content encoding. A refusal without an id may be that of an
+/// earlier request on a kept-alive connection; only retryable requests use
+/// these.
 static bool
 response_matches(const struct gateway_request *q)
 {
 	const struct api_response *a = &q->response;
 
-	if (a->id[0] != '\0' && strcmp(a->id, q->call.id) != 0)
-		return false;
+	if (a->id[0] != '\0')
+		return strcmp(a->id, q->call.id) == 0 &&
+		    (q->status < 200 || q->status >= 300 ||
+			(a->stamped && !a->encoded));
 	if (q->status >= 200 && q->status < 300)
-		return a->stamped && !a->encoded && a->id[0] != '\0';
-	return true;
-}
-
-static bool
-was_not_run(const struct gateway_request *q)
-{
-	return q->response.not_run || q->status == GATEWAY_HTTP_MISDIRECTED;
+		return false;
+	return !was_not_run(q) || !fleetcfg_is_retryable(q->route);
 }
 
 static void
--- a/test/script/server_limit.sh
+++ b/test/script/server_limit.sh
@@ -2,12 +2,6 @@
 # from all gateways together, also through a change of leader and without control.
 . "$PWD/test/script/deployment.inc"
 
-# One figure of a backend server: NUMBER NAME.
-stat_of() {
-	curl -s -m 1 "http://$net.$1:80/test/stats" |
-	    sed "s/.*\"$2\": *\([0-9]*\).*/\1/"
-}
-
 # Sends requests to a gateway, one after the other, for some seconds: GATEWAY
 # SECONDS.
 load() {
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -186,11 +186,13 @@
 	if (strcmp(standin_request_header(
 		       req, "X-Acaciahinge-Expect-Instance", id),
 		id) != 0) {
+		add_identity_headers(b, req);
 		standin_reply_error(req, 421, "another server has the address");
 		return;
 	}
 	(void)g_array_append_val(b->arrivals, now);
 	if (standin_get_int(b->env->settings, "full", 0) != 0) {
+		add_identity_headers(b, req);
 		add_signal(b, req, "Retry-After", "retry_after");
 		add_header(req, "X-Acaciahinge-Not-Run", "1");
 		standin_reply_error(req, 503, "full");
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -24,6 +24,7 @@
 	&standin_weight_store,
 	&standin_platform,
 	&standin_backend,
+	&standin_raw,
 	NULL,
 };
 
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -35,6 +35,7 @@
 extern const struct standin_kind standin_weight_store;
 extern const struct standin_kind standin_platform;
 extern const struct standin_kind standin_backend;
+extern const struct standin_kind standin_raw;
 
 typedef void (*standin_callback)(void *arg);
 
