Balancer: a server can want no requests until a time

A paused server isn't chosen, whatever the request. After the pause it gets one request at a time until one of these has a response other than a refusal, so that what waited doesn't arrive at once. Of two pauses the later end counts, since the server has said both. Three unit tests; with the pause ignored they fail.

--- a/src/route/balancer.c
+++ b/src/route/balancer.c
@@ -508,6 +508,8 @@
 		.ejected = p->health != BALANCER_HEALTHY,
 		.draining = balancer__is_unavailable(p),
 		.first_token_us = (uint64_t)p->ttft_us,
+		.limit_per_s = p->turns.per_s,
+		.paused_until_us = p->paused_until_us,
 		.failures = p->failures,
 		.blocks = prefix_index_count(r->index, p->slot),
 	};
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -191,6 +191,15 @@
 void balancer_set_limit(
     struct balancer *r, uint64_t now_us, handle_t server, double per_s);
 
+/// A server wants no requests until a time. After it the server gets one
+/// request at a time until it has responded to one.
+void balancer_pause(
+    struct balancer *r, uint64_t now_us, handle_t server, uint64_t until_us);
+
+/// Whether a server takes a request now, as far as it has said.
+bool balancer_is_open(
+    const struct balancer *r, uint64_t now_us, handle_t server);
+
 /// When the servers of a pool that take no request now will take some.
 struct balancer_openings {
 	uint64_t next_us;   ///< of the first one
@@ -218,7 +227,9 @@
 	uint32_t own_requests; ///< Our own requests there.
 	bool ejected;          ///< Ejected as an outlier.
 	bool draining;
-	uint64_t first_token_us; ///< Smoothed; 0: none yet.
+	double limit_per_s;       ///< That it names; 0: none.
+	uint64_t paused_until_us; ///< In the past: it isn't.
+	uint64_t first_token_us;  ///< Smoothed; 0: none yet.
 	uint64_t failures;
 	uint64_t blocks; ///< Entries of the prefix index for it.
 };
--- a/src/route/balancer_choose.c
+++ b/src/route/balancer_choose.c
@@ -244,7 +244,8 @@
 		const struct balancer_server *p = s->r->usable[i];
 		const uint64_t x = rendezvous_score(s->request->shared_hash, p);
 
-		if (p->turns.per_s > 0 || (s->preferred != NULL && x <= best))
+		if (p->turns.per_s > 0 || p->half_open ||
+		    (s->preferred != NULL && x <= best))
 			continue;
 		s->preferred = p;
 		best = x;
--- a/src/route/balancer_dispatch.c
+++ b/src/route/balancer_dispatch.c
@@ -104,7 +104,7 @@
 	    r->params.n_entries);
 	add_pending(p, d);
 	balancer__update_own(p, now_us, 1);
-	balancer__count_sent(r, p, now_us);
+	balancer__count_sent(r, p, now_us, handle);
 	index_prompt(r, p, now_us, request);
 	smooth(&p->pool->mean_recompute_tokens, choice->recompute_tokens);
 	if (choice->probe)
@@ -127,6 +127,7 @@
 	if (p == NULL)
 		return;
 	remove_pending(p, d);
+	balancer__end_trial(p, now_us, dispatch, BALANCER_DONE);
 	us = (double)(now_us - d->begin_us);
 	us_per_token = us / (d->predicted + BALANCER_BASE_TOKENS);
 	smooth(&p->ttft_us, us);
@@ -181,6 +182,7 @@
 	if (d->first_token_at_us == 0)
 		remove_pending(p, d);
 	balancer__update_own(p, now_us, -1);
+	balancer__end_trial(p, now_us, dispatch, end);
 	switch (end) {
 	case BALANCER_DONE:
 		record_usage(r, p, now_us, d, output_tokens, cached_tokens);
--- a/src/route/balancer_intake.c
+++ b/src/route/balancer_intake.c
@@ -2,8 +2,13 @@
 
 #include <glib.h>
 
+#include "base/timerq.h"
+
 /// Which servers take a request now: those whose limit has a turn of this
-/// process, and that haven't asked for a pause.
+/// process, and that aren't paused.
+
+/// When the response to the request after a pause is next looked for.
+#define TRIAL_CHECK_US (20 * USEC_PER_MSEC)
 
 /// Time that all processes share, for the turns.
 static uint64_t
@@ -52,6 +57,19 @@
 		set_turns(r, p, now_us, per_s);
 }
 
+/// A later end of the pause counts: the server has said both.
+void
+balancer_pause(
+    struct balancer *r, uint64_t now_us, handle_t server, uint64_t until_us)
+{
+	struct balancer_server *p = balancer__server(r, server);
+
+	if (p == NULL || until_us <= now_us)
+		return;
+	p->paused_until_us = MAX(p->paused_until_us, until_us);
+	p->half_open = true;
+}
+
 /// When a server takes the next request; UINT64_MAX: not known.
 static uint64_t
 opens_us(
@@ -59,8 +77,13 @@
 {
 	const uint64_t shared = shared_us(r, now_us);
 	const uint64_t next = turns_next_us(&p->turns, shared);
+	uint64_t open_us = MAX(now_us, p->paused_until_us);
 
-	return next == UINT64_MAX ? next : now_us + (next - shared);
+	if (next == UINT64_MAX)
+		return next;
+	if (p->half_open && p->trial != HANDLE_NONE)
+		open_us = MAX(open_us, now_us + TRIAL_CHECK_US);
+	return MAX(open_us, now_us + (next - shared));
 }
 
 /// Whether a server takes a request now.
@@ -68,15 +91,44 @@
 balancer__is_open(
     const struct balancer *r, const struct balancer_server *p, uint64_t now_us)
 {
+	if (now_us < p->paused_until_us ||
+	    (p->half_open && p->trial != HANDLE_NONE))
+		return false;
 	return turns_is_open(&p->turns, shared_us(r, now_us));
 }
 
+bool
+balancer_is_open(const struct balancer *r, uint64_t now_us, handle_t server)
+{
+	const struct balancer_server *p = balancer__server(r, server);
+
+	return p != NULL && balancer__is_open(r, p, now_us);
+}
+
 /// Counts a request that is sent to a server.
 void
-balancer__count_sent(
-    struct balancer *r, struct balancer_server *p, uint64_t now_us)
+balancer__count_sent(struct balancer *r, struct balancer_server *p,
+    uint64_t now_us, handle_t dispatch)
 {
 	turns_use(&p->turns, shared_us(r, now_us));
+	if (p->half_open)
+		p->trial = dispatch;
+}
+
+/// Ends the trial after a pause, if the request is its one. Any response but a
+/// refusal ends the pause's effect.
+void
+balancer__end_trial(struct balancer_server *p, uint64_t now_us,
+    handle_t dispatch, enum balancer_outcome end)
+{
+	if (p->trial != dispatch)
+		return;
+	p->trial = HANDLE_NONE;
+	if (end == BALANCER_REFUSED)
+		p->paused_until_us =
+		    MAX(p->paused_until_us, now_us + BALANCER_BUSY_US);
+	else if (end != BALANCER_CANCELLED)
+		p->half_open = now_us < p->paused_until_us;
 }
 
 /// When servers of a pool take requests again, and how many.
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -44,7 +44,10 @@
 	bool draining;
 	uint64_t draining_since_us;
 
-	struct turns turns; ///< of the limit that it names
+	struct turns turns;       ///< of the limit that it names
+	uint64_t paused_until_us; ///< it wants no requests until then
+	bool half_open;           ///< paused, or it gets one request at a time
+	handle_t trial;           ///< that request; HANDLE_NONE: none in flight
 
 	struct balancer_report report;
 	uint64_t report_us;      ///< When its figures were taken; 0: none yet.
@@ -145,8 +148,10 @@
 
 bool balancer__is_open(
     const struct balancer *r, const struct balancer_server *p, uint64_t now_us);
-void balancer__count_sent(
-    struct balancer *r, struct balancer_server *p, uint64_t now_us);
+void balancer__count_sent(struct balancer *r, struct balancer_server *p,
+    uint64_t now_us, handle_t dispatch);
+void balancer__end_trial(struct balancer_server *p, uint64_t now_us,
+    handle_t dispatch, enum balancer_outcome end);
 
 void balancer__record_success(struct balancer *r, struct balancer_server *p,
     uint64_t now_us, handle_t dispatch);
--- a/test/unit/route/test_balancer_intake.cc
+++ b/test/unit/route/test_balancer_intake.cc
@@ -116,4 +116,51 @@
 	EXPECT_FALSE(balancer_openings(r, now, "desk", &open));
 }
 
+// Guards against requests to a server before the time that it named, and
+// against all that wait going there at that moment.
+TEST_F(BalancerIntake, PausedServerGetsOneRequestAtATimeAfterIt)
+{
+	const handle_t only = Add("a");
+	struct balancer_openings open;
+	handle_t trial;
+
+	balancer_pause(r, now, only, now + 2 * kSecond);
+	EXPECT_EQ(CountFor(only, 2 * kSecond - 10000), 0);
+	ASSERT_TRUE(balancer_openings(r, now, "desk", &open));
+	EXPECT_EQ(open.next_us, kSecond + 2 * kSecond);
+	EXPECT_TRUE(open.any_unlimited);
+	now = open.next_us;
+	trial = Begin();
+	EXPECT_EQ(choice.server, only);
+	EXPECT_EQ(Send(), HANDLE_NONE);
+	balancer_first_token(r, now, trial);
+	EXPECT_EQ(Send(), only);
+	balancer_end(r, now, trial, BALANCER_DONE, 1, UINT32_MAX);
+	EXPECT_EQ(CountFor(only, kSecond), 100);
+}
+
+TEST_F(BalancerIntake, RefusedTrialIsRepeatedLater)
+{
+	const handle_t only = Add("a");
+
+	balancer_pause(r, now, only, now + kSecond);
+	now += kSecond;
+	EXPECT_EQ(Send(BALANCER_REFUSED), only);
+	EXPECT_EQ(Send(), HANDLE_NONE);
+	now += kSecond;
+	EXPECT_EQ(Send(BALANCER_CANCELLED), only);
+	EXPECT_EQ(Send(BALANCER_FAILED), only);
+	EXPECT_EQ(CountFor(only, kSecond), 100);
+}
+
+TEST_F(BalancerIntake, LaterEndOfAPauseCounts)
+{
+	const handle_t only = Add("a");
+
+	balancer_pause(r, now, only, now + 4 * kSecond);
+	balancer_pause(r, now, only, now + kSecond);
+	EXPECT_EQ(CountFor(only, 4 * kSecond), 0);
+	EXPECT_TRUE(balancer_is_open(r, now, only));
+}
+
 } // namespace
