Gateways believe servers that leave, or want nothing for a time

Cause, as with the limits: the headers were read by nobody, or read and not used. The class and the design are the same, which is why both are in this commit: what a server says of itself is read once in the adapter, from the head of each response, a refusal and a health check included, and believed where a server is chosen.

Leaving holds for the start of the server. A pause is prolonged by up to a quarter at random. A refusal's Retry-After to callers fits the earliest server of the service. Crash checks, which are requests, spare servers that take none now.

A gauge and a counter for each signal.

--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -312,6 +312,12 @@
 				  : (now - g->list_fresh_us) / USEC_PER_MSEC;
 	metrics_gauge(registry, "ac_servers", "")->value =
 	    balancer_count(g->balancer);
+	metrics_gauge(registry, "ac_servers_limited", "")->value =
+	    gateway_signals_count(g, API_SIGNAL_LIMIT);
+	metrics_gauge(registry, "ac_servers_leaving", "")->value =
+	    gateway_signals_count(g, API_SIGNAL_LEAVING);
+	metrics_gauge(registry, "ac_servers_paused", "")->value =
+	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER);
 	metrics_gauge(registry, "ac_requests_open", "")->value =
 	    slotmap_count(g->requests);
 	metrics_gauge(registry, "ac_connections_made_total", "")->value =
--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -18,6 +18,7 @@
 /// whether it crashed, or broke off responses only.
 struct crash {
 	struct gateway *gateway;
+	handle_t check; ///< call in flight
 	uint64_t at_us;
 	struct partmsg_crash report;
 };
@@ -85,6 +86,13 @@
 	struct crash *crash = arg;
 	struct gateway *g = crash->gateway;
 
+	if (result->http_status != 0) {
+		struct api_response response;
+
+		api_response_read(g->http, crash->check, &response);
+		gateway_signals_apply(g, crash->report.server, &response,
+		    result->http_status, crash->at_us);
+	}
 	// A process that ends may still accept the connection, and drop it.
 	if (result->status != STATUS_UNAVAILABLE &&
 	    result->status != STATUS_IO) {
@@ -122,7 +130,8 @@
 		.arg = crash,
 	};
 
-	return httpc_send(g->http, &call) != HANDLE_NONE;
+	crash->check = httpc_send(g->http, &call);
+	return crash->check != HANDLE_NONE;
 }
 
 static void
@@ -140,7 +149,7 @@
 
 /// The connection of a request's attempt was lost before the response was
 /// complete: checks whether the server crashed. One that is draining may end
-/// with requests in flight.
+/// with requests in flight; one that wants nothing now isn't asked.
 void
 gateway_crashes_on_lost(const struct gateway_request *q)
 {
@@ -149,7 +158,10 @@
 	    g_hash_table_lookup(g->servers, q->server);
 	struct crash *crash = g_hash_table_lookup(g->crash_checks, q->server);
 
-	if (s == NULL || s->instance.draining || q->call.n_parts < 2)
+	if (s == NULL || s->instance.draining || s->says_leaving ||
+	    q->call.n_parts < 2 ||
+	    !balancer_is_open(
+		g->balancer, loop_now_us(g->loop), s->balancer_handle))
 		return;
 	if (crash != NULL) {
 		add_parts(crash, q);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -45,6 +45,9 @@
 	double limit_per_s; ///< requests that it takes from all gateways; 0: no
 			    ///< limit
 	uint64_t limit_since_us; ///< when that became known here
+	bool says_leaving;       ///< in a response of this start of it
+	uint64_t incarnation;    ///< starts under this id, as known here
+	uint64_t next_check_us;  ///< whether it still leaves
 	bool malformed_logged[API_N_SIGNALS];
 };
 
@@ -111,7 +114,8 @@
 	uint64_t next_list_us;
 	struct api_lister *lister;
 
-	struct turns_seat seat; ///< for the limits of servers
+	struct turns_seat seat;   ///< for the limits of servers
+	uint64_t next_leaving_us; ///< when leaving servers are looked at again
 
 	/// Customers and services.
 	GHashTable *quotas; ///< customer -> struct quota_view
@@ -231,6 +235,7 @@
 void gateway_servers_start(struct gateway *g);
 void gateway_servers_tick(struct gateway *g, uint64_t now_us);
 void gateway_servers_on_misdirected(struct gateway *g, const char *id);
+void gateway_servers_refresh(struct gateway *g, struct gateway_server *s);
 void gateway_servers_update(struct gateway *g, const struct hubmsg_state *s);
 
 /// gateway_rollout.c: rollouts of services' versions
@@ -280,19 +285,37 @@
 void gateway_crashes_on_leader(struct gateway *g);
 void gateway_crashes_on_lost(const struct gateway_request *q);
 
-/// A server that names a limit of zero gets this many requests per second: only
-/// a response can say that the limit has ended.
-#define GATEWAY_MIN_LIMIT_PER_S 0.05
+/// Status of a server that isn't the one that the request names.
+#define GATEWAY_HTTP_MISDIRECTED 421
 
 /// gateway_signals.c: what servers say of themselves
 void gateway_signals_on_head(const struct gateway_request *q);
-void gateway_signals_on_leader(struct gateway *g, handle_t link);
-void gateway_signals_on_message(
+void gateway_signals_apply(struct gateway *g, const char *server,
+    const struct api_response *response, int http_status, uint64_t sent_us);
+
+uint32_t gateway_signals_count(const struct gateway *g, enum api_signal signal);
+
+/// A response of a server, as far as its limit needs it.
+struct gateway_heard {
+	const struct api_response *response;
+	int status;
+	uint64_t sent_us; ///< when its request was sent
+};
+
+/// gateway_limits.c: limits that servers name
+void gateway_limits_on_leader(struct gateway *g, handle_t link);
+void gateway_limits_on_message(
     struct gateway *g, uint32_t slot, const struct wire_bytes *bytes);
-void gateway_signals_apply_seat(struct gateway *g);
+void gateway_limits_apply_seat(struct gateway *g);
+void gateway_limits_on_response(
+    struct gateway *g, struct gateway_server *s, const struct gateway_heard *h);
+
+/// gateway_leaving.c: servers that leave, and come back under the same id
+void gateway_leaving_tick(struct gateway *g, uint64_t now_us);
 
 /// gateway_openq.c: requests that wait until a server takes more
 bool gateway_openq_is_waiting(const struct gateway_request *q);
+uint64_t gateway_openq_retry_after(const struct gateway_request *q);
 bool gateway_openq_add(struct gateway_request *q);
 void gateway_openq_remove(struct gateway_request *q);
 void gateway_openq_on_timeout(struct gateway_request *q);
--- /dev/null
+++ b/src/gateway/gateway_limits.c
@@ -0,0 +1,157 @@
+#include "gateway/gateway_internal.h"
+
+#include <stdlib.h>
+
+#include "fleet/limitmsg.h"
+
+/// Limits of requests per second that servers name, and this gateway's part of
+/// them.
+
+/// A server that names a limit of zero gets this many requests per second: only
+/// a response can say that the limit has ended.
+#define GATEWAY_MIN_LIMIT_PER_S 0.05
+
+static void
+set_limit(struct gateway *g, struct gateway_server *s, double per_s,
+    const char *said_by)
+{
+	const uint64_t now = loop_now_us(g->loop);
+	const double was = s->limit_per_s;
+
+	if (per_s == was)
+		return;
+	s->limit_per_s = per_s;
+	s->limit_since_us = now;
+	logger_event(LOGGER_INFO, "server.limit",
+	    "server=%s per_s=%g was_per_s=%g by=%s in_force=%u", s->instance.id,
+	    per_s, was, said_by, gateway_signals_count(g, API_SIGNAL_LIMIT));
+	balancer_set_limit(g->balancer, now, s->balancer_handle, per_s);
+}
+
+static void
+send_message(struct gateway *g, handle_t link, const struct limitmsg *m)
+{
+	struct wire_msg msg = { .kind = WIRE_LIMITS };
+	uint8_t *bytes;
+
+	limitmsg_encode(m, &bytes, &msg.payload.len);
+	msg.payload.data = bytes;
+	(void)transport_send(g->links, link, &msg);
+	free(bytes);
+}
+
+/// Tells the leader of a limit that a server has just named or lifted.
+static void
+send_limit(struct gateway *g, const struct gateway_server *s)
+{
+	const struct gateway_hub *leader =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->leader));
+	struct limitmsg m;
+
+	if (leader == NULL)
+		return;
+	limitmsg_init(&m);
+	limitmsg_add(&m, s->instance.id, s->limit_per_s);
+	send_message(g, leader->link, &m);
+	limitmsg_clear(&m);
+}
+
+/// Tells a new leader of all limits that this gateway knows, and so that it
+/// takes part in the turns.
+void
+gateway_limits_on_leader(struct gateway *g, handle_t link)
+{
+	GHashTableIter it;
+	gpointer value;
+	struct limitmsg m;
+
+	limitmsg_init(&m);
+	m.whole = true;
+	g_hash_table_iter_init(&it, g->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct gateway_server *s = value;
+
+		if (s->limit_per_s > 0)
+			limitmsg_add(&m, s->instance.id, s->limit_per_s);
+	}
+	send_message(g, link, &m);
+	limitmsg_clear(&m);
+}
+
+/// Handles the leader's message: limits that other gateways heard of, and this
+/// gateway's number.
+///
+/// @param slot  of the sender
+void
+gateway_limits_on_message(
+    struct gateway *g, uint32_t slot, const struct wire_bytes *bytes)
+{
+	struct gateway_hub *h =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(slot));
+	struct limitmsg m;
+
+	if (h != NULL)
+		h->answers_limits = true;
+	limitmsg_init(&m);
+	if (limitmsg_decode(bytes->data, bytes->len, &m) != STATUS_OK) {
+		logger_event(LOGGER_WARN, "limits.unreadable", "reason=\"%s\"",
+		    status_last());
+		limitmsg_clear(&m);
+		return;
+	}
+	if (m.n > 0 && (m.number != g->seat.number || m.n != g->seat.n)) {
+		g->seat = (struct turns_seat){ .number = m.number, .n = m.n };
+		logger_event(LOGGER_INFO, "limits.numbered", "number=%u of=%u",
+		    m.number, m.n);
+		gateway_limits_apply_seat(g);
+	}
+	for (guint i = 0; i < m.limits->len; i++) {
+		const struct limitmsg_limit *limit =
+		    &g_array_index(m.limits, struct limitmsg_limit, i);
+		struct gateway_server *s =
+		    g_hash_table_lookup(g->servers, limit->server);
+
+		if (s != NULL)
+			set_limit(g, s, limitmsg_per_s(limit), "control");
+	}
+	limitmsg_clear(&m);
+}
+
+/// Passes this gateway's number and its clock to the balancer, after a change
+/// of one of them.
+void
+gateway_limits_apply_seat(struct gateway *g)
+{
+	balancer_set_seat(
+	    g->balancer, loop_now_us(g->loop), g->seat, g->clock_offset_us);
+}
+
+/// Whether a response without a limit shows that the server's limit has ended:
+/// the server itself has answered a request that was sent when the limit was
+/// known here. The head of an earlier one can be older than the limit.
+static bool
+ends_limit(const struct gateway_heard *h, const struct gateway_server *s)
+{
+	return h->response->stamped && h->status >= 200 && h->status < 300 &&
+	    h->sent_us > s->limit_since_us;
+}
+
+/// Acts on the limit in a response's head, or on its absence.
+void
+gateway_limits_on_response(
+    struct gateway *g, struct gateway_server *s, const struct gateway_heard *h)
+{
+	const struct api_signals *signals = &h->response->signals;
+	const double was = s->limit_per_s;
+
+	if (signals->malformed[API_SIGNAL_LIMIT])
+		return;
+	if (signals->given[API_SIGNAL_LIMIT])
+		set_limit(g, s,
+		    MAX(signals->limit_per_s, GATEWAY_MIN_LIMIT_PER_S),
+		    "server");
+	else if (was > 0 && ends_limit(h, s))
+		set_limit(g, s, 0, "server");
+	if (s->limit_per_s != was)
+		send_limit(g, s);
+}
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -263,7 +263,7 @@
 	logger_event(LOGGER_WARN, "clock.corrected", "by_ms=%" PRId64,
 	    error_us / (int64_t)USEC_PER_MSEC);
 	g->clock_offset_us = offset_us;
-	gateway_signals_apply_seat(g);
+	gateway_limits_apply_seat(g);
 }
 
 /// A process that leads again has dropped the limits that it was told before.
@@ -322,7 +322,7 @@
 	}
 	if (h != NULL && !h->told_limits) {
 		h->told_limits = true;
-		gateway_signals_on_leader(g, h->link);
+		gateway_limits_on_leader(g, h->link);
 	}
 	g->n_gateways = s->n_gateways;
 	balancer_set_entries(g->balancer, s->n_gateways);
@@ -359,7 +359,7 @@
 	if (msg->kind == WIRE_QUOTA_ANSWER)
 		gateway_quota_on_answer(g, &msg->payload);
 	if (msg->kind == WIRE_LIMITS)
-		gateway_signals_on_message(g, hello->id, &msg->payload);
+		gateway_limits_on_message(g, hello->id, &msg->payload);
 	if (msg->kind != WIRE_CONTROL_STATUS)
 		return;
 	hubmsg_state_init(&s);
--- a/src/gateway/gateway_openq.c
+++ b/src/gateway/gateway_openq.c
@@ -105,6 +105,23 @@
 	}
 }
 
+/// Retry-After of a request that wasn't run: when a server of its service next
+/// takes one, or soon.
+uint64_t
+gateway_openq_retry_after(const struct gateway_request *q)
+{
+	struct gateway *g = q->gateway;
+	const uint64_t now = loop_now_us(g->loop);
+	const uint64_t soon_us = gateway_retry_after(q);
+	struct balancer_openings open;
+
+	if (q->service == NULL ||
+	    !balancer_openings(g->balancer, now, q->service->name, &open))
+		return soon_us;
+	return MIN(
+	    MAX(open.next_us - now, soon_us), GATEWAY_OPENQ_MAX_RETRY_US);
+}
+
 /// Orders requests by priority.
 static gint
 by_priority(gconstpointer a, gconstpointer b, gpointer arg)
--- a/src/gateway/gateway_retry.c
+++ b/src/gateway/gateway_retry.c
@@ -16,7 +16,7 @@
 	const uint64_t now = loop_now_us(q->gateway->loop);
 
 	if (q->verdict == VERDICT_NOT_RUN)
-		gateway_fail(q, 503, gateway_retry_after(q), why);
+		gateway_fail(q, 503, gateway_openq_retry_after(q), why);
 	else
 		gateway_fail(q, now >= q->deadline_us ? 504 : 502, 0, why);
 }
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -15,7 +15,6 @@
 /// bounded one by one. Many of them are held at once.
 #define GATEWAY_MAX_RESPONSE_BYTES (4U << 20)
 #define GATEWAY_MAX_ERROR_BYTES (1U << 20)
-#define GATEWAY_HTTP_MISDIRECTED 421
 /// Least number of uncached shared tokens that are fetched from another server.
 #define GATEWAY_FETCH_MIN_TOKENS 500
 /// Shorter prompts don't show how fast a server computes.
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -29,10 +29,12 @@
 {
 	const struct fleetcfg_engine *engine =
 	    engine_of(g, s->instance.service);
+	handle_t handle;
 	struct balancer_server_conf conf = {
 		.kind = engine != NULL ? BALANCER_RUNNER : BALANCER_SERVICE,
 		.n_versions = 1,
 		.kv_tokens = engine != NULL ? engine->kv_tokens : 0,
+		.incarnation = s->incarnation,
 	};
 
 	(void)g_strlcpy(conf.name, s->instance.id, sizeof(conf.name));
@@ -46,10 +48,14 @@
 		? 0
 		: GATEWAY_ONE_WAY_US,
 	    false);
-	s->balancer_handle = balancer_set_server(g->balancer, now_us, &conf);
-	if (s->instance.draining)
-		balancer_set_draining(
-		    g->balancer, now_us, s->balancer_handle, BALANCER_BY_LIST);
+	handle = balancer_set_server(g->balancer, now_us, &conf);
+	if (handle != s->balancer_handle && s->limit_per_s > 0)
+		balancer_set_limit(g->balancer, now_us, handle, s->limit_per_s);
+	s->balancer_handle = handle;
+	if (s->instance.draining || s->says_leaving)
+		balancer_set_draining(g->balancer, now_us, handle,
+		    s->instance.draining ? BALANCER_BY_LIST
+					 : BALANCER_BY_SERVER);
 }
 
 /// Adds a listed server, or applies its changed properties. Logs when it starts
@@ -72,14 +78,21 @@
 		    instance->version, instance->host, instance->port,
 		    instance->draining);
 	} else if (instance->draining && !s->instance.draining) {
-		logger_event(
-		    LOGGER_INFO, "server.leaving", "server=%s", instance->id);
+		logger_event(LOGGER_INFO, "server.leaving", "server=%s by=list",
+		    instance->id);
 	}
 	s->instance = *instance;
 	s->list_round = g->list_round;
 	update_balancer(g, s, now_us);
 }
 
+/// Passes a server's changed state to the balancer.
+void
+gateway_servers_refresh(struct gateway *g, struct gateway_server *s)
+{
+	update_balancer(g, s, loop_now_us(g->loop));
+}
+
 static void
 remove_from_balancer(struct gateway *g, const struct gateway_server *s)
 {
--- a/src/gateway/gateway_signals.c
+++ b/src/gateway/gateway_signals.c
@@ -1,8 +1,10 @@
 #include "gateway/gateway_internal.h"
 
-#include <stdlib.h>
+#include <inttypes.h>
 
-#include "fleet/limitmsg.h"
+/// A pause that a server asks for is prolonged at random by up to one part in
+/// this many.
+#define GATEWAY_RETURN_JITTER 4
 
 /// Logs a malformed signal, once for each server and signal, and counts it.
 static void
@@ -18,162 +20,101 @@
 }
 
 static void
-set_limit(struct gateway *g, struct gateway_server *s, double per_s,
-    const char *said_by)
+on_leaving(struct gateway *g, struct gateway_server *s)
 {
 	const uint64_t now = loop_now_us(g->loop);
 
-	if (per_s == s->limit_per_s)
+	if (s->says_leaving)
 		return;
-	logger_event(LOGGER_INFO, "server.limit",
-	    "server=%s per_s=%g was_per_s=%g by=%s", s->instance.id, per_s,
-	    s->limit_per_s, said_by);
-	s->limit_per_s = per_s;
-	s->limit_since_us = now;
-	balancer_set_limit(g->balancer, now, s->balancer_handle, per_s);
+	s->says_leaving = true;
+	balancer_set_draining(
+	    g->balancer, now, s->balancer_handle, BALANCER_BY_SERVER);
+	logger_event(LOGGER_INFO, "server.leaving",
+	    "server=%s by=response in_force=%u", s->instance.id,
+	    gateway_signals_count(g, API_SIGNAL_LEAVING));
 }
 
+/// The server wants nothing for some time. Up to a quarter of it is added at
+/// random, so that gateways don't return together.
 static void
-send_message(struct gateway *g, handle_t link, const struct limitmsg *m)
+on_retry_after(
+    struct gateway *g, struct gateway_server *s, uint64_t retry_after_us)
 {
-	struct wire_msg msg = { .kind = WIRE_LIMITS };
-	uint8_t *bytes;
-
-	limitmsg_encode(m, &bytes, &msg.payload.len);
-	msg.payload.data = bytes;
-	(void)transport_send(g->links, link, &msg);
-	free(bytes);
-}
-
-/// Tells the leader of a limit that a server has just named or lifted.
-static void
-send_limit(struct gateway *g, const struct gateway_server *s)
-{
-	const struct gateway_hub *leader =
-	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->leader));
-	struct limitmsg m;
-
-	if (leader == NULL)
-		return;
-	limitmsg_init(&m);
-	limitmsg_add(&m, s->instance.id, s->limit_per_s);
-	send_message(g, leader->link, &m);
-	limitmsg_clear(&m);
-}
-
-/// Tells a new leader of all limits that this gateway knows, and so that it
-/// takes part in the turns.
-void
-gateway_signals_on_leader(struct gateway *g, handle_t link)
-{
-	GHashTableIter it;
-	gpointer value;
-	struct limitmsg m;
-
-	limitmsg_init(&m);
-	m.whole = true;
-	g_hash_table_iter_init(&it, g->servers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct gateway_server *s = value;
-
-		if (s->limit_per_s > 0)
-			limitmsg_add(&m, s->instance.id, s->limit_per_s);
-	}
-	send_message(g, link, &m);
-	limitmsg_clear(&m);
+	const uint64_t now = loop_now_us(g->loop);
+	const uint64_t wait_us = retry_after_us +
+	    rnd_below(loop_random(g->loop),
+		retry_after_us / GATEWAY_RETURN_JITTER + 1);
+
+	balancer_pause(g->balancer, now, s->balancer_handle, now + wait_us);
+	logger_event(LOGGER_INFO, "server.paused",
+	    "server=%s retry_after_ms=%" PRIu64 " for_ms=%" PRIu64
+	    " in_force=%u",
+	    s->instance.id, retry_after_us / USEC_PER_MSEC,
+	    wait_us / USEC_PER_MSEC,
+	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER));
 }
 
-/// Handles the leader's message: limits that other gateways heard of, and this
-/// gateway's number.
+/// Acts on what a backend server says of itself in the head of a response.
 ///
-/// @param slot  of the sender
+/// @param server   its id; one that isn't listed is ignored
+/// @param sent_us  when the request was sent
 void
-gateway_signals_on_message(
-    struct gateway *g, uint32_t slot, const struct wire_bytes *bytes)
+gateway_signals_apply(struct gateway *g, const char *server,
+    const struct api_response *response, int http_status, uint64_t sent_us)
 {
-	struct gateway_hub *h =
-	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(slot));
-	struct limitmsg m;
-
-	if (h != NULL)
-		h->answers_limits = true;
-	limitmsg_init(&m);
-	if (limitmsg_decode(bytes->data, bytes->len, &m) != STATUS_OK) {
-		logger_event(LOGGER_WARN, "limits.unreadable", "reason=\"%s\"",
-		    status_last());
-		limitmsg_clear(&m);
+	struct gateway_server *s = g_hash_table_lookup(g->servers, server);
+	const struct api_signals *signals = &response->signals;
+	const struct gateway_heard h = {
+		.response = response,
+		.status = http_status,
+		.sent_us = sent_us,
+	};
+
+	// Another server has the address.
+	if (s == NULL || http_status == GATEWAY_HTTP_MISDIRECTED)
 		return;
+	for (int i = 0; i < API_N_SIGNALS; i++) {
+		if (signals->malformed[i])
+			note_malformed(g, s, (enum api_signal)i);
+		if (signals->given[i])
+			g->n_signals[i]->value++;
 	}
-	if (m.n > 0 && (m.number != g->seat.number || m.n != g->seat.n)) {
-		g->seat = (struct turns_seat){ .number = m.number, .n = m.n };
-		logger_event(LOGGER_INFO, "limits.numbered", "number=%u of=%u",
-		    m.number, m.n);
-		gateway_signals_apply_seat(g);
-	}
-	for (guint i = 0; i < m.limits->len; i++) {
-		const struct limitmsg_limit *limit =
-		    &g_array_index(m.limits, struct limitmsg_limit, i);
-		struct gateway_server *s =
-		    g_hash_table_lookup(g->servers, limit->server);
-
-		if (s != NULL)
-			set_limit(g, s, limitmsg_per_s(limit), "control");
-	}
-	limitmsg_clear(&m);
+	gateway_limits_on_response(g, s, &h);
+	if (signals->leaving)
+		on_leaving(g, s);
+	if ((http_status == 503 || http_status == 429) &&
+	    signals->retry_after_us > 0)
+		on_retry_after(g, s, signals->retry_after_us);
 }
 
-/// Passes this gateway's number and its clock to the balancer, after a change
-/// of one of them.
+/// Acts on what a server says of itself in the head of an attempt's response.
 void
-gateway_signals_apply_seat(struct gateway *g)
-{
-	balancer_set_seat(
-	    g->balancer, loop_now_us(g->loop), g->seat, g->clock_offset_us);
-}
-
-/// Whether a response without a limit shows that the server's limit has ended:
-/// the server itself has answered a request that was sent when the limit was
-/// known here. The head of an earlier one can be older than the limit.
-static bool
-ends_limit(const struct gateway_request *q, const struct gateway_server *s)
+gateway_signals_on_head(const struct gateway_request *q)
 {
-	return q->response.stamped && q->status >= 200 && q->status < 300 &&
-	    q->attempt_sent_us > s->limit_since_us;
+	gateway_signals_apply(
+	    q->gateway, q->server, &q->response, q->status, q->attempt_sent_us);
 }
 
-static void
-on_limit(const struct gateway_request *q, struct gateway_server *s)
+/// Number of servers for which a signal is in force at this gateway.
+uint32_t
+gateway_signals_count(const struct gateway *g, enum api_signal signal)
 {
-	const struct api_signals *signals = &q->response.signals;
-	const double was = s->limit_per_s;
-
-	if (signals->malformed[API_SIGNAL_LIMIT])
-		return;
-	if (signals->given[API_SIGNAL_LIMIT])
-		set_limit(q->gateway, s,
-		    MAX(signals->limit_per_s, GATEWAY_MIN_LIMIT_PER_S),
-		    "server");
-	else if (was > 0 && ends_limit(q, s))
-		set_limit(q->gateway, s, 0, "server");
-	if (s->limit_per_s != was)
-		send_limit(q->gateway, s);
-}
-
-/// Acts on what a backend server says of itself in the head of a response.
-void
-gateway_signals_on_head(const struct gateway_request *q)
-{
-	struct gateway *g = q->gateway;
-	struct gateway_server *s = g_hash_table_lookup(g->servers, q->server);
-	const struct api_signals *signals = &q->response.signals;
+	const uint64_t now = loop_now_us(g->loop);
+	uint32_t n = 0;
+	GHashTableIter it;
+	gpointer value;
 
-	if (s == NULL)
-		return;
-	for (int i = 0; i < API_N_SIGNALS; i++) {
-		if (signals->malformed[i])
-			note_malformed(g, s, (enum api_signal)i);
-		if (signals->given[i])
-			g->n_signals[i]->value++;
+	g_hash_table_iter_init(&it, g->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct gateway_server *s = value;
+		struct balancer_server_stats stats = { .load = 0 };
+
+		(void)balancer_server_stats(
+		    g->balancer, now, s->balancer_handle, &stats);
+		n += (signal == API_SIGNAL_LIMIT && s->limit_per_s > 0) ||
+		    (signal == API_SIGNAL_LEAVING && s->says_leaving) ||
+		    (signal == API_SIGNAL_RETRY_AFTER &&
+			stats.paused_until_us > now);
 	}
-	on_limit(q, s);
+	return n;
 }
--- a/src/platform/api_names.h
+++ b/src/platform/api_names.h
@@ -24,6 +24,8 @@
 #define API_HDR_KV_BACKUP "X-Acaciahinge-Kv-Backup"
 #define API_HDR_KV_FROM "Kv-From"
 #define API_HDR_KV_FETCH "Kv-Fetch"
+/// The backend server's id, in responses to requests for its health.
+#define API_HDR_INSTANCE_ID "X-Acaciahinge-Instance-Id"
 /// Present in each response that a backend server itself produced.
 #define API_HDR_SERVER_STAMP "X-Acaciahinge-Server-Stamp"
 /// Present when the backend server didn't run the request.
--- a/src/platform/api_request.c
+++ b/src/platform/api_request.c
@@ -183,6 +183,8 @@
 
 	if (g_ascii_strcasecmp(name, API_HDR_REQUEST_ID) == 0)
 		(void)g_strlcpy(out->id, value, sizeof(out->id));
+	else if (g_ascii_strcasecmp(name, API_HDR_INSTANCE_ID) == 0)
+		(void)g_strlcpy(out->instance, value, sizeof(out->instance));
 	else if (g_ascii_strcasecmp(name, API_HDR_SERVER_STAMP) == 0)
 		out->stamped = true;
 	else if (g_ascii_strcasecmp(name, API_HDR_NOT_RUN) == 0)
--- a/src/platform/api_request.h
+++ b/src/platform/api_request.h
@@ -46,9 +46,10 @@
 
 /// Headers of a backend server's response.
 struct api_response {
-	char id[API_ID_BYTES]; ///< of the request; "": not given
-	bool stamped;          ///< the backend server itself produced it
-	bool not_run;          ///< the backend server didn't run the request
+	char id[API_ID_BYTES];       ///< of the request; "": not given
+	char instance[API_ID_BYTES]; ///< the server's own id; "": not given
+	bool stamped;                ///< the backend server itself produced it
+	bool not_run;  ///< the backend server didn't run the request
 	bool encoded;  ///< has a content encoding; a backend server uses none
 	bool has_load; ///< the next three are set
 	uint32_t running; ///< requests
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -72,6 +72,8 @@
 	    standin_request_header(req, "X-Acaciahinge-Request-Id", ""));
 	add_header(req, "X-Acaciahinge-Server-Stamp",
 	    standin_get_str(b->env->settings, "id", ""));
+	add_header(req, "X-Acaciahinge-Instance-Id",
+	    standin_get_str(b->env->settings, "id", ""));
 }
 
 static void
