Status of gateways: limits and pauses of servers

Tried and not kept: entry, the product's own role, pausing a runner that refuses with 429 and Retry-After. It needs the choice after admission; left open.

--- a/src/gateway/gateway_status.c
+++ b/src/gateway/gateway_status.c
@@ -12,12 +12,16 @@
 
 	(void)balancer_server_stats(
 	    g->balancer, now_us, s->balancer_handle, &stats);
-	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:b, s:f, s:I, s:I, s:I}",
+	return json_pack(
+	    "{s:s, s:s, s:s, s:s, s:b, s:b, s:f, s:I, s:I, s:f, s:I, s:I}",
 	    "id", s->instance.id, "service", s->instance.service, "zone",
 	    s->instance.zone, "version", s->instance.version, "leaving",
 	    stats.draining, "set_aside", stats.ejected, "load", stats.load,
 	    "own", (json_int_t)stats.own_requests, "failures",
-	    (json_int_t)stats.failures, "first_token_ms",
+	    (json_int_t)stats.failures, "limit_per_s", stats.limit_per_s,
+	    "paused_ms",
+	    (json_int_t)timerq_ms_since(stats.paused_until_us, now_us),
+	    "first_token_ms",
 	    (json_int_t)(stats.first_token_us / USEC_PER_MSEC));
 }
 
