Balancer: servers that said nothing cost nothing to check

A flag beside the one for draining says whether a server has named a limit or is paused; the rest is at the end of the struct. Crash checks use a turn of a limited server, as they are requests.

--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -130,6 +130,8 @@
 		.arg = crash,
 	};
 
+	balancer_count_request(
+	    g->balancer, loop_now_us(g->loop), s->balancer_handle);
 	crash->check = httpc_send(g->http, &call);
 	return crash->check != HANDLE_NONE;
 }
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -200,6 +200,10 @@
 bool balancer_is_open(
     const struct balancer *r, uint64_t now_us, handle_t server);
 
+/// Counts a request that is sent to a server without a dispatch.
+void balancer_count_request(
+    struct balancer *r, uint64_t now_us, handle_t server);
+
 /// When the servers of a pool that take no request now will take some.
 struct balancer_openings {
 	uint64_t next_us;   ///< of the first one
--- a/src/route/balancer_choose.c
+++ b/src/route/balancer_choose.c
@@ -76,7 +76,8 @@
 is_eligible(const struct search *s, const struct balancer_server *p)
 {
 	return !balancer__is_unavailable(p) && serves_version(s, p) &&
-	    !is_excluded(s, p) && balancer__is_open(s->r, p, s->now_us);
+	    !is_excluded(s, p) &&
+	    (!p->restricted || balancer__is_open(s->r, p, s->now_us));
 }
 
 /// Collects the servers to choose among in r->usable. Ejected ones are left
@@ -244,8 +245,7 @@
 		const struct balancer_server *p = s->r->usable[i];
 		const uint64_t x = rendezvous_score(s->request->shared_hash, p);
 
-		if (p->turns.per_s > 0 || p->half_open ||
-		    (s->preferred != NULL && x <= best))
+		if (p->restricted || (s->preferred != NULL && x <= best))
 			continue;
 		s->preferred = p;
 		best = x;
--- a/src/route/balancer_dispatch.c
+++ b/src/route/balancer_dispatch.c
@@ -104,7 +104,8 @@
 	    r->params.n_entries);
 	add_pending(p, d);
 	balancer__update_own(p, now_us, 1);
-	balancer__count_sent(r, p, now_us, handle);
+	if (p->restricted)
+		balancer__count_sent(r, p, now_us, handle);
 	index_prompt(r, p, now_us, request);
 	smooth(&p->pool->mean_recompute_tokens, choice->recompute_tokens);
 	if (choice->probe)
--- a/src/route/balancer_intake.c
+++ b/src/route/balancer_intake.c
@@ -23,6 +23,7 @@
 {
 	turns_set(&p->turns, shared_us(r, now_us), per_s, r->seat,
 	    (uint32_t)p->name_hash);
+	p->restricted = p->half_open || per_s > 0;
 }
 
 /// Sets this process's number among those that send to the servers.
@@ -68,6 +69,7 @@
 		return;
 	p->paused_until_us = MAX(p->paused_until_us, until_us);
 	p->half_open = true;
+	p->restricted = true;
 }
 
 /// When a server takes the next request; UINT64_MAX: not known.
@@ -115,6 +117,15 @@
 		p->trial = dispatch;
 }
 
+void
+balancer_count_request(struct balancer *r, uint64_t now_us, handle_t server)
+{
+	struct balancer_server *p = balancer__server(r, server);
+
+	if (p != NULL)
+		turns_use(&p->turns, shared_us(r, now_us));
+}
+
 /// Ends the trial after a pause, if the request is its one. Any response but a
 /// refusal ends the pause's effect.
 void
@@ -129,6 +140,7 @@
 		    MAX(p->paused_until_us, now_us + BALANCER_BUSY_US);
 	else if (end != BALANCER_CANCELLED)
 		p->half_open = now_us < p->paused_until_us;
+	p->restricted = p->half_open || p->turns.per_s > 0;
 }
 
 /// When servers of a pool take requests again, and how many.
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -42,13 +42,10 @@
 	uint32_t versions[BALANCER_MAX_VERSIONS];
 
 	bool draining;
+	/// It has named a limit or is half open: balancer__is_open() decides.
+	bool restricted;
 	uint64_t draining_since_us;
 
-	struct turns turns;       ///< of the limit that it names
-	uint64_t paused_until_us; ///< it wants no requests until then
-	bool half_open;           ///< paused, or it gets one request at a time
-	handle_t trial;           ///< that request; HANDLE_NONE: none in flight
-
 	struct balancer_report report;
 	uint64_t report_us;      ///< When its figures were taken; 0: none yet.
 	uint32_t other_requests; ///< Reported requests of other entries.
@@ -82,6 +79,11 @@
 	double ttft_us;        ///< Smoothed time to first token.
 	double ttft_tokens;    ///< Smoothed tokens predicted for ttft_us.
 	uint32_t samples;      ///< Of ttft_us, since the last reinstatement.
+
+	struct turns turns;       ///< of the limit that it names
+	uint64_t paused_until_us; ///< it wants no requests until then
+	bool half_open;           ///< paused, or it gets one request at a time
+	handle_t trial;           ///< that request; HANDLE_NONE: none in flight
 };
 
 struct balancer_pool {
