--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -48,7 +48,7 @@
 	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->leader));
 	struct limitmsg m;
 
-	if (leader == NULL)
+	if (leader == NULL || !leader->answers_limits)
 		return;
 	limitmsg_init(&m);
 	limitmsg_add(&m, s->instance.id, s->limit_per_s);
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -7,6 +7,7 @@
 #include "conf/bootstrap.h"
 #include "fleet/evstream.h"
 #include "fleet/hubmsg.h"
+#include "fleet/limitmsg.h"
 #include "hub/hubstate.h"
 #include "platform/api_cloud.h"
 #include "platform/api_manifest.h"
@@ -135,6 +136,7 @@
 	struct hubstate *state = hubstate_new();
 	struct hubstate *loaded;
 	struct hubmsg_report report;
+	struct limitmsg limits;
 	struct hubmsg_state decoded_state;
 	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
 
@@ -142,6 +144,9 @@
 	if (hubstate_load(data, size, &loaded) == STATUS_OK)
 		hubstate_free(loaded);
 	hubstate_free(state);
+	limitmsg_init(&limits);
+	(void)limitmsg_decode(data, size, &limits);
+	limitmsg_clear(&limits);
 	hubmsg_report_init(&report);
 	(void)hubmsg_report_decode(data, size, &report);
 	hubmsg_report_clear(&report);
