Requests that wait for a server look for new ones

The queue of a service was looked at only when a known server would take a request. A server that is listed meanwhile was not used until then, or until the requests that waited were out of time. Found by reading.

--- a/src/gateway/gateway_openq.c
+++ b/src/gateway/gateway_openq.c
@@ -8,6 +8,8 @@
 /// A server that should take a request by now, but wasn't chosen, is tried
 /// again after this time.
 #define GATEWAY_OPENQ_RETRY_US (10 * USEC_PER_MSEC)
+/// The queue is looked at this often, as servers may be added.
+#define GATEWAY_OPENQ_CHECK_US (100 * USEC_PER_MSEC)
 /// Part of the time until a request could be served that is added at random to
 /// its Retry-After.
 #define GATEWAY_OPENQ_JITTER 0.25
@@ -74,10 +76,12 @@
 	const uint64_t now = loop_now_us(g->loop);
 	struct balancer_openings open;
 
-	if (!g_queue_is_empty(&l->waiting) &&
-	    balancer_openings(g->balancer, now, service, &open))
-		timerq_arm(l->opening,
-		    MAX(open.next_us, now + GATEWAY_OPENQ_RETRY_US));
+	if (g_queue_is_empty(&l->waiting))
+		return;
+	(void)balancer_openings(g->balancer, now, service, &open);
+	timerq_arm(l->opening,
+	    CLAMP(open.next_us, now + GATEWAY_OPENQ_RETRY_US,
+		now + GATEWAY_OPENQ_CHECK_US));
 }
 
 /// Sends the requests at the head of a service's queue as long as a server
