Names in the balancer's limits: position instead of seat

Read as a newcomer: seat is used for members of the replicated log. A process's number among those that share a server's limit is its position; what a response tells of a server is a struct gateway_server_response. No behaviour changes; unit_route passes.

--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -114,7 +114,7 @@
 	uint64_t next_list_us;
 	struct api_lister *lister;
 
-	struct turns_seat seat;   ///< for the limits of servers
+	struct turns_position position; ///< for the limits of servers
 	uint64_t next_leaving_us; ///< when leaving servers are looked at again
 
 	/// Customers and services.
@@ -296,7 +296,7 @@
 uint32_t gateway_signals_count(const struct gateway *g, enum api_signal signal);
 
 /// A response of a server, as far as its limit needs it.
-struct gateway_heard {
+struct gateway_server_response {
 	const struct api_response *response;
 	int status;
 	uint64_t sent_us; ///< when its request was sent
@@ -306,9 +306,9 @@
 void gateway_limits_on_leader(struct gateway *g, handle_t link);
 void gateway_limits_on_message(
     struct gateway *g, uint32_t slot, const struct wire_bytes *bytes);
-void gateway_limits_apply_seat(struct gateway *g);
-void gateway_limits_on_response(
-    struct gateway *g, struct gateway_server *s, const struct gateway_heard *h);
+void gateway_limits_apply_position(struct gateway *g);
+void gateway_limits_on_response(struct gateway *g, struct gateway_server *s,
+    const struct gateway_server_response *h);
 
 /// gateway_leaving.c: servers that leave, and come back under the same id
 void gateway_leaving_tick(struct gateway *g, uint64_t now_us);
--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -99,11 +99,13 @@
 		limitmsg_clear(&m);
 		return;
 	}
-	if (m.n > 0 && (m.number != g->seat.number || m.n != g->seat.n)) {
-		g->seat = (struct turns_seat){ .number = m.number, .n = m.n };
+	if (m.n > 0 &&
+	    (m.number != g->position.number || m.n != g->position.n)) {
+		g->position =
+		    (struct turns_position){ .number = m.number, .n = m.n };
 		logger_event(LOGGER_INFO, "limits.numbered", "number=%u of=%u",
 		    m.number, m.n);
-		gateway_limits_apply_seat(g);
+		gateway_limits_apply_position(g);
 	}
 	for (guint i = 0; i < m.limits->len; i++) {
 		const struct limitmsg_limit *limit =
@@ -120,17 +122,18 @@
 /// Passes this gateway's number and its clock to the balancer, after a change
 /// of one of them.
 void
-gateway_limits_apply_seat(struct gateway *g)
+gateway_limits_apply_position(struct gateway *g)
 {
-	balancer_set_seat(
-	    g->balancer, loop_now_us(g->loop), g->seat, g->clock_offset_us);
+	balancer_set_position(
+	    g->balancer, loop_now_us(g->loop), g->position, g->clock_offset_us);
 }
 
 /// Whether a response without a limit shows that the server's limit has ended:
 /// the server itself has answered a request that was sent when the limit was
 /// known here. The head of an earlier one can be older than the limit.
 static bool
-ends_limit(const struct gateway_heard *h, const struct gateway_server *s)
+ends_limit(
+    const struct gateway_server_response *h, const struct gateway_server *s)
 {
 	return h->response->stamped && h->status >= 200 && h->status < 300 &&
 	    h->sent_us > s->limit_since_us;
@@ -138,8 +141,8 @@
 
 /// Acts on the limit in a response's head, or on its absence.
 void
-gateway_limits_on_response(
-    struct gateway *g, struct gateway_server *s, const struct gateway_heard *h)
+gateway_limits_on_response(struct gateway *g, struct gateway_server *s,
+    const struct gateway_server_response *h)
 {
 	const struct api_signals *signals = &h->response->signals;
 	const double was = s->limit_per_s;
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -263,7 +263,7 @@
 	logger_event(LOGGER_WARN, "clock.corrected", "by_ms=%" PRId64,
 	    error_us / (int64_t)USEC_PER_MSEC);
 	g->clock_offset_us = offset_us;
-	gateway_limits_apply_seat(g);
+	gateway_limits_apply_position(g);
 }
 
 /// A process that leads again has dropped the limits that it was told before.
--- a/src/gateway/gateway_signals.c
+++ b/src/gateway/gateway_signals.c
@@ -64,7 +64,7 @@
 {
 	struct gateway_server *s = g_hash_table_lookup(g->servers, server);
 	const struct api_signals *signals = &response->signals;
-	const struct gateway_heard h = {
+	const struct gateway_server_response h = {
 		.response = response,
 		.status = http_status,
 		.sent_us = sent_us,
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -186,8 +186,8 @@
     struct balancer *r, uint64_t now_us, handle_t server, uint64_t missed);
 
 /// Limits that servers name; see turns.h.
-void balancer_set_seat(struct balancer *r, uint64_t now_us,
-    struct turns_seat seat, int64_t time_offset_us);
+void balancer_set_position(struct balancer *r, uint64_t now_us,
+    struct turns_position position, int64_t time_offset_us);
 void balancer_set_limit(
     struct balancer *r, uint64_t now_us, handle_t server, double per_s);
 
--- a/src/route/balancer_intake.c
+++ b/src/route/balancer_intake.c
@@ -21,7 +21,7 @@
 set_turns(struct balancer *r, struct balancer_server *p, uint64_t now_us,
     double per_s)
 {
-	turns_set(&p->turns, shared_us(r, now_us), per_s, r->seat,
+	turns_set(&p->turns, shared_us(r, now_us), per_s, r->position,
 	    (uint32_t)p->name_hash);
 	p->restricted = p->half_open || per_s > 0;
 }
@@ -30,13 +30,13 @@
 ///
 /// @param time_offset_us  time since 1970 minus the clock of `now_us`
 void
-balancer_set_seat(struct balancer *r, uint64_t now_us, struct turns_seat seat,
-    int64_t time_offset_us)
+balancer_set_position(struct balancer *r, uint64_t now_us,
+    struct turns_position position, int64_t time_offset_us)
 {
-	if (seat.number == r->seat.number && seat.n == r->seat.n &&
-	    time_offset_us == r->time_offset_us)
+	if (position.number == r->position.number &&
+	    position.n == r->position.n && time_offset_us == r->time_offset_us)
 		return;
-	r->seat = seat;
+	r->position = position;
 	r->time_offset_us = time_offset_us;
 	for (uint32_t i = 0; i < r->n_slots; i++) {
 		if (r->slots[i] != NULL)
@@ -161,7 +161,7 @@
 			continue;
 		out->next_us = MIN(out->next_us, at_us);
 		if (p->turns.per_s > 0)
-			out->per_s += p->turns.per_s / p->turns.seat.n;
+			out->per_s += p->turns.per_s / p->turns.position.n;
 		else
 			out->any_unlimited = true;
 	}
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -123,7 +123,7 @@
 
 struct balancer {
 	struct balancer_params params;
-	struct turns_seat seat;
+	struct turns_position position;
 	int64_t time_offset_us;     ///< Time since 1970 minus that of `now_us`.
 	struct slotmap *servers;    ///< of struct balancer_server
 	struct slotmap *dispatches; ///< of struct balancer_dispatch
--- a/src/route/turns.c
+++ b/src/route/turns.c
@@ -12,14 +12,16 @@
 static double
 first_turn(const struct turns *t)
 {
-	return (double)((t->seat.number + (uint64_t)t->offset) % t->seat.n);
+	return (
+	    double)((t->position.number + (uint64_t)t->offset) % t->position.n);
 }
 
 /// Start of an own turn.
 static double
 start_us(const struct turns *t, int64_t own)
 {
-	return ((double)own * t->seat.n + first_turn(t)) * US_PER_S / t->per_s;
+	return ((double)own * t->position.n + first_turn(t)) * US_PER_S /
+	    t->per_s;
 }
 
 /// The last own turn that has started.
@@ -28,7 +30,7 @@
 {
 	const double turn = floor((double)time_us * t->per_s / US_PER_S);
 
-	return (int64_t)floor((turn - first_turn(t)) / t->seat.n);
+	return (int64_t)floor((turn - first_turn(t)) / t->position.n);
 }
 
 /// The first own turn that is valid now or later and isn't used.
@@ -49,15 +51,15 @@
 /// @param offset   spreads the turns of servers with the same limit
 void
 turns_set(struct turns *t, uint64_t time_us, double per_s,
-    struct turns_seat seat, uint32_t offset)
+    struct turns_position position, uint32_t offset)
 {
-	assert(seat.n == 0 || seat.number < seat.n);
+	assert(position.n == 0 || position.number < position.n);
 	t->per_s = per_s;
 	if (per_s > 0 && per_s < MIN_PER_S)
 		t->per_s = MIN_PER_S;
-	t->seat = seat;
+	t->position = position;
 	t->offset = offset;
-	t->used = per_s > 0 && seat.n > 0 ? newest(t, time_us) : 0;
+	t->used = per_s > 0 && position.n > 0 ? newest(t, time_us) : 0;
 }
 
 /// Whether a request may be sent.
@@ -66,7 +68,8 @@
 {
 	if (t->per_s <= 0)
 		return true;
-	return t->seat.n > 0 && oldest_valid(t, time_us) <= newest(t, time_us);
+	return t->position.n > 0 &&
+	    oldest_valid(t, time_us) <= newest(t, time_us);
 }
 
 /// When the next request may be sent; UINT64_MAX: no turn belongs to this
@@ -78,7 +81,7 @@
 
 	if (turns_is_open(t, time_us))
 		return time_us;
-	if (t->seat.n == 0)
+	if (t->position.n == 0)
 		return UINT64_MAX;
 	start = start_us(t, oldest_valid(t, time_us));
 	return start > (double)time_us ? (uint64_t)ceil(start) : time_us + 1;
@@ -89,6 +92,6 @@
 void
 turns_use(struct turns *t, uint64_t time_us)
 {
-	if (t->per_s > 0 && t->seat.n > 0)
+	if (t->per_s > 0 && t->position.n > 0)
 		t->used = oldest_valid(t, time_us);
 }
--- a/src/route/turns.h
+++ b/src/route/turns.h
@@ -17,20 +17,20 @@
 #define TURNS_VALID_US 1000000
 
 /// One process's number among all of them.
-struct turns_seat {
+struct turns_position {
 	uint32_t number; ///< from 0
 	uint32_t n;      ///< processes; 0: not known, no turn belongs to this
 };
 
 struct turns {
 	double per_s; ///< 0: no limit
-	struct turns_seat seat;
+	struct turns_position position;
 	uint32_t offset; ///< differs between servers
 	int64_t used;    ///< own turn that was used or given up last
 };
 
 void turns_set(struct turns *t, uint64_t time_us, double per_s,
-    struct turns_seat seat, uint32_t offset);
+    struct turns_position position, uint32_t offset);
 bool turns_is_open(const struct turns *t, uint64_t time_us);
 uint64_t turns_next_us(const struct turns *t, uint64_t time_us);
 void turns_use(struct turns *t, uint64_t time_us);
--- a/test/unit/route/test_balancer_intake.cc
+++ b/test/unit/route/test_balancer_intake.cc
@@ -79,7 +79,7 @@
 	const handle_t limited = Add("a");
 
 	(void)Add("b");
-	balancer_set_seat(r, now, { 1, 4 }, 0);
+	balancer_set_position(r, now, { 1, 4 }, 0);
 	balancer_set_limit(r, now, limited, 2);
 	EXPECT_NEAR(CountFor(limited, 20 * kSecond), 10, 2);
 	balancer_set_limit(r, now, limited, 0);
@@ -93,7 +93,7 @@
 	const handle_t only = Add("a");
 	struct balancer_openings open;
 
-	balancer_set_seat(r, now, { 1, 4 }, 0);
+	balancer_set_position(r, now, { 1, 4 }, 0);
 	balancer_set_limit(r, now, only, 2);
 	EXPECT_NEAR(CountFor(only, 20 * kSecond), 10, 2);
 	EXPECT_EQ(Send(), HANDLE_NONE);
--- a/test/unit/route/test_turns.cc
+++ b/test/unit/route/test_turns.cc
@@ -95,7 +95,7 @@
 	uint32_t first_ = 0;
 	std::vector<struct turns> turns_;
 	std::vector<uint64_t> told_at_;
-	std::vector<struct turns_seat> told_;
+	std::vector<struct turns_position> told_;
 	std::vector<uint64_t> sent_;
 	struct rnd *rnd_;
 };
