Comments and names on limits in the field's terms

Read as a newcomer: comments used the wording of the users' pages (a server names, says, wants nothing). Limits are advertised, signals are in responses, servers are paused; told and answered limits of a control process are sent and acknowledged. No behaviour changes: script_logs, script_server_limit pass.

--- a/src/fleet/limitmsg.c
+++ b/src/fleet/limitmsg.c
@@ -7,7 +7,7 @@
 /// More servers than any deployment has; a longer array fails to decode.
 #define MAX_LIMITS 8192
 #define MILLI 1000.0
-/// A server that names zero still has a limit.
+/// An advertised limit of zero is still a limit.
 #define MIN_MILLI 1
 
 /// Makes an empty message, to be released with limitmsg_clear().
--- a/src/fleet/limitmsg.h
+++ b/src/fleet/limitmsg.h
@@ -5,11 +5,11 @@
 
 #include "fleet/fleetcfg.h"
 
-/// Message, in both directions, about the limits that backend servers name. A
-/// gateway tells the leader of each change that it hears from a server, and a
-/// new leader of all limits that it knows; a new leader's response has all that
-/// it knows. The leader passes changes on to all other gateways, and gives each
-/// of them its number for the turns (route/turns.h).
+/// Message, in both directions, about the limits that backend servers
+/// advertise. A gateway tells the leader of each change in the responses of a
+/// server, and a new leader of all limits that it knows; a new leader's
+/// response has all that it knows. The leader passes changes on to all other
+/// gateways, and gives each of them its number for the turns (route/turns.h).
 
 struct limitmsg_limit {
 	char server[FLEETCFG_NAME_BYTES];
--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -151,7 +151,7 @@
 
 /// The connection of a request's attempt was lost before the response was
 /// complete: checks whether the server crashed. One that is draining may end
-/// with requests in flight; one that wants nothing now isn't asked.
+/// with requests in flight; one that is paused or limited is left alone.
 void
 gateway_crashes_on_lost(const struct gateway_request *q)
 {
@@ -160,7 +160,7 @@
 	    g_hash_table_lookup(g->servers, q->server);
 	struct crash *crash = g_hash_table_lookup(g->crash_checks, q->server);
 
-	if (s == NULL || s->instance.draining || s->says_leaving ||
+	if (s == NULL || s->instance.draining || s->signalled_leaving ||
 	    q->call.n_parts < 2 ||
 	    !balancer_is_open(
 		g->balancer, loop_now_us(g->loop), s->balancer_handle))
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -29,8 +29,8 @@
 	handle_t link;
 	uint64_t incarnation; ///< of the process that the link led to last
 	bool told_parts;      ///< it was sent the revision of the blocked parts
-	bool told_limits;     ///< it was sent the known limits, as the leader
-	bool answers_limits;  ///< it has responded to that
+	bool sent_limits;     ///< it was sent the known limits, as the leader
+	bool acks_limits;     ///< it has responded to that
 	uint64_t last_contact_us;     ///< when it last sent its state; 0: never
 	uint64_t unanswered_since_us; ///< when the first report without a
 				      ///< response was sent; 0: none
@@ -45,7 +45,7 @@
 	double limit_per_s; ///< requests that it takes from all gateways; 0: no
 			    ///< limit
 	uint64_t limit_since_us; ///< when that became known here
-	bool says_leaving;       ///< in a response of this start of it
+	bool signalled_leaving;  ///< in a response since its last start
 	uint64_t incarnation;    ///< starts under this id, as known here
 	uint64_t next_check_us;  ///< whether it still leaves
 	bool malformed_logged[API_N_SIGNALS];
@@ -151,7 +151,7 @@
 	struct metrics_value *n_cancelled;
 	struct metrics_value *n_blocked; ///< refused for a part of the prompt
 	struct metrics_value *n_server_crashes;
-	/// Responses in which a server says so of itself.
+	/// Responses with each signal.
 	struct metrics_value *n_signals[API_N_SIGNALS];
 	struct metrics_value *n_malformed_signals;
 	struct metrics_hist *first_event_latency; ///< or that of the response
@@ -288,7 +288,7 @@
 /// Status of a server that isn't the one that the request names.
 #define GATEWAY_HTTP_MISDIRECTED 421
 
-/// gateway_signals.c: what servers say of themselves
+/// gateway_signals.c: signals in the responses of servers
 void gateway_signals_on_head(const struct gateway_request *q);
 void gateway_signals_apply(struct gateway *g, const char *server,
     const struct api_response *response, int http_status, uint64_t sent_us);
@@ -302,7 +302,7 @@
 	uint64_t sent_us; ///< when its request was sent
 };
 
-/// gateway_limits.c: limits that servers name
+/// gateway_limits.c: limits that servers advertise
 void gateway_limits_on_leader(struct gateway *g, handle_t link);
 void gateway_limits_on_message(
     struct gateway *g, uint32_t slot, const struct wire_bytes *bytes);
--- a/src/gateway/gateway_leaving.c
+++ b/src/gateway/gateway_leaving.c
@@ -8,13 +8,13 @@
 #define GATEWAY_LEAVING_CHECK_US (5 * USEC_PER_SEC)
 #define GATEWAY_LEAVING_TIMEOUT_US (300 * USEC_PER_MSEC)
 
-/// The server has started again under its id: what it said before is void.
+/// The server has started again under its id: its earlier signals are void.
 static void
 on_restarted(struct gateway_server *s)
 {
 	logger_event(
 	    LOGGER_INFO, "server.returned", "server=%s", s->instance.id);
-	s->says_leaving = false;
+	s->signalled_leaving = false;
 	s->next_check_us = 0;
 	s->limit_per_s = 0;
 	s->incarnation++;
@@ -27,7 +27,7 @@
 	char server[FLEETCFG_NAME_BYTES];
 };
 
-/// A server that is healthy and doesn't say that it leaves has started again.
+/// A server that is healthy and not leaving any more has started again.
 static void
 on_checked(void *arg, const struct httpc_result *result)
 {
@@ -80,8 +80,8 @@
 }
 
 /// Checks servers that get no new work while the list shows them as ready. They
-/// may have started again under their id; the list alone may be older than what
-/// they said.
+/// may have started again under their id; the list alone may be older than
+/// their signals.
 void
 gateway_leaving_tick(struct gateway *g, uint64_t now_us)
 {
--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -4,16 +4,16 @@
 
 #include "fleet/limitmsg.h"
 
-/// Limits of requests per second that servers name, and this gateway's part of
-/// them.
+/// Limits of requests per second that servers advertise, and this gateway's
+/// part of them.
 
-/// A server that names a limit of zero gets this many requests per second: only
-/// a response can say that the limit has ended.
+/// A server that advertises a limit of zero gets this many requests per second:
+/// only a response can show that the limit has ended.
 #define GATEWAY_MIN_LIMIT_PER_S 0.05
 
 static void
 set_limit(struct gateway *g, struct gateway_server *s, double per_s,
-    const char *said_by)
+    const char *source)
 {
 	const uint64_t now = loop_now_us(g->loop);
 	const double was = s->limit_per_s;
@@ -24,7 +24,7 @@
 	s->limit_since_us = now;
 	logger_event(LOGGER_INFO, "server.limit",
 	    "server=%s per_s=%g was_per_s=%g by=%s in_force=%u", s->instance.id,
-	    per_s, was, said_by, gateway_signals_count(g, API_SIGNAL_LIMIT));
+	    per_s, was, source, gateway_signals_count(g, API_SIGNAL_LIMIT));
 	balancer_set_limit(g->balancer, now, s->balancer_handle, per_s);
 }
 
@@ -40,7 +40,7 @@
 	free(bytes);
 }
 
-/// Tells the leader of a limit that a server has just named or lifted.
+/// Sends the leader a limit that a server has just advertised or lifted.
 static void
 send_limit(struct gateway *g, const struct gateway_server *s)
 {
@@ -48,7 +48,7 @@
 	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->leader));
 	struct limitmsg m;
 
-	if (leader == NULL || !leader->answers_limits)
+	if (leader == NULL || !leader->acks_limits)
 		return;
 	limitmsg_init(&m);
 	limitmsg_add(&m, s->instance.id, s->limit_per_s);
@@ -78,7 +78,7 @@
 	limitmsg_clear(&m);
 }
 
-/// Handles the leader's message: limits that other gateways heard of, and this
+/// Handles the leader's message: limits that other gateways reported, and this
 /// gateway's number.
 ///
 /// @param slot  of the sender
@@ -91,7 +91,7 @@
 	struct limitmsg m;
 
 	if (h != NULL)
-		h->answers_limits = true;
+		h->acks_limits = true;
 	limitmsg_init(&m);
 	if (limitmsg_decode(bytes->data, bytes->len, &m) != STATUS_OK) {
 		logger_event(LOGGER_WARN, "limits.unreadable", "reason=\"%s\"",
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -268,7 +268,7 @@
 
 /// A process that leads again has dropped the limits that it was told before.
 static void
-forget_told_limits(struct gateway *g)
+forget_sent_limits(struct gateway *g)
 {
 	GHashTableIter it;
 	gpointer value;
@@ -277,7 +277,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct gateway_hub *h = value;
 
-		h->told_limits = h->told_limits && !h->answers_limits;
+		h->sent_limits = h->sent_limits && !h->acks_limits;
 	}
 }
 
@@ -314,14 +314,14 @@
 		    LOGGER_INFO, "control.leader", "slot=%u", sender_slot);
 		g->leader = sender_slot;
 		gateway_crashes_on_leader(g);
-		forget_told_limits(g);
+		forget_sent_limits(g);
 	}
 	if (h != NULL && !h->told_parts) {
 		h->told_parts = true;
 		gateway_parts_tell_revision(g, h->link);
 	}
-	if (h != NULL && !h->told_limits) {
-		h->told_limits = true;
+	if (h != NULL && !h->sent_limits) {
+		h->sent_limits = true;
 		gateway_limits_on_leader(g, h->link);
 	}
 	g->n_gateways = s->n_gateways;
@@ -384,13 +384,13 @@
 	if (h != NULL && h->incarnation != hello->incarnation) {
 		h->incarnation = hello->incarnation;
 		h->told_parts = false;
-		h->told_limits = false;
-		h->answers_limits = false;
+		h->sent_limits = false;
+		h->acks_limits = false;
 	}
 	// Changes that were sent meanwhile are lost. An older control process,
 	// which doesn't respond, closed the link when it was told of limits.
-	if (h != NULL && h->answers_limits)
-		h->told_limits = false;
+	if (h != NULL && h->acks_limits)
+		h->sent_limits = false;
 	g->next_report_us = 0;
 }
 
--- a/src/gateway/gateway_openq.c
+++ b/src/gateway/gateway_openq.c
@@ -14,7 +14,7 @@
 /// its Retry-After.
 #define GATEWAY_OPENQ_JITTER 0.25
 
-/// Longest Retry-After; what servers say changes sooner.
+/// Longest Retry-After; the signals of servers change sooner.
 #define GATEWAY_OPENQ_MAX_RETRY_US (30 * USEC_PER_SEC)
 
 static const char why_full[] = "all servers take no more requests now";
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -52,7 +52,7 @@
 	if (handle != s->balancer_handle && s->limit_per_s > 0)
 		balancer_set_limit(g->balancer, now_us, handle, s->limit_per_s);
 	s->balancer_handle = handle;
-	if (s->instance.draining || s->says_leaving)
+	if (s->instance.draining || s->signalled_leaving)
 		balancer_set_draining(g->balancer, now_us, handle,
 		    s->instance.draining ? BALANCER_BY_LIST
 					 : BALANCER_BY_SERVER);
--- a/src/gateway/gateway_signals.c
+++ b/src/gateway/gateway_signals.c
@@ -24,9 +24,9 @@
 {
 	const uint64_t now = loop_now_us(g->loop);
 
-	if (s->says_leaving)
+	if (s->signalled_leaving)
 		return;
-	s->says_leaving = true;
+	s->signalled_leaving = true;
 	balancer_set_draining(
 	    g->balancer, now, s->balancer_handle, BALANCER_BY_SERVER);
 	logger_event(LOGGER_INFO, "server.leaving",
@@ -34,7 +34,7 @@
 	    gateway_signals_count(g, API_SIGNAL_LEAVING));
 }
 
-/// The server wants nothing for some time. Up to a quarter of it is added at
+/// The server has asked for a pause. Up to a quarter of it is added at
 /// random, so that gateways don't return together.
 static void
 on_retry_after(
@@ -54,7 +54,7 @@
 	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER));
 }
 
-/// Acts on what a backend server says of itself in the head of a response.
+/// Acts on the signals of a backend server in the head of a response.
 ///
 /// @param server   its id; one that isn't listed is ignored
 /// @param sent_us  when the request was sent
@@ -87,7 +87,7 @@
 		on_retry_after(g, s, signals->retry_after_us);
 }
 
-/// Acts on what a server says of itself in the head of an attempt's response.
+/// Acts on the signals in the head of an attempt's response.
 void
 gateway_signals_on_head(const struct gateway_request *q)
 {
@@ -112,7 +112,7 @@
 		(void)balancer_server_stats(
 		    g->balancer, now, s->balancer_handle, &stats);
 		n += (signal == API_SIGNAL_LIMIT && s->limit_per_s > 0) ||
-		    (signal == API_SIGNAL_LEAVING && s->says_leaving) ||
+		    (signal == API_SIGNAL_LEAVING && s->signalled_leaving) ||
 		    (signal == API_SIGNAL_RETRY_AFTER &&
 			stats.paused_until_us > now);
 	}
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -118,7 +118,7 @@
 	bool has_suspects;         ///< there were some when it was asked
 	bool blocking_part;        ///< a block is being committed
 
-	/// Limits that servers name (hub_limits.c).
+	/// Limits that servers advertise (hub_limits.c).
 	GHashTable *limits; ///< server's id -> double, requests per second
 	uint64_t next_numbers_us;
 
@@ -173,7 +173,7 @@
     struct hub *h, struct hub_gateway *g, const struct wire_bytes *bytes);
 void hub_crashes_tick(struct hub *h, uint64_t now_us);
 
-/// hub_limits.c: limits that backend servers name (leader)
+/// hub_limits.c: limits that backend servers advertise (leader)
 void hub_limits_reset(struct hub *h);
 void hub_limits_on_message(
     struct hub *h, struct hub_gateway *g, const struct wire_bytes *bytes);
--- a/src/platform/api_signals.c
+++ b/src/platform/api_signals.c
@@ -7,7 +7,7 @@
 
 #define US_PER_S 1e6
 /// Larger figures are taken for errors: a server's requests per second, and the
-/// seconds for which it wants none.
+/// seconds of a pause.
 #define MAX_LIMIT_PER_S 1e6
 #define MAX_RETRY_AFTER_S 3600.0
 
--- a/src/platform/api_signals.h
+++ b/src/platform/api_signals.h
@@ -4,8 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/// What a backend server says of itself in the headers of a response: how many
-/// requests it takes, that it leaves, and for how long it wants none.
+/// Signals of a backend server in the headers of its responses: its limit of
+/// requests per second, that it is leaving, and how long to pause.
 
 /// A signal, as an index.
 enum api_signal {
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -185,18 +185,18 @@
 void balancer_events_lost(
     struct balancer *r, uint64_t now_us, handle_t server, uint64_t missed);
 
-/// Limits that servers name; see turns.h.
+/// Advertised limits of servers; see turns.h.
 void balancer_set_position(struct balancer *r, uint64_t now_us,
     struct turns_position position, int64_t time_offset_us);
 void balancer_set_limit(
     struct balancer *r, uint64_t now_us, handle_t server, double per_s);
 
-/// A server wants no requests until a time. After it the server gets one
+/// Sends no requests to a server until a time. After it the server gets one
 /// request at a time until it has responded to one.
 void balancer_pause(
     struct balancer *r, uint64_t now_us, handle_t server, uint64_t until_us);
 
-/// Whether a server takes a request now, as far as it has said.
+/// Whether a server takes a request now, by its limit and its pause.
 bool balancer_is_open(
     const struct balancer *r, uint64_t now_us, handle_t server);
 
@@ -231,7 +231,7 @@
 	uint32_t own_requests; ///< Our own requests there.
 	bool ejected;          ///< Ejected as an outlier.
 	bool draining;
-	double limit_per_s;       ///< That it names; 0: none.
+	double limit_per_s;       ///< Advertised; 0: none.
 	uint64_t paused_until_us; ///< In the past: it isn't.
 	uint64_t first_token_us;  ///< Smoothed; 0: none yet.
 	uint64_t failures;
--- a/src/route/balancer_intake.c
+++ b/src/route/balancer_intake.c
@@ -58,7 +58,7 @@
 		set_turns(r, p, now_us, per_s);
 }
 
-/// A later end of the pause counts: the server has said both.
+/// Of overlapping pauses the later end counts.
 void
 balancer_pause(
     struct balancer *r, uint64_t now_us, handle_t server, uint64_t until_us)
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -42,7 +42,8 @@
 	uint32_t versions[BALANCER_MAX_VERSIONS];
 
 	bool draining;
-	/// It has named a limit or is half open: balancer__is_open() decides.
+	/// It has advertised a limit or is half open: balancer__is_open()
+	/// decides.
 	bool restricted;
 	uint64_t draining_since_us;
 
@@ -80,8 +81,8 @@
 	double ttft_tokens;    ///< Smoothed tokens predicted for ttft_us.
 	uint32_t samples;      ///< Of ttft_us, since the last reinstatement.
 
-	struct turns turns;       ///< of the limit that it names
-	uint64_t paused_until_us; ///< it wants no requests until then
+	struct turns turns;       ///< of its advertised limit
+	uint64_t paused_until_us; ///< no requests are sent to it until then
 	bool half_open;           ///< paused, or it gets one request at a time
 	handle_t trial;           ///< that request; HANDLE_NONE: none in flight
 };
--- a/src/route/turns.c
+++ b/src/route/turns.c
@@ -5,7 +5,7 @@
 
 #define US_PER_S 1e6
 /// A limit of zero lets one request through in this time: only a response can
-/// say that it has ended.
+/// show that it has ended.
 #define MIN_PER_S 0.05
 
 /// Number of turns between the start of a round and this process's turn.
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -44,7 +44,7 @@
 			     ///< of prompts
 	WIRE_PARTS_ANSWER,   ///< gateway to leader: response to WIRE_PARTS
 	WIRE_LIMITS, ///< gateway to leader and back: limits that backend
-		     ///< servers name
+		     ///< servers advertise
 	WIRE_KIND_COUNT,
 };
 
--- a/test/script/server_limit.sh
+++ b/test/script/server_limit.sh
@@ -1,4 +1,4 @@
-# Guards against a server that names a limit of requests per second getting more
+# Guards against a server that advertises a limit of requests per second getting more
 # from all gateways together, also through a change of leader and without control.
 . "$PWD/test/script/deployment.inc"
 
@@ -47,7 +47,7 @@
 first_manifest '"k1"'
 for gw in 21 22 23; do wait_for 200 ready $gw; done
 
-echo "== one of two servers names a limit"
+echo "== one of two servers advertises a limit"
 set_standin 41 '{"limit": "1"}'
 load_all 2
 set_standin 41 '{"limit": "1"}'
@@ -75,7 +75,7 @@
 for gw in 21 22 23; do wait_for 200 ready $gw; done
 rm -f load-*.out
 
-echo "== all servers name a limit: requests that can't be served in time are refused at once"
+echo "== all servers advertise a limit: requests that can't be served in time are refused at once"
 set_standin 41 '{"limit": "1"}'
 set_standin 42 '{"limit": "1"}'
 load_all 6
