--- a/src/gateway/gateway_leaving.c
+++ b/src/gateway/gateway_leaving.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+/// How often the servers are searched for one to check.
 #define GATEWAY_LEAVING_TICK_US (500 * USEC_PER_MSEC)
 /// How often a server that leaves, but is listed as ready, is asked for its
 /// health.
--- a/src/hub/hub_limits.c
+++ b/src/hub/hub_limits.c
@@ -8,6 +8,7 @@
 /// A new leader gives out numbers after this time, when all live gateways have
 /// reported to it: until then they keep those of the last leader.
 #define HUB_LIMITS_SETTLE_US (2 * USEC_PER_SEC)
+/// Gateways report this often, and so are known to be live.
 #define HUB_LIMITS_NUMBER_US (400 * USEC_PER_MSEC)
 
 static void
--- a/src/route/turns.h
+++ b/src/route/turns.h
@@ -12,7 +12,9 @@
 ///
 /// In any W seconds the processes together send at most limit * (W + 1) + 1
 /// requests. While their numbers change, two processes may have the same turn,
-/// for as long as one knows the new numbers and the other doesn't.
+/// for as long as one knows the new numbers and the other doesn't. With turns
+/// of a second, four seconds have at most 5 * limit + 1, and a second of such a
+/// change stays below the bound of 6 * limit + 5.
 
 #define TURNS_VALID_US 1000000
 
