Logs tell a late loop, an expired lease and gateways that read the list

Adds loop.late (a timer over 100 ms late, at most one line a second, and a histogram), group.lease_expired and list.own_reading. No decision changes. Ruled out: a log line for each late timer, which would crowd out others on a VM that was frozen. unit_loop and unit_replog hold.

--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -112,6 +112,7 @@
 				///< from the platform by this gateway
 	uint32_t list_pages;    ///< of the platform's list at the last reading
 	uint64_t next_list_us;
+	bool reads_list; ///< from the platform, as control doesn't send it
 	struct api_lister *lister;
 
 	struct turns_position position; ///< for the limits of servers
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -1,5 +1,6 @@
 #include "gateway/gateway_internal.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define GATEWAY_LIST_MIN_INTERVAL_US (900 * USEC_PER_MSEC)
@@ -180,6 +181,7 @@
 
 	if (s->list_revision == 0)
 		return;
+	g->reads_list = false;
 	if (s->list_revision == g->list_revision) {
 		g->list_fresh_us = now;
 		return;
@@ -237,6 +239,12 @@
 	if (now_us <
 	    MAX(g->list_fresh_us, g->started_us) + GATEWAY_LIST_SILENT_US)
 		return;
+	if (!g->reads_list)
+		logger_event(LOGGER_WARN, "list.own_reading",
+		    "silent_ms=%" PRIu64 " interval_ms=%" PRIu64,
+		    timerq_ms_since(now_us, g->list_fresh_us),
+		    list_interval_us(g) / USEC_PER_MSEC);
+	g->reads_list = true;
 	g->next_list_us = now_us + list_interval_us(g);
 	api_lister_read(
 	    g->lister, g->settings.cloud.host, g->settings.cloud.port);
--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <sys/random.h>
 #include <time.h>
@@ -11,6 +12,9 @@
 
 #define LOOP_SIGNALS 3
 #define LOOP_SECOND_SIGNAL_EXIT 130
+/// Timers that run this late are logged, at most once in LOOP_LATE_LOG_US.
+#define LOOP_LATE_US (100 * USEC_PER_MSEC)
+#define LOOP_LATE_LOG_US USEC_PER_SEC
 
 struct loop {
 	struct event_base *base;
@@ -18,6 +22,9 @@
 	struct event *signals[LOOP_SIGNALS];
 	struct timerq *timers;
 	struct metrics_registry *counters;
+	struct metrics_hist *lateness; ///< of timers
+	uint64_t wake_at_us;           ///< when the next timer is due
+	uint64_t late_logged_us;
 	struct rnd *random;
 	struct loop_callbacks callbacks;
 	uint64_t incarnation;
@@ -53,9 +60,28 @@
 		.tv_usec = (suseconds_t)(in % USEC_PER_SEC),
 	};
 
+	l->wake_at_us = at_us;
 	(void)event_add(l->wake, &tv);
 }
 
+/// Records by how much the loop runs the due timer late: what it was busy with
+/// before held up everything else of this process as well.
+static void
+note_lateness(struct loop *l)
+{
+	const uint64_t now = monotonic_us(NULL);
+	const uint64_t late_us = now > l->wake_at_us ? now - l->wake_at_us : 0;
+
+	metrics_observe(l->lateness, late_us);
+	if (late_us < LOOP_LATE_US ||
+	    (l->late_logged_us != 0 &&
+		now < l->late_logged_us + LOOP_LATE_LOG_US))
+		return;
+	l->late_logged_us = now;
+	logger_event(LOGGER_WARN, "loop.late", "by_ms=%" PRIu64,
+	    late_us / USEC_PER_MSEC);
+}
+
 static void
 on_wake(evutil_socket_t fd, short what, void *arg)
 {
@@ -63,6 +89,7 @@
 
 	(void)fd;
 	(void)what;
+	note_lateness(l);
 	timerq_run(l->timers);
 }
 
@@ -97,6 +124,7 @@
 	l->wake = evtimer_new(l->base, on_wake, l);
 	l->timers = timerq_new(&source);
 	l->counters = metrics_new();
+	l->lateness = metrics_hist(l->counters, "ac_loop_late_seconds", "");
 	l->random = rnd_new(seed != 0 ? seed : system_random());
 	l->incarnation = system_random();
 	return l;
--- a/src/replog/raft.h
+++ b/src/replog/raft.h
@@ -234,6 +234,7 @@
 bool raft_is_voter(const struct raft_members *m, uint32_t id);
 bool raft_is_learner(const struct raft_members *m, uint32_t id);
 bool raft_lease_holds(const struct raft_core *c, uint64_t now_us);
+uint64_t raft_quorum_contact_us(const struct raft_core *c);
 uint64_t raft_match_index(const struct raft_core *c, uint32_t id);
 bool raft_is_active(const struct raft_core *c, uint64_t now_us, uint32_t id);
 
--- a/src/replog/raft_internal.h
+++ b/src/replog/raft_internal.h
@@ -183,7 +183,6 @@
     const uint8_t *bytes, size_t len);
 
 /* raft_leadership.c */
-uint64_t raft_quorum_contact_us(const struct raft_core *c);
 void raft_read(struct raft_core *c, uint64_t tag);
 void raft_complete_reads(struct raft_core *c);
 void raft_leader_tick(struct raft_core *c);
--- a/src/replog/replica.c
+++ b/src/replog/replica.c
@@ -3,6 +3,7 @@
 #include "base/logger.h"
 
 #include <assert.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -185,7 +186,22 @@
 	raft_effects_clear(fx);
 }
 
-/// Calls role_changed when a leader has become ready.
+/// Logs that the lease of a process that is still the leader has expired.
+static void
+log_expired_lease(const struct replica *g)
+{
+	const uint64_t now = timerq_now_us(g->config.timerq);
+
+	if (raft_role(g->core) != RAFT_LEADER)
+		return;
+	logger_event(LOGGER_WARN, "group.lease_expired",
+	    "group=%u term=%" PRIu64 " quorum_silent_ms=%" PRIu64,
+	    g->config.group, raft_term(g->core),
+	    timerq_ms_since(now, raft_quorum_contact_us(g->core)));
+}
+
+/// Calls role_changed when a leader has become ready, and logs when it no
+/// longer is.
 static void
 report_if_ready(struct replica *g)
 {
@@ -194,6 +210,8 @@
 	if (ready == g->was_ready)
 		return;
 	g->was_ready = ready;
+	if (!ready)
+		log_expired_lease(g);
 	if (ready)
 		g->config.ops.role_changed(g->config.arg, raft_role(g->core),
 		    raft_leader(g->core), raft_term(g->core));
