Messages of control precede other events of the loop

On a large deployment the leader's lease lapses every 0.3 to 1.2 s without a fault. Cause: one loop serves the replicated log and 291 gateways, in the order in which their messages arrive. While a burst of reports is handled, the acknowledgements of heartbeats and the timer of the next heartbeat wait. The logs show it: loop.late on leaders only, up to 394 ms, never on a follower or a gateway, each beside group.lease_expired with 350 to 415 ms without a quorum. Ruled out: followers that answer late (no loop.late there). Change: libevent priorities. Timers and links to and between control processes are urgent; after four other callbacks the loop looks for urgent events again. entry and control use the same loop and links, so it holds there too.

--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -12,6 +12,11 @@
 
 #define LOOP_SIGNALS 3
 #define LOOP_SECOND_SIGNAL_EXIT 130
+/// Urgent events, such as due timers and links to control, have priority 0.
+/// All others have libevent's default, the middle one.
+#define LOOP_PRIORITIES 2
+/// After this many other callbacks the loop looks for urgent events again.
+#define LOOP_MAX_CALLBACKS 4
 /// Timers that run this late are logged, at most once in LOOP_LATE_LOG_US.
 #define LOOP_LATE_US (100 * USEC_PER_MSEC)
 #define LOOP_LATE_LOG_US USEC_PER_SEC
@@ -105,6 +110,20 @@
 	return (v >> 1) | 1;
 }
 
+static struct event_base *
+new_event_base(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	(void)event_config_set_max_dispatch_interval(
+	    config, NULL, LOOP_MAX_CALLBACKS, 1);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	(void)event_base_priority_init(base, LOOP_PRIORITIES);
+	return base;
+}
+
 /// Creates a loop and ignores SIGPIPE.
 ///
 /// @param seed  of its random numbers; 0: taken from the system
@@ -120,8 +139,9 @@
 	};
 
 	(void)signal(SIGPIPE, SIG_IGN);
-	l->base = event_base_new();
+	l->base = new_event_base();
 	l->wake = evtimer_new(l->base, on_wake, l);
+	(void)event_priority_set(l->wake, 0);
 	l->timers = timerq_new(&source);
 	l->counters = metrics_new();
 	l->lateness = metrics_hist(l->counters, "ac_loop_late_seconds", "");
--- a/src/wire/transport.c
+++ b/src/wire/transport.c
@@ -159,6 +159,16 @@
 	return strcmp(name, node) == 0;
 }
 
+/// Lets messages of control precede those of other peers and callers: the
+/// replicated log and leases depend on their timing. Has no effect on a loop
+/// without priorities.
+static void
+set_urgent(struct transport_link *link)
+{
+	if (event_base_get_npriorities(link->owner->config.base) > 1)
+		(void)bufferevent_priority_set(link->bev, 0);
+}
+
 /// Checks the first message of a link, which must be a hello, and marks the
 /// link up.
 ///
@@ -190,6 +200,8 @@
 	link->connect_timeout_us = TRANSPORT_CONNECT_MIN_US;
 	if (link->dialled)
 		timerq_disarm(link->retry_timer);
+	if (link->hello.role == WIRE_ROLE_CONTROL)
+		set_urgent(link);
 	t->config.callbacks.up(
 	    t->config.callbacks.arg, link->self, &link->hello);
 	return true;
