The list of servers spreads over all control processes

Requests reached servers that the platform's list had shown as leaving for more than 4 s, on large deployments. Cause: the list hung on the leader alone. Class: a fallback whose cost grows with the fleet. Change: the leader sends the list to the other control processes, each of them to the gateways that chose it, those of its own data centre first. Each numbers its lists itself, so a change of leader changes nothing for gateways. A list has its age with it; an older one never replaces a newer one. A process of an older version closes the link when it is asked and is asked no more after three times; its state still has the list. Tests: script_list_spread (the leader can't read the list; red before: the gateway never learned of the leaving server, half of the requests reached it), ListCopy (200 random sequences).

--- a/src/fleet/hubmsg.h
+++ b/src/fleet/hubmsg.h
@@ -83,6 +83,10 @@
 	bool removed; ///< removed from the list; only `instance.id` is set
 };
 
+/// Revision in the report of a gateway that gets the list of servers from a
+/// control process near it (fleet/listmsg.h): the state has none for it.
+#define HUBMSG_LIST_SUBSCRIBED UINT64_MAX
+
 /// Message of a gateway to control.
 struct hubmsg_report {
 	uint64_t sent_us; ///< the gateway's monotonic clock; echoed
@@ -90,6 +94,7 @@
 	uint64_t time_us; ///< since 1970, by the gateway's clock
 	bool stopping;    ///< the gateway is shutting down
 	uint64_t list_revision; ///< revision of its server list; 0: none
+	///< HUBMSG_LIST_SUBSCRIBED: it needs none
 	GArray *usage;          ///< struct hubmsg_usage
 	GArray *quotas;         ///< struct hubmsg_quota
 	GArray *loads;          ///< struct hubmsg_load
--- /dev/null
+++ b/src/fleet/listmsg.c
@@ -0,0 +1,86 @@
+#include "fleet/listmsg.h"
+
+#include "codec/codec.h"
+
+static void
+code_ask(struct codec *c, struct listmsg_ask *a)
+{
+	codec_u64(c, &a->sent_us);
+	codec_u64(c, &a->revision);
+}
+
+static void
+code_update(struct codec *c, struct listmsg_update *u)
+{
+	codec_u64(c, &u->echo_us);
+	codec_u64(c, &u->age_us);
+	codec_u64(c, &u->revision);
+	codec_u64(c, &u->since);
+	codec_bytes(c, &u->changes, &u->len);
+}
+
+static enum status
+end_decode(struct codec *c)
+{
+	const bool decoded = codec_at_end(c);
+
+	codec_free(c);
+	return decoded ? STATUS_OK
+		       : status_fail(STATUS_CORRUPT,
+			     "message about the list can't be decoded");
+}
+
+/// Encodes an ask.
+///
+/// @param bytes  gets the message, to be released with free()
+void
+listmsg_ask_encode(const struct listmsg_ask *a, uint8_t **bytes, size_t *len)
+{
+	struct listmsg_ask copy = *a;
+	struct codec *c = codec_writer();
+
+	code_ask(c, &copy);
+	codec_take(c, bytes, len);
+}
+
+/// Decodes an ask.
+///
+/// @return STATUS_CORRUPT when the bytes are malformed
+enum status
+listmsg_ask_decode(const uint8_t *bytes, size_t len, struct listmsg_ask *out)
+{
+	struct codec *c = codec_reader(bytes, len);
+
+	*out = (struct listmsg_ask){ .sent_us = 0 };
+	code_ask(c, out);
+	return end_decode(c);
+}
+
+/// Encodes an update.
+///
+/// @param bytes  gets the message, to be released with free()
+void
+listmsg_update_encode(
+    const struct listmsg_update *u, uint8_t **bytes, size_t *len)
+{
+	struct listmsg_update copy = *u;
+	struct codec *c = codec_writer();
+
+	code_update(c, &copy);
+	codec_take(c, bytes, len);
+}
+
+/// Decodes an update.
+///
+/// @param bytes  must outlive `out`, whose changes point into them
+/// @return STATUS_CORRUPT when the bytes are malformed
+enum status
+listmsg_update_decode(
+    const uint8_t *bytes, size_t len, struct listmsg_update *out)
+{
+	struct codec *c = codec_reader(bytes, len);
+
+	*out = (struct listmsg_update){ .echo_us = 0 };
+	code_update(c, out);
+	return end_decode(c);
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -91,6 +91,7 @@
 
 	timerq_arm_in(g->tick, GATEWAY_TICK_US);
 	gateway_links_tick(g, now_us);
+	gateway_feed_tick(g, now_us);
 	gateway_servers_tick(g, now_us);
 	gateway_leaving_tick(g, now_us);
 	gateway_rollout_tick(g, now_us);
--- /dev/null
+++ b/src/gateway/gateway_feed.c
@@ -0,0 +1,151 @@
+#include "gateway/gateway_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "fleet/listmsg.h"
+
+/// This gateway gets the list of servers from one control process, if possible
+/// of its own data centre, and chooses another one when that doesn't answer or
+/// has only an old list.
+
+#define GATEWAY_FEED_ASK_US (400 * USEC_PER_MSEC)
+#define GATEWAY_FEED_UNANSWERED_US USEC_PER_SEC
+/// A process whose list is older is left for another one.
+#define GATEWAY_FEED_OLD_US (2 * USEC_PER_SEC)
+/// For how long a process that was left isn't chosen again.
+#define GATEWAY_FEED_AVOID_US (5 * USEC_PER_SEC)
+/// A process that has closed the link this often without an answer is of an
+/// older version.
+#define GATEWAY_FEED_MAX_CLOSES 3
+
+static bool
+is_usable(const struct gateway *g, const struct gateway_hub *h, uint64_t now_us)
+{
+	return h->feed_closes < GATEWAY_FEED_MAX_CLOSES &&
+	    now_us >= h->feed_avoid_until_us &&
+	    transport_is_up(g->links, h->link);
+}
+
+/// Rank of a control process, the highest is chosen: those of the same data
+/// centre first, and among them evenly over the gateways.
+static uint64_t
+rank_of(const struct gateway *g, const struct gateway_hub *h)
+{
+	const uint64_t hash =
+	    XXH64(g->settings.node, strlen(g->settings.node), h->slot);
+	const bool is_near =
+	    strcmp(h->data_centre, g->settings.data_centre) == 0;
+
+	return (hash >> 1) | (is_near ? UINT64_C(1) << 63 : 0);
+}
+
+static struct gateway_hub *
+choose_hub(struct gateway *g, uint64_t now_us)
+{
+	struct gateway_hub *best = NULL;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->hubs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct gateway_hub *h = value;
+
+		if (is_usable(g, h, now_us) &&
+		    (best == NULL || rank_of(g, h) > rank_of(g, best)))
+			best = h;
+	}
+	return best;
+}
+
+static void
+allow_avoided(struct gateway *g)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->hubs);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct gateway_hub *)value)->feed_avoid_until_us = 0;
+}
+
+/// The control process to ask now; NULL: there is none.
+static struct gateway_hub *
+current_hub(struct gateway *g, uint64_t now_us)
+{
+	struct gateway_hub *h =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->feed_hub));
+	const bool is_silent = g->feed_unanswered_us != 0 &&
+	    now_us > g->feed_unanswered_us + GATEWAY_FEED_UNANSWERED_US;
+	const bool is_old = now_us >
+	    MAX(g->list_fresh_us, g->feed_chosen_us) + GATEWAY_FEED_OLD_US;
+
+	if (h != NULL && (is_silent || is_old))
+		h->feed_avoid_until_us = now_us + GATEWAY_FEED_AVOID_US;
+	if (h != NULL && is_usable(g, h, now_us))
+		return h;
+	h = choose_hub(g, now_us);
+	if (h == NULL)
+		allow_avoided(g);
+	g->feed_hub = h != NULL ? h->slot : 0;
+	g->feed_chosen_us = now_us;
+	g->feed_unanswered_us = 0;
+	return h;
+}
+
+/// Asks for the list when it is time.
+void
+gateway_feed_tick(struct gateway *g, uint64_t now_us)
+{
+	struct wire_msg msg = { .kind = WIRE_LIST_ASK };
+	struct listmsg_ask ask = { .sent_us = now_us };
+	const struct gateway_hub *h = current_hub(g, now_us);
+	uint8_t *bytes;
+
+	if (h == NULL || now_us < g->next_ask_us)
+		return;
+	g->next_ask_us = now_us + GATEWAY_FEED_ASK_US;
+	if (g->list_source == h->incarnation)
+		ask.revision = g->list_revision;
+	listmsg_ask_encode(&ask, &bytes, &msg.payload.len);
+	msg.payload.data = bytes;
+	if (transport_send(g->links, h->link, &msg) &&
+	    g->feed_unanswered_us == 0)
+		g->feed_unanswered_us = now_us;
+	free(bytes);
+}
+
+/// A control process sends its list or the changes.
+void
+gateway_feed_on_update(struct gateway *g, const struct wire_hello *hello,
+    const struct wire_bytes *bytes)
+{
+	struct gateway_hub *h =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(hello->id));
+	struct listmsg_update u;
+
+	if (listmsg_update_decode(bytes->data, bytes->len, &u) != STATUS_OK) {
+		logger_event(LOGGER_WARN, "list.unreadable",
+		    "peer=%s reason=\"%s\"", hello->node, status_last());
+		return;
+	}
+	if (h == NULL || h->slot != g->feed_hub)
+		return;
+	h->feed_closes = 0;
+	g->feed_unanswered_us = 0;
+	if (u.echo_us > loop_now_us(g->loop) || u.age_us >= u.echo_us)
+		return;
+	gateway_servers_update(g, hello->incarnation, &u);
+}
+
+/// A link to a control process is down.
+void
+gateway_feed_on_link_down(struct gateway *g, struct gateway_hub *h)
+{
+	if (h->slot != g->feed_hub)
+		return;
+	if (g->feed_unanswered_us != 0)
+		h->feed_closes++;
+	g->feed_unanswered_us = 0;
+}
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -11,6 +11,7 @@
 #include "fleet/evstream.h"
 #include "fleet/fleetcfg.h"
 #include "fleet/hubmsg.h"
+#include "fleet/listmsg.h"
 #include "fleet/partlog.h"
 #include "fleet/quota.h"
 #include "fleet/instance.h"
@@ -34,6 +35,9 @@
 	uint64_t last_contact_us;     ///< when it last sent its state; 0: never
 	uint64_t unanswered_since_us; ///< when the first report without a
 				      ///< response was sent; 0: none
+	char data_centre[FLEETCFG_NAME_BYTES]; ///< empty: not known yet
+	uint64_t feed_avoid_until_us; ///< not asked for the list until then
+	uint32_t feed_closes; ///< links closed since an ask, without an answer
 };
 
 /// A backend server of the list.
@@ -108,12 +112,19 @@
 	uint64_t list_round;    ///< number of updates of the list
 	uint64_t list_fresh_us; ///< when the list was last known to be current;
 				///< 0: never
-	uint64_t list_revision; ///< control's revision of the list; 0: read
-				///< from the platform by this gateway
+	uint64_t list_source;   ///< incarnation of the control process that it
+				///< is from; 0: the platform, or a state
+	uint64_t list_revision; ///< that process's revision of it
+	uint64_t list_asked_us; ///< when this gateway's last reading began
 	uint32_t list_pages;    ///< of the platform's list at the last reading
 	uint64_t next_list_us;
 	bool reads_list; ///< from the platform, as control doesn't send it
 	struct api_lister *lister;
+	uint32_t feed_hub;       ///< slot of the process that sends the list
+	uint64_t feed_chosen_us; ///< when that was chosen
+	uint64_t feed_unanswered_us; ///< when the first ask without an answer
+				     ///< was sent; 0: none
+	uint64_t next_ask_us;
 
 	struct turns_position position; ///< for the limits of servers
 	uint64_t next_leaving_us; ///< when leaving servers are looked at again
@@ -232,12 +243,19 @@
 void gateway_count_usage(struct gateway_request *q);
 void gateway_schedule_report(struct gateway *g);
 
+/// gateway_feed.c: the list of servers from control
+void gateway_feed_tick(struct gateway *g, uint64_t now_us);
+void gateway_feed_on_update(struct gateway *g, const struct wire_hello *hello,
+    const struct wire_bytes *bytes);
+void gateway_feed_on_link_down(struct gateway *g, struct gateway_hub *h);
+
 /// gateway_servers.c: backend servers
 void gateway_servers_start(struct gateway *g);
 void gateway_servers_tick(struct gateway *g, uint64_t now_us);
 void gateway_servers_on_misdirected(struct gateway *g, const char *id);
 void gateway_servers_refresh(struct gateway *g, struct gateway_server *s);
-void gateway_servers_update(struct gateway *g, const struct hubmsg_state *s);
+void gateway_servers_update(
+    struct gateway *g, uint64_t source, const struct listmsg_update *u);
 
 /// gateway_rollout.c: rollouts of services' versions
 void gateway_rollout_update(struct gateway *g, const GArray *rollouts);
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -25,6 +25,8 @@
 /// Windows that usage is reported for, beyond those that may still be reported
 /// to the cloud.
 #define GATEWAY_USAGE_EXTRA_WINDOWS 2
+/// A list that is older is replaced by the one of a state.
+#define GATEWAY_STATE_LIST_US USEC_PER_SEC
 /// The clock is corrected when it differs from control's time by this.
 #define GATEWAY_CLOCK_TOLERANCE_US (50 * (int64_t)USEC_PER_MSEC)
 
@@ -182,7 +184,7 @@
 	r.version = g->config != NULL ? fleetcfg_version(g->config) : 0;
 	r.time_us = loop_wall_us();
 	r.stopping = g->stopping;
-	r.list_revision = g->list_revision;
+	r.list_revision = HUBMSG_LIST_SUBSCRIBED;
 	report_usage(g, &r);
 	report_quotas(g, &r);
 	report_loads(g, &r);
@@ -281,6 +283,23 @@
 	}
 }
 
+/// Applies the list in a state, which control of an older version sends. Such a
+/// process answers no asks, so the list in force gets old.
+static void
+apply_list(struct gateway *g, const struct hubmsg_state *s, uint64_t now_us)
+{
+	const struct listmsg_update u = {
+		.echo_us = s->echo_us,
+		.revision = s->list_revision,
+		.since = s->changes_since,
+		.changes = s->changes,
+		.len = s->changes_len,
+	};
+
+	if (now_us > g->list_fresh_us + GATEWAY_STATE_LIST_US)
+		gateway_servers_update(g, 0, &u);
+}
+
 /// Applies a state from the control process with slot `sender_slot`. Only the
 /// leader's renews the lease.
 static void
@@ -332,7 +351,7 @@
 	if (g->config == NULL || fleetcfg_version(g->config) < s->version)
 		return;
 	apply_quotas(g, s, now);
-	gateway_servers_update(g, s);
+	apply_list(g, s, now);
 	gateway_rollout_update(g, s->rollouts);
 	correct_clock(g, s, now);
 	until_us =
@@ -358,6 +377,8 @@
 		gateway_rollout_on_ack(g, &msg->payload);
 	if (msg->kind == WIRE_QUOTA_ANSWER)
 		gateway_quota_on_answer(g, &msg->payload);
+	if (msg->kind == WIRE_LIST)
+		gateway_feed_on_update(g, hello, &msg->payload);
 	if (msg->kind == WIRE_LIMITS)
 		gateway_limits_on_message(g, hello->id, &msg->payload);
 	if (msg->kind != WIRE_CONTROL_STATUS)
@@ -383,6 +404,10 @@
 	logger_event(LOGGER_INFO, "link.up", "peer=%s", hello->node);
 	if (h != NULL && h->incarnation != hello->incarnation) {
 		h->incarnation = hello->incarnation;
+		(void)g_strlcpy(
+		    h->data_centre, hello->data_centre, sizeof(h->data_centre));
+		h->feed_closes = 0;
+		h->feed_avoid_until_us = 0;
 		h->told_parts = false;
 		h->sent_limits = false;
 		h->acks_limits = false;
@@ -403,8 +428,10 @@
 
 	(void)link;
 	logger_event(LOGGER_INFO, "link.down", "peer=%s", hello->node);
-	if (h != NULL)
-		h->unanswered_since_us = 0;
+	if (h == NULL)
+		return;
+	h->unanswered_since_us = 0;
+	gateway_feed_on_link_down(g, h);
 }
 
 /// Dials the control processes that are seeds.
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -6,7 +6,10 @@
 #define GATEWAY_LIST_MIN_INTERVAL_US (900 * USEC_PER_MSEC)
 /// Control sends the list; after this time without it, this gateway reads it
 /// from the platform.
-#define GATEWAY_LIST_SILENT_US (2 * USEC_PER_SEC)
+#define GATEWAY_LIST_SILENT_US (3 * USEC_PER_SEC)
+/// Gateways that lose control at the same moment spread their first readings
+/// over at most this time.
+#define GATEWAY_LIST_SPREAD_US USEC_PER_SEC
 /// Share of the platform's call limit that gateways use to read the list.
 #define GATEWAY_CALLS_FACTOR 0.5
 /// One-way network delay between data centres of a region.
@@ -137,9 +140,10 @@
 	struct gateway *g = arg;
 	const uint64_t now = loop_now_us(g->loop);
 
-	if (servers == NULL)
+	if (servers == NULL || g->list_asked_us <= g->list_fresh_us)
 		return;
 	g->list_pages = pages;
+	g->list_source = 0;
 	g->list_revision = 0;
 	g->list_round++;
 	for (guint i = 0; i < servers->len; i++)
@@ -149,7 +153,7 @@
 	if (g->list_fresh_us == 0)
 		logger_event(
 		    LOGGER_INFO, "list.known", "servers=%u", servers->len);
-	g->list_fresh_us = now;
+	g->list_fresh_us = g->list_asked_us;
 	gateway_waitq_step(g, now);
 }
 
@@ -160,42 +164,22 @@
 	g->lister = api_lister_new(g->http, on_list, g);
 }
 
-/// Whether this gateway can apply a state's changes. They hold the newest state
-/// of each server that changed since a revision, so that those from an older
-/// one lead to the same list. Revisions of different leaders are far apart.
+/// Whether this gateway can apply an update's changes. They hold the newest
+/// state of each server that changed since a revision, so that those from an
+/// older one lead to the same list.
 static bool
-changes_apply(const struct gateway *g, const struct hubmsg_state *s)
+changes_apply(
+    const struct gateway *g, uint64_t source, const struct listmsg_update *u)
 {
-	return s->changes_since == 0 ||
-	    (s->changes_since <= g->list_revision &&
-		g->list_revision < s->list_revision);
+	return u->since == 0 ||
+	    (source == g->list_source && u->since <= g->list_revision &&
+		g->list_revision < u->revision);
 }
 
-/// Applies the changes of the list, or the whole list, in a state from control.
-/// Changes that don't lead from this gateway's revision are ignored.
-void
-gateway_servers_update(struct gateway *g, const struct hubmsg_state *s)
+static void
+apply_changes(
+    struct gateway *g, const GArray *changes, bool is_whole, uint64_t now_us)
 {
-	const uint64_t now = loop_now_us(g->loop);
-	GArray *changes;
-
-	if (s->list_revision == 0)
-		return;
-	g->reads_list = false;
-	if (s->list_revision == g->list_revision) {
-		g->list_fresh_us = now;
-		return;
-	}
-	if (!changes_apply(g, s))
-		return;
-	changes = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
-	if (hubmsg_servers_decode(s->changes, s->changes_len, changes) !=
-	    STATUS_OK) {
-		logger_event(LOGGER_WARN, "list.unreadable", "reason=\"%s\"",
-		    status_last());
-		g_array_unref(changes);
-		return;
-	}
 	g->list_round++;
 	for (guint i = 0; i < changes->len; i++) {
 		const struct hubmsg_server *c =
@@ -204,16 +188,53 @@
 		if (c->removed)
 			remove_server(g, c->instance.id);
 		else
-			update_server(g, &c->instance, now);
+			update_server(g, &c->instance, now_us);
 	}
-	if (s->changes_since == 0)
+	if (is_whole)
 		remove_unlisted(g);
 	if (g->list_fresh_us == 0)
 		logger_event(LOGGER_INFO, "list.known", "servers=%u",
 		    g_hash_table_size(g->servers));
-	g->list_revision = s->list_revision;
-	g->list_fresh_us = now;
+}
+
+/// Applies the changes of the list, or the whole list, from a control process.
+/// Ignored are changes that don't lead from this gateway's revision, and a list
+/// that is older than the one in force.
+///
+/// @param source  incarnation of the process
+void
+gateway_servers_update(
+    struct gateway *g, uint64_t source, const struct listmsg_update *u)
+{
+	const uint64_t fresh_us = u->echo_us - u->age_us;
+	GArray *changes;
+
+	if (u->revision == 0)
+		return;
+	if (u->revision == g->list_revision && source == g->list_source) {
+		g->list_fresh_us = MAX(g->list_fresh_us, fresh_us);
+		return;
+	}
+	if (!changes_apply(g, source, u) ||
+	    (source != g->list_source && fresh_us <= g->list_fresh_us))
+		return;
+	changes = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
+	if (hubmsg_servers_decode(u->changes, u->len, changes) != STATUS_OK) {
+		logger_event(LOGGER_WARN, "list.unreadable", "reason=\"%s\"",
+		    status_last());
+		g_array_unref(changes);
+		return;
+	}
+	apply_changes(g, changes, u->since == 0, loop_now_us(g->loop));
 	g_array_unref(changes);
+	if (g->reads_list)
+		logger_event(LOGGER_INFO, "list.from_control",
+		    "age_ms=%" PRIu64, u->age_us / USEC_PER_MSEC);
+	g->reads_list = false;
+	g->list_source = source;
+	g->list_revision = u->revision;
+	g->list_fresh_us = MAX(g->list_fresh_us, fresh_us);
+	gateway_waitq_step(g, loop_now_us(g->loop));
 }
 
 /// Interval at which this gateway reads the list while control is silent: all
@@ -239,13 +260,21 @@
 	if (now_us <
 	    MAX(g->list_fresh_us, g->started_us) + GATEWAY_LIST_SILENT_US)
 		return;
-	if (!g->reads_list)
+	if (!g->reads_list) {
+		const uint64_t spread_us =
+		    MIN(list_interval_us(g), GATEWAY_LIST_SPREAD_US);
+
 		logger_event(LOGGER_WARN, "list.own_reading",
 		    "silent_ms=%" PRIu64 " interval_ms=%" PRIu64,
 		    timerq_ms_since(now_us, g->list_fresh_us),
 		    list_interval_us(g) / USEC_PER_MSEC);
-	g->reads_list = true;
+		g->reads_list = true;
+		g->next_list_us =
+		    now_us + rnd_u64(loop_random(g->loop)) % spread_us;
+		return;
+	}
 	g->next_list_us = now_us + list_interval_us(g);
+	g->list_asked_us = now_us;
 	api_lister_read(
 	    g->lister, g->settings.cloud.host, g->settings.cloud.port);
 }
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -60,10 +60,11 @@
 
 	timerq_arm_in(h->tick, HUB_TICK_US);
 	hub_links_tick(h, now_us);
+	hub_feed_tick(h, now_us);
+	hub_servers_tick(h, now_us);
 	if (!hub_is_leader(h))
 		return;
 	hub_members_tick(h);
-	hub_servers_tick(h, now_us);
 	hub_rollout_tick(h, now_us);
 	hub_crashes_tick(h, now_us);
 	hub_limits_tick(h, now_us);
@@ -144,6 +145,7 @@
 	    metrics_counter(registry, "ac_orders_invalid_total", "");
 	h->ack_latency = metrics_hist(registry, "ac_order_ack_seconds", "");
 	hub_servers_start(h);
+	hub_feed_start(h);
 	if (status == STATUS_OK)
 		hub_duty_start(h);
 	if (status == STATUS_OK)
@@ -210,6 +212,7 @@
 	g_hash_table_destroy(h->sizing_by_service);
 	g_hash_table_destroy(h->scale_orders);
 	listdiff_free(h->list);
+	hub_feed_stop(h);
 	crashlog_free(h->crashlog);
 	g_array_unref(h->asked_parts);
 	rollout_control_free(h->rollout_control);
--- /dev/null
+++ b/src/hub/hub_feed.c
@@ -0,0 +1,238 @@
+#include "hub/hub_internal.h"
+
+#include <stdlib.h>
+
+#include "fleet/listcopy.h"
+
+/// The list of servers spreads in two steps: the leader reads it from the
+/// platform and sends it to the other control processes, and each of them to
+/// the gateways that chose it. A control process to which the list doesn't come
+/// reads it itself (hub_servers.c), so that its gateways don't depend on the
+/// leader.
+
+#define HUB_FEED_ASK_US (400 * USEC_PER_MSEC)
+/// A subscriber that hasn't asked for this long gets no more changes.
+#define HUB_SUBSCRIBER_LOST_US (2 * USEC_PER_SEC)
+/// A process that has closed the link this often without an answer is of an
+/// older version.
+#define HUB_FEED_MAX_CLOSES 3
+/// Subscribers that are sent a new list in one run of the timer, so that the
+/// loop isn't held up by all of them.
+#define HUB_FEED_SLICE 16
+
+/// A process that asks this one for its list.
+struct hub_subscriber {
+	handle_t link;
+	uint64_t asked_us;
+	uint64_t echo_us;  ///< its clock when it asked last
+	uint64_t revision; ///< that it has, or was sent
+	bool is_hub;
+	bool due; ///< to be sent the newest list
+};
+
+static void
+send_update(struct hub *h, struct hub_subscriber *s)
+{
+	struct wire_msg msg = { .kind = WIRE_LIST };
+	const uint64_t now = loop_now_us(h->loop);
+	struct listmsg_update u = { .echo_us = s->echo_us + now - s->asked_us };
+	struct listdiff_update changes;
+	uint8_t *bytes;
+
+	s->due = false;
+	if (h->list_fresh_us != 0) {
+		listdiff_update(h->list, s->revision, &changes);
+		u.age_us = now - h->list_fresh_us;
+		u.revision = listdiff_revision(h->list);
+		u.since = changes.since;
+		u.changes = changes.bytes;
+		u.len = changes.len;
+	}
+	listmsg_update_encode(&u, &bytes, &msg.payload.len);
+	msg.payload.data = bytes;
+	if (transport_send(h->links, s->link, &msg))
+		s->revision = u.revision;
+	free(bytes);
+}
+
+static void
+on_feed_timer(void *arg, uint64_t now_us)
+{
+	struct hub *h = arg;
+	GHashTableIter it;
+	gpointer value;
+	int n = 0;
+
+	g_hash_table_iter_init(&it, h->subscribers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hub_subscriber *s = value;
+
+		if (!s->due)
+			continue;
+		if (n++ == HUB_FEED_SLICE) {
+			timerq_arm(h->feed, now_us + 1);
+			return;
+		}
+		send_update(h, s);
+	}
+}
+
+/// The list was read, or came from the leader: sends it to the subscribers.
+/// Gateways learn that an unchanged list is current when they ask.
+void
+hub_feed_push(struct hub *h, bool changed)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->subscribers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hub_subscriber *s = value;
+
+		s->due = s->due || changed || s->is_hub;
+	}
+	timerq_arm_in(h->feed, 0);
+}
+
+/// A gateway or another control process asks for the list.
+void
+hub_feed_on_ask(struct hub *h, handle_t link, const struct wire_hello *hello,
+    const struct wire_bytes *bytes)
+{
+	struct hub_subscriber *s;
+	struct listmsg_ask ask;
+
+	if (listmsg_ask_decode(bytes->data, bytes->len, &ask) != STATUS_OK) {
+		logger_event(LOGGER_WARN, "list.unreadable",
+		    "peer=%s reason=\"%s\"", hello->node, status_last());
+		return;
+	}
+	s = g_hash_table_lookup(h->subscribers, &link);
+	if (s == NULL) {
+		s = g_new0(struct hub_subscriber, 1);
+		s->link = link;
+		s->is_hub = hello->role == WIRE_ROLE_CONTROL;
+		(void)g_hash_table_insert(h->subscribers, &s->link, s);
+	}
+	s->asked_us = loop_now_us(h->loop);
+	s->echo_us = ask.sent_us;
+	s->revision = ask.revision;
+	send_update(h, s);
+}
+
+/// The leader's list, or its changes.
+void
+hub_feed_on_update(struct hub *h, const struct wire_hello *hello,
+    const struct wire_bytes *bytes)
+{
+	const uint64_t now = loop_now_us(h->loop);
+	struct hub_peer *p = hub_peer(h, hello->id);
+	struct listmsg_update u;
+	enum listcopy_result result;
+	uint64_t fresh_us;
+	GArray *servers;
+
+	if (p == NULL ||
+	    listmsg_update_decode(bytes->data, bytes->len, &u) != STATUS_OK) {
+		logger_event(LOGGER_WARN, "list.unreadable",
+		    "peer=%s reason=\"%s\"", hello->node, status_last());
+		return;
+	}
+	p->asked = false;
+	p->closes = 0;
+	result = listcopy_apply(h->leader_list, hello->incarnation, &u);
+	if (result == LISTCOPY_UNRELATED || hub_is_leader(h) ||
+	    u.echo_us > now || u.age_us >= u.echo_us)
+		return;
+	fresh_us = u.echo_us - u.age_us;
+	if (fresh_us <= h->list_fresh_us)
+		return;
+	if (result == LISTCOPY_SAME && h->list_is_leaders) {
+		h->list_fresh_us = fresh_us;
+		return;
+	}
+	servers = listcopy_servers(h->leader_list);
+	hub_servers_set(h, servers, fresh_us);
+	h->list_is_leaders = true;
+	g_array_unref(servers);
+}
+
+/// A link is down: its subscription ends.
+void
+hub_feed_on_link_down(
+    struct hub *h, handle_t link, const struct wire_hello *hello)
+{
+	struct hub_peer *p;
+
+	(void)g_hash_table_remove(h->subscribers, &link);
+	p = hello->role == WIRE_ROLE_CONTROL ? hub_peer(h, hello->id) : NULL;
+	if (p != NULL && p->asked)
+		p->closes++;
+}
+
+static void
+drop_silent_subscribers(struct hub *h, uint64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->subscribers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct hub_subscriber *s = value;
+
+		if (now_us > s->asked_us + HUB_SUBSCRIBER_LOST_US)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+static void
+ask_leader(struct hub *h, uint64_t now_us)
+{
+	struct wire_msg msg = { .kind = WIRE_LIST_ASK };
+	struct listmsg_ask ask = { .sent_us = now_us };
+	struct replica_status st;
+	struct hub_peer *p;
+	uint8_t *bytes;
+
+	replica_status(h->group, &st);
+	p = hub_peer(h, st.leader & RAFT_SLOT_MASK);
+	if (p == NULL || p->closes >= HUB_FEED_MAX_CLOSES)
+		return;
+	ask.revision = listcopy_revision(h->leader_list, p->incarnation);
+	listmsg_ask_encode(&ask, &bytes, &msg.payload.len);
+	msg.payload.data = bytes;
+	p->asked = transport_send(h->links, p->dialled, &msg) ||
+	    (p->accepted != HANDLE_NONE &&
+		transport_send(h->links, p->accepted, &msg));
+	free(bytes);
+}
+
+/// Asks the leader for its list when it is time, unless this process leads.
+void
+hub_feed_tick(struct hub *h, uint64_t now_us)
+{
+	drop_silent_subscribers(h, now_us);
+	if (now_us < h->next_ask_us || hub_is_leader(h))
+		return;
+	h->next_ask_us = now_us + HUB_FEED_ASK_US;
+	ask_leader(h, now_us);
+}
+
+/// Makes the table of subscribers and the copy of the leader's list.
+void
+hub_feed_start(struct hub *h)
+{
+	h->subscribers =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	h->leader_list = listcopy_new();
+	h->feed = timerq_timer_new(loop_timers(h->loop), on_feed_timer, h);
+}
+
+/// Releases what hub_feed_start() made.
+void
+hub_feed_stop(struct hub *h)
+{
+	timerq_timer_free(h->feed);
+	listcopy_free(h->leader_list);
+	g_hash_table_destroy(h->subscribers);
+}
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -11,6 +11,7 @@
 #include "fleet/fleetcfg.h"
 #include "fleet/hubmsg.h"
 #include "fleet/instance.h"
+#include "fleet/listcopy.h"
 #include "fleet/listdiff.h"
 #include "front/httpd.h"
 #include "hub/hub.h"
@@ -23,8 +24,11 @@
 /// Another control process.
 struct hub_peer {
 	uint32_t slot;
-	handle_t dialled;  ///< link that this process opened
-	handle_t accepted; ///< link that it opened to us; HANDLE_NONE: none
+	handle_t dialled;     ///< link that this process opened
+	handle_t accepted;    ///< link that it opened to us; HANDLE_NONE: none
+	uint64_t incarnation; ///< of the process that a link led to last
+	bool asked;      ///< for its list of servers, and it hasn't answered
+	uint32_t closes; ///< links closed since an ask, without an answer
 	char data_centre[FLEETCFG_NAME_BYTES];
 	uint64_t silent_since_us; ///< since when it is inactive as a member of
 				  ///< the replicated log; 0: active
@@ -38,9 +42,11 @@
 	uint64_t incarnation;
 	handle_t link;
 	uint64_t last_report_us;
-	uint64_t echo_us;       ///< its clock when it sent its newest report
-	uint64_t version;       ///< of the configuration that it has; 0: none
-	uint64_t list_revision; ///< of its list of servers; 0: not from control
+	uint64_t echo_us; ///< its clock when it sent its newest report
+	uint64_t version; ///< of the configuration that it has; 0: none
+	uint64_t
+	    list_revision; ///< of its list of servers; 0: not from control,
+	///< or HUBMSG_LIST_SUBSCRIBED
 	int64_t clock_offset_us; ///< its time since 1970 minus our steady clock
 	bool stopping;
 	GArray *usage;    ///< struct hubmsg_usage of its newest report
@@ -98,11 +104,21 @@
 	GHashTable *load_by_service;   ///< service -> struct hub_service_load
 	struct listdiff *list;         ///< of servers, as last read in full
 	struct api_lister *lister;
+	uint32_t list_pages; ///< when this process last read the list
 	uint64_t next_list_us;
-	uint64_t list_fresh_us;  ///< when the list was last read; 0: never
+	uint64_t list_asked_us; ///< when the newest reading began
+	uint64_t list_fresh_us; ///< when the reading of the list began, here or
+				///< at the leader; 0: there is none
+	bool list_is_leaders;   ///< the list came from the leader
 	uint64_t scaled_list_us; ///< list_fresh_us of the list that was last
 				 ///< acted on
 
+	/// Spreading of the list (hub_feed.c).
+	GHashTable *subscribers; ///< link -> struct hub_subscriber
+	struct listcopy *leader_list;
+	struct timerq_timer *feed; ///< sends the list to subscribers
+	uint64_t next_ask_us;
+
 	/// Rollouts of services' versions (hub_rollout.c).
 	struct rollout_control
 	    *rollout_control;    ///< NULL: not built yet by this leader
@@ -184,9 +200,22 @@
 void hub_servers_start(struct hub *h);
 void hub_servers_tick(struct hub *h, uint64_t now_us);
 void hub_servers_reset(struct hub *h);
+void hub_servers_set(struct hub *h, const GArray *servers, uint64_t fresh_us);
 void hub_servers_fill(
     const struct hub *h, uint64_t has, struct hubmsg_state *s);
 
+/// hub_feed.c: the list on its way to gateways and other control processes
+void hub_feed_start(struct hub *h);
+void hub_feed_stop(struct hub *h);
+void hub_feed_tick(struct hub *h, uint64_t now_us);
+void hub_feed_push(struct hub *h, bool changed);
+void hub_feed_on_ask(struct hub *h, handle_t link,
+    const struct wire_hello *hello, const struct wire_bytes *bytes);
+void hub_feed_on_update(struct hub *h, const struct wire_hello *hello,
+    const struct wire_bytes *bytes);
+void hub_feed_on_link_down(
+    struct hub *h, handle_t link, const struct wire_hello *hello);
+
 /// hub_operators.c: operators' HTTP
 enum status hub_operators_start(struct hub *h);
 
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -216,6 +216,11 @@
 	    p->data_centre, hello->data_centre, sizeof(p->data_centre));
 	if (link != p->dialled)
 		p->accepted = link;
+	if (p->incarnation == hello->incarnation)
+		return;
+	p->incarnation = hello->incarnation;
+	p->asked = false;
+	p->closes = 0;
 }
 
 static void
@@ -274,6 +279,13 @@
 		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
 			on_limits(h, hello, &msg->payload);
 		break;
+	case WIRE_LIST_ASK:
+		hub_feed_on_ask(h, link, hello, &msg->payload);
+		break;
+	case WIRE_LIST:
+		if (hello->role == WIRE_ROLE_CONTROL)
+			hub_feed_on_update(h, hello, &msg->payload);
+		break;
 	default:
 		logger_event(LOGGER_WARN, "link.unexpected", "peer=%s kind=%d",
 		    hello->node, (int)msg->kind);
@@ -289,6 +301,7 @@
 	struct hub_peer *p;
 
 	logger_event(LOGGER_INFO, "link.down", "peer=%s", hello->node);
+	hub_feed_on_link_down(h, link, hello);
 	if (hello->role != WIRE_ROLE_CONTROL)
 		return;
 	p = hub_peer(h, hello->id);
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -117,6 +117,8 @@
 	case WIRE_PARTS:
 	case WIRE_PARTS_ANSWER:
 	case WIRE_LIMITS:
+	case WIRE_LIST_ASK:
+	case WIRE_LIST:
 		put_kind(p, m->kind, 1);
 		put_bytes(p, m->payload);
 		break;
@@ -313,6 +315,8 @@
 	case WIRE_PARTS:
 	case WIRE_PARTS_ANSWER:
 	case WIRE_LIMITS:
+	case WIRE_LIST_ASK:
+	case WIRE_LIST:
 		m->payload = get_bytes(r);
 		break;
 	case WIRE_EXECUTE:
