A changed state goes out in slices, and only if it changed for gateways

Change: only commands that change what gateways are sent (configurations, rollouts, blocks) cause it; the state goes to eight gateways at a time, between which the loop looks for urgent events; a gateway that reports meanwhile has it from the reply. Ruled out: waiting for the next report, which would cost the rollback of a bad version 400 ms. Test: State.OnlySomeCommandsConcernGateways.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -41,7 +41,7 @@
 {
 	(void)now_us;
 	hub_load_config(arg);
-	hub_push_state(arg);
+	hub_push_begin(arg);
 }
 
 static void
@@ -103,6 +103,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->tick = timerq_timer_new(loop_timers(loop), on_tick, h);
 	h->push = timerq_timer_new(loop_timers(loop), on_push, h);
+	h->push_slice = timerq_timer_new(loop_timers(loop), hub_push_slice, h);
 	h->shutdown_timer = timerq_timer_new(loop_timers(loop), on_shutdown, h);
 	h->n_operator_requests =
 	    metrics_counter(registry, "ac_orders_total", "");
@@ -169,6 +170,7 @@
 	httpc_free(h->http);
 	timerq_timer_free(h->tick);
 	timerq_timer_free(h->push);
+	timerq_timer_free(h->push_slice);
 	timerq_timer_free(h->shutdown_timer);
 	g_hash_table_destroy(h->peers);
 	g_hash_table_destroy(h->gateways);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -52,6 +52,7 @@
 	///< or HUBMSG_LIST_SUBSCRIBED
 	int64_t clock_offset_us; ///< its time since 1970 minus our steady clock
 	bool stopping;
+	bool push_due;    ///< to be sent a state that has changed
 	GArray *usage;    ///< struct hubmsg_usage of its newest report
 	GArray *quotas;   ///< struct hubmsg_quota of its newest report
 	bool knows_parts; ///< has sent a message about parts of prompts
@@ -82,7 +83,8 @@
 	GHashTable *quota_buckets; ///< customer -> struct quota_bucket; kept by
 				   ///< the leader
 	struct timerq_timer *tick;
-	struct timerq_timer *push; ///< sends the state to all gateways
+	struct timerq_timer *push;       ///< the state has changed for gateways
+	struct timerq_timer *push_slice; ///< sends it to some of them
 	struct timerq_timer *shutdown_timer;
 	bool stopping;
 	uint64_t stop_us;
@@ -163,7 +165,8 @@
 enum status hub_links_start(struct hub *h);
 struct hub_peer *hub_peer(struct hub *h, uint32_t slot);
 void hub_links_tick(struct hub *h, uint64_t now_us);
-void hub_push_state(struct hub *h);
+void hub_push_begin(struct hub *h);
+void hub_push_slice(void *arg, uint64_t now_us);
 
 /// hub_fleet.c: figures over all gateways
 void hub_fleet_start(struct hub *h);
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -7,6 +7,8 @@
 #include "fleet/slotaddr.h"
 
 #define HUB_MAX_QUEUE_BYTES (16UL << 20)
+/// Gateways that are sent a changed state in one run of the timer.
+#define HUB_PUSH_SLICE 8
 /// The entry of a dead gateway is kept for this long, so that the usage that it
 /// counted can still be finalized.
 #define HUB_GATEWAY_RETENTION_US (60 * USEC_PER_SEC)
@@ -86,13 +88,14 @@
 /// Sends a gateway the state in force. A process that isn't the leader sends
 /// only the leader's slot and the members.
 static void
-send_state(struct hub *h, const struct hub_gateway *g)
+send_state(struct hub *h, struct hub_gateway *g)
 {
 	struct wire_msg msg = { .kind = WIRE_CONTROL_STATUS };
 	struct replica_status st;
 	struct hubmsg_state s;
 	uint8_t *bytes;
 
+	g->push_due = false;
 	replica_status(h->group, &st);
 	hubmsg_state_init(&s);
 	s.echo_us = g->echo_us;
@@ -119,9 +122,10 @@
 	hubmsg_state_clear(&s);
 }
 
-/// Sends the state to all live gateways.
+/// The state has changed: it is sent to all live gateways, and to one that
+/// reports meanwhile in the reply.
 void
-hub_push_state(struct hub *h)
+hub_push_begin(struct hub *h)
 {
 	GHashTableIter it;
 	gpointer value;
@@ -130,8 +134,31 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct hub_gateway *g = value;
 
-		if (!hub_gateway_is_alive(h, g))
+		g->push_due = hub_gateway_is_alive(h, g);
+	}
+	timerq_arm_in(h->push_slice, 0);
+}
+
+/// Sends the state to some of the gateways that wait for it, and goes on with
+/// the others when the loop has looked for urgent events.
+void
+hub_push_slice(void *arg, uint64_t now_us)
+{
+	struct hub *h = arg;
+	GHashTableIter it;
+	gpointer value;
+	int n = 0;
+
+	g_hash_table_iter_init(&it, h->gateways);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hub_gateway *g = value;
+
+		if (!g->push_due)
 			continue;
+		if (n++ == HUB_PUSH_SLICE) {
+			timerq_arm(h->push_slice, now_us + 1);
+			return;
+		}
 		send_state(h, g);
 	}
 }
--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -62,13 +62,15 @@
     uint8_t **result, size_t *result_len)
 {
 	struct hub *h = arg;
+	const uint64_t before = hubstate_gateways_index(h->state);
 
 	*result = NULL;
 	*result_len = 0;
 	if (hubstate_apply(h->state, index, cmd, len) != STATUS_OK)
 		logger_event(
 		    LOGGER_ERROR, "log.unreadable", "index=%" PRIu64, index);
-	timerq_arm_in(h->push, 0);
+	if (hubstate_gateways_index(h->state) != before)
+		timerq_arm_in(h->push, 0);
 }
 
 static enum status
--- a/src/hub/hubstate.c
+++ b/src/hub/hubstate.c
@@ -25,6 +25,7 @@
 	GArray *rollouts;         ///< struct hubstate_rollout
 	GArray *blocks;           ///< struct hubstate_block
 	uint64_t blocks_revision; ///< log index of their last change; 0: none
+	uint64_t gateways_index;  ///< see hubstate_gateways_index(); not saved
 };
 
 /// Servers that a service needs, as last recorded.
@@ -355,6 +356,32 @@
 	return n == NULL ? 0 : n->milliservers;
 }
 
+/// Whether a command changes what gateways are sent.
+static bool
+concerns_gateways(enum hubstate_command_kind kind)
+{
+	switch (kind) {
+	case HUBSTATE_CONFIG:
+	case HUBSTATE_ROLLOUT:
+	case HUBSTATE_BLOCK:
+		return true;
+	case HUBSTATE_DUTY:
+	case HUBSTATE_USAGE:
+	case HUBSTATE_NEEDED_SERVERS:
+	case HUBSTATE_N_KINDS:
+		return false;
+	}
+	return false;
+}
+
+/// Log index of the last command that changed what gateways are sent, since
+/// this state was made or loaded; 0: none.
+uint64_t
+hubstate_gateways_index(const struct hubstate *s)
+{
+	return s->gateways_index;
+}
+
 /// Applies a committed command.
 ///
 /// @param index  of its entry in the log: grows with each command
@@ -373,6 +400,8 @@
 	valid = codec_at_end(m);
 	codec_free(m);
 	if (valid) {
+		s->gateways_index =
+		    concerns_gateways(c.kind) ? index : s->gateways_index;
 		switch (c.kind) {
 		case HUBSTATE_CONFIG:
 			set_config(s, &c);
--- a/src/hub/hubstate.h
+++ b/src/hub/hubstate.h
@@ -80,6 +80,7 @@
 enum status hubstate_load(
     const uint8_t *bytes, size_t len, struct hubstate **out);
 
+uint64_t hubstate_gateways_index(const struct hubstate *s);
 uint64_t hubstate_version(const struct hubstate *s);
 const uint8_t *hubstate_manifest(const struct hubstate *s, size_t *len);
 struct hubstate_duty hubstate_duty(const struct hubstate *s);
--- a/test/unit/hub/test_hubstate.cc
+++ b/test/unit/hub/test_hubstate.cc
@@ -101,6 +101,29 @@
 	}
 }
 
+// Guards against a state that is sent to all gateways for each command of the
+// log: only commands that change it for them may do that.
+TEST_F(State, OnlySomeCommandsConcernGateways)
+{
+	struct hubstate_command c = {};
+
+	Config(5, "five");
+	EXPECT_EQ(hubstate_gateways_index(s), 1U);
+	Usage(3, 10);
+	c.kind = HUBSTATE_DUTY;
+	c.holder = 1;
+	Apply(c);
+	c.kind = HUBSTATE_NEEDED_SERVERS;
+	Apply(c);
+	EXPECT_EQ(hubstate_gateways_index(s), 1U);
+	c.kind = HUBSTATE_ROLLOUT;
+	Apply(c);
+	EXPECT_EQ(hubstate_gateways_index(s), 5U);
+	c.kind = HUBSTATE_BLOCK;
+	Apply(c);
+	EXPECT_EQ(hubstate_gateways_index(s), 6U);
+}
+
 // A second command for a window, from a new leader that doesn't know of the
 // first, must not change usage that may have been reported to the cloud.
 TEST_F(State, TheFirstCountsOfAWindowAreFinal)
