An entry of a list that can't be parsed hides no other

Reported by other operators: one odd entry of another writer, and the readers of the list stop following it. It can happen here: the list was parsed page by page, and a number out of range, a nesting over 2,048 deep or text that isn't UTF-8 makes the parser refuse the page, so that every reader kept its old list for as long as the entry stood, and requests went to servers that had left. A port out of range was refused with its entry only; a count of slots over 32 bits lost its upper part. No process ended.

--- a/src/control/control_platform.c
+++ b/src/control/control_platform.c
@@ -3,6 +3,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "back/jsonlist.h"
+
 #define CONTROL_POLL_EVERY_US (500 * USEC_PER_MSEC)
 #define CONTROL_POLL_TIMEOUT_US (2 * USEC_PER_SEC)
 
@@ -33,7 +35,7 @@
 	struct catalog_command command = { .kind = CATALOG_CMD_DRAINING };
 	const struct catalog_server *s;
 
-	if (scope == NULL || name == NULL ||
+	if (scope == NULL || name == NULL || in_ms < 0 || number <= 0 ||
 	    (uint64_t)number <= catalog_notice(c->config))
 		return;
 	s = catalog_server(c->config, name);
@@ -47,11 +49,27 @@
 	propose_draining(c, &command);
 }
 
+/// Reads a list; entries that can't be parsed are logged and left out.
+static json_t *
+load_list(const struct httpc_result *result)
+{
+	size_t n_invalid = 0;
+	json_t *o;
+
+	if (result->status != STATUS_OK || result->http_status != 200)
+		return NULL;
+	o = jsonlist_load((const char *)result->body, result->len, &n_invalid);
+	if (n_invalid > 0)
+		logger_event(
+		    LOGGER_DEBUG, "list.bad_entries", "n=%zu", n_invalid);
+	return o;
+}
+
 static void
 on_notices(void *arg, const struct httpc_result *result)
 {
 	struct control *c = arg;
-	json_t *o = httpc_json(result);
+	json_t *o = load_list(result);
 	json_t *notices = json_object_get(o, "notices");
 	json_t *notice;
 	size_t i;
@@ -114,7 +132,7 @@
 on_vm_list(void *arg, const struct httpc_result *result)
 {
 	struct control *c = arg;
-	json_t *o = httpc_json(result);
+	json_t *o = load_list(result);
 	const json_t *vms = json_object_get(o, "vms");
 
 	c->polling_vm_list = false;
--- a/src/platform/api_cloud.c
+++ b/src/platform/api_cloud.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "back/jsonlist.h"
 #include "base/hostport.h"
 #include "base/logger.h"
 #include "platform/api_names.h"
@@ -54,7 +55,8 @@
 		return false;
 	if (!copy_text(o, "version", out->version, sizeof(out->version)))
 		return false;
-	if (!json_is_integer(slots) || json_integer_value(slots) < 0)
+	if (!json_is_integer(slots) || json_integer_value(slots) < 0 ||
+	    json_integer_value(slots) > UINT32_MAX)
 		return false;
 	out->slots = (uint32_t)json_integer_value(slots);
 	out->spot = json_is_true(json_object_get(o, "spot"));
@@ -65,7 +67,7 @@
 }
 
 /// Reads one page of the cloud's list of servers. An invalid entry is counted
-/// and adds no server.
+/// and adds no server, whatever it holds.
 ///
 /// @param servers    struct instance are appended
 /// @param next       receives the token of the next page, to be released with
@@ -76,14 +78,13 @@
 api_list_read(const char *text, size_t len, GArray *servers, char **next,
     size_t *n_invalid)
 {
-	json_t *root = json_loadb(text, len, 0, NULL);
+	json_t *root = jsonlist_load(text, len, n_invalid);
 	const json_t *list = json_object_get(root, "instances");
 	const char *token = json_string_value(json_object_get(root, "next"));
 	const json_t *o;
 	size_t i;
 
 	*next = NULL;
-	*n_invalid = 0;
 	if (!json_is_array(list)) {
 		json_decref(root);
 		return status_fail(STATUS_CORRUPT,
--- a/src/platform/api_lister.c
+++ b/src/platform/api_lister.c
@@ -12,6 +12,8 @@
 	void *arg;
 	GArray *servers; ///< of the pages read so far
 	uint32_t pages;
+	size_t n_invalid;        ///< entries of the pages read so far
+	size_t n_invalid_logged; ///< in the last list
 	char host[INSTANCE_HOST_BYTES];
 	uint16_t port;
 	handle_t call; ///< HANDLE_NONE: no page is being read
@@ -49,6 +51,16 @@
 	g_free(l);
 }
 
+/// Logs the number of invalid entries of a list when it has changed.
+static void
+log_invalid(struct api_lister *l)
+{
+	if (l->n_invalid != l->n_invalid_logged)
+		logger_event(
+		    LOGGER_WARN, "list.bad_entries", "n=%zu", l->n_invalid);
+	l->n_invalid_logged = l->n_invalid;
+}
+
 static void
 on_page_response(void *arg, const struct httpc_result *result)
 {
@@ -70,14 +82,14 @@
 		l->on_done(l->arg, NULL, l->pages);
 		return;
 	}
-	if (n_invalid > 0)
-		logger_event(
-		    LOGGER_DEBUG, "list.bad_entries", "n=%zu", n_invalid);
+	l->n_invalid += n_invalid;
 	l->pages++;
-	if (next != NULL)
+	if (next != NULL) {
 		request_page(l, next);
-	else
+	} else {
+		log_invalid(l);
 		l->on_done(l->arg, l->servers, l->pages);
+	}
 	g_free(next);
 }
 
@@ -119,6 +131,7 @@
 	(void)g_strlcpy(l->host, host, sizeof(l->host));
 	l->port = port;
 	l->pages = 0;
+	l->n_invalid = 0;
 	g_array_set_size(l->servers, 0);
 	request_page(l, NULL);
 }
--- a/test/unit/platform/test_api_manifest.cc
+++ b/test/unit/platform/test_api_manifest.cc
@@ -129,6 +129,47 @@
 	g_array_unref(list);
 }
 
+/// Guards against readers that keep their old list because of one entry that
+/// another writer left in it.
+TEST(List, OneOddEntryHidesNoOther)
+{
+	const auto entry = [](const std::string &id, const std::string &rest) {
+		return R"({"id":")" + id +
+		    R"(","service":"llm","zone":"a","version":"v1",)"
+		    R"("state":"draining")" +
+		    rest + "}";
+	};
+	const std::string plain = R"(,"slots":6,"address":"10.0.0.1:1")";
+	const std::string odd[] = {
+		plain + R"(,"x":)" + std::string(5000, '[') +
+		    std::string(5000, ']'),
+		R"(,"slots":1e400,"address":"10.0.0.1:1")",
+		R"(,"slots":18446744073709551616,"address":"10.0.0.1:1")",
+		R"(,"slots":4294967296,"address":"10.0.0.1:1")",
+		R"(,"slots":6,"address":"10.0.0.1:65536")",
+		R"(,"slots":6,"address":"10.0.0.1:99999999999999999999")",
+	};
+
+	for (const std::string &rest : odd) {
+		const std::string text = R"({"instances":[)" +
+		    entry("i-1", plain) + "," + entry("odd", rest) + "," +
+		    entry("i-2", plain) + R"(],"next":null})";
+		GArray *list =
+		    g_array_new(FALSE, TRUE, sizeof(struct instance));
+		size_t n_invalid;
+		char *next;
+
+		ASSERT_EQ(api_list_read(text.data(), text.size(), list, &next,
+			      &n_invalid),
+		    STATUS_OK)
+		    << rest.substr(0, 60);
+		EXPECT_EQ(list->len, 2U);
+		EXPECT_EQ(n_invalid, 1U);
+		EXPECT_EQ(next, nullptr);
+		g_array_unref(list);
+	}
+}
+
 TEST(Duties, WritesUsageAndScaleBodies)
 {
 	const struct api_usage usage[] = { { "c1", 412 }, { "c2", 0 } };
