--- a/test/unit/replog/test_replica.cc
+++ b/test/unit/replog/test_replica.cc
@@ -416,6 +416,53 @@
 		EXPECT_EQ(cluster.nodes[slot]->state.front(), "kept");
 }
 
+/// Guards against changes that are refused, or stay without an answer, long
+/// after the disks of a group were full one after another, never two at once.
+TEST(Group, DisksFullInTurnBlockNoChangeAfterwards)
+{
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		Cluster cluster;
+		FaultyOs disks[3];
+		struct rnd *random = rnd_new(seed);
+
+		for (uint32_t slot = 1; slot <= 3; slot++)
+			ASSERT_EQ(
+			    cluster.open(slot, &disks[slot - 1].os), STATUS_OK);
+		cluster.run(2000000);
+		ASSERT_EQ(cluster.propose(cluster.leader(), "first").status,
+		    STATUS_OK);
+		for (uint32_t i = 0; i < 6; i++) {
+			FaultyOs &disk = disks[rnd_u64(random) % 3];
+
+			disk.full = true;
+			for (uint64_t n = rnd_u64(random) % 8; n > 0; n--) {
+				if (cluster.leader() != 0)
+					(void)cluster.propose(
+					    cluster.leader(), "during", 500000);
+				else
+					cluster.run(500000);
+			}
+			disk.full = false;
+			cluster.run(rnd_u64(random) % 300000);
+		}
+		cluster.run(3000000);
+		ASSERT_NE(cluster.leader(), 0U) << seed;
+		for (int i = 0; i < 5; i++)
+			EXPECT_EQ(
+			    cluster.propose(cluster.leader(), "after").status,
+			    STATUS_OK)
+			    << seed;
+		cluster.run(1000000);
+		for (uint32_t slot = 1; slot <= 3; slot++) {
+			EXPECT_EQ(cluster.nodes[slot]->failure, STATUS_OK);
+			EXPECT_TRUE(cluster.nodes[slot]->state ==
+			    cluster.nodes[1]->state)
+			    << seed;
+		}
+		rnd_free(random);
+	}
+}
+
 /// A process that starts with a full and empty disk joins once it has space.
 TEST(Group, ProcessStartsWithAFullDisk)
 {
