The end of a planned stop answers what is left, and takes nothing new late

Reported by other operators, and it can happen here: in a planned stop in calm, requests that came late in the grace period were taken, and cut without an answer at its end, also ones that may not be repeated. The requests left at the end got their 502 or 503, but the loop ended before it was written: the caller saw a closed connection. And a request whose body was complete after the listener had closed was still taken, with no time to finish it. Change: the process waits up to 300 ms, of the 700 that it keeps, until the responses are written; from the closing of the listener on a new request is refused at once with 503, which has not run. entry waits for its responses already. Ruled out: a longer margin, which would cut more requests. Test: script_late_in_stop; before: no answer for both.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -13,9 +13,10 @@
 /// Time after which the listening socket is closed: the load balancer sends new
 /// connections until its checks have noticed the stop.
 #define GATEWAY_STOP_LISTENING_US (2500 * USEC_PER_MSEC)
-/// The process ends this long before the end of the grace period, even if
-/// requests remain.
+/// Requests that remain this long before the end of the grace period fail.
 #define GATEWAY_STOP_MARGIN_US (700 * USEC_PER_MSEC)
+/// For how long the process then waits until their responses are written.
+#define GATEWAY_STOP_FLUSH_US (300 * USEC_PER_MSEC)
 /// A list that is older than this is logged: servers on it may have been
 /// removed.
 #define GATEWAY_LIST_OLD_US (10 * USEC_PER_SEC)
@@ -142,10 +143,16 @@
 	if (now_us < g->stop_us + MIN(GATEWAY_STOP_LISTENING_US, grace_us / 2))
 		return;
 	httpd_stop_listening(g->callers);
+	g->refuses_new = true;
 	if (!idle && now_us < last_us)
 		return;
-	if (!idle)
+	if (!idle && !g->failed_remaining) {
 		fail_remaining_requests(g);
+		g->failed_remaining = true;
+	}
+	if (httpd_unfinished_count(g->callers) > 0 &&
+	    now_us < last_us + GATEWAY_STOP_FLUSH_US)
+		return;
 	logger_event(LOGGER_INFO, "process.stopped", "role=gateway left=%zu",
 	    slotmap_count(g->requests));
 	loop_exit(g->loop, 0);
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -162,7 +162,9 @@
 check_ready(
     const struct gateway *g, const struct api_request *call, const char **why)
 {
-	if (g->config == NULL)
+	if (g->refuses_new)
+		*why = "stopping";
+	else if (g->config == NULL)
 		*why = "no configuration yet";
 	else if (loop_now_us(g->loop) >= g->lease_until_us)
 		*why = "no word from control";
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -92,6 +92,8 @@
 	uint64_t started_us;
 	bool stopping;
 	uint64_t stop_us;
+	bool refuses_new;      ///< the stop is too far on for more requests
+	bool failed_remaining; ///< the requests left have got their responses
 
 	/// Contact with control (gateway_links.c).
 	GHashTable *hubs;           ///< slot -> struct gateway_hub
