Gateways without a list share the platform's calls from the first one on

Their interval shares the limit of calls, the first reading didn't. It now comes at a random moment of that interval.

--- a/src/gateway/gateway_feed.c
+++ b/src/gateway/gateway_feed.c
@@ -78,8 +78,11 @@
 	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->feed_hub));
 	const bool is_silent = g->feed_unanswered_us != 0 &&
 	    now_us > g->feed_unanswered_us + GATEWAY_FEED_UNANSWERED_US;
-	const bool is_old = now_us >
-	    MAX(g->list_fresh_us, g->feed_chosen_us) + GATEWAY_FEED_OLD_US;
+	// The others may have no newer list, and a change costs a whole one.
+	const uint64_t patience_us =
+	    g->list_fresh_us == 0 ? GATEWAY_FEED_OLD_US : GATEWAY_FEED_AVOID_US;
+	const bool is_old = now_us > g->list_fresh_us + GATEWAY_FEED_OLD_US &&
+	    now_us > g->feed_chosen_us + patience_us;
 
 	if (h != NULL && (is_silent || is_old))
 		h->feed_avoid_until_us = now_us + GATEWAY_FEED_AVOID_US;
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -7,9 +7,6 @@
 /// Control sends the list; after this time without it, this gateway reads it
 /// from the platform.
 #define GATEWAY_LIST_SILENT_US (3 * USEC_PER_SEC)
-/// Gateways that lose control at the same moment spread their first readings
-/// over at most this time.
-#define GATEWAY_LIST_SPREAD_US USEC_PER_SEC
 /// Share of the platform's call limit that gateways use to read the list.
 #define GATEWAY_CALLS_FACTOR 0.5
 /// One-way network delay between data centres of a region.
@@ -261,16 +258,15 @@
 	    MAX(g->list_fresh_us, g->started_us) + GATEWAY_LIST_SILENT_US)
 		return;
 	if (!g->reads_list) {
-		const uint64_t spread_us =
-		    MIN(list_interval_us(g), GATEWAY_LIST_SPREAD_US);
-
+		// All gateways lose the list at the same moment: their first
+		// readings share the call limit like the later ones.
+		g->next_list_us = now_us +
+		    rnd_below(loop_random(g->loop), list_interval_us(g));
+		g->reads_list = true;
 		logger_event(LOGGER_WARN, "list.own_reading",
 		    "silent_ms=%" PRIu64 " interval_ms=%" PRIu64,
 		    timerq_ms_since(now_us, g->list_fresh_us),
 		    list_interval_us(g) / USEC_PER_MSEC);
-		g->reads_list = true;
-		g->next_list_us =
-		    now_us + rnd_u64(loop_random(g->loop)) % spread_us;
 		return;
 	}
 	g->next_list_us = now_us + list_interval_us(g);
