Any control process gives gateways the configuration that it has applied

Reported: an acknowledged configuration wasn't in force in time. Only a leader with a lease sent configurations, while a gateway without one goes on for four fifths of revoke_ms: 4 s on the large deployment, where a configuration has to be in force within 3 s. Change: a process that isn't the leader sends its configuration too, when a gateway's is older. It has applied it, so it is committed; versions only grow, so a gateway never goes back. Leases still come from the leader alone. Ruled out: a shorter lease, which refuses requests that can be served.

--- a/src/fleet/hubmsg.h
+++ b/src/fleet/hubmsg.h
@@ -95,19 +95,20 @@
 	bool stopping;    ///< the gateway is shutting down
 	uint64_t list_revision; ///< revision of its server list; 0: none
 	///< HUBMSG_LIST_SUBSCRIBED: it needs none
-	GArray *usage;          ///< struct hubmsg_usage
-	GArray *quotas;         ///< struct hubmsg_quota
-	GArray *loads;          ///< struct hubmsg_load
+	GArray *usage;  ///< struct hubmsg_usage
+	GArray *quotas; ///< struct hubmsg_quota
+	GArray *loads;  ///< struct hubmsg_load
 };
 
 /// Message of a control process to a gateway.
 struct hubmsg_state {
 	uint64_t echo_us; ///< sent_us of the report that this responds to
-	/// The sender is the leader; else only `leader` and `members` are
-	/// valid.
+	/// The sender is the leader; else only `leader`, `members`, `version`
+	/// and `manifest` are valid.
 	bool is_leader;
 	uint32_t leader;  ///< slot; 0: unknown
-	uint64_t version; ///< of the configuration in force
+	uint64_t version; ///< of the configuration in force; if the sender
+			  ///< isn't the leader, of its newest one
 	uint64_t time_us; ///< since 1970, by most processes' clocks; 0: unknown
 	uint32_t n_gateways;
 	const uint8_t *manifest; ///< of `version`; empty: the gateway has it
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -320,6 +320,7 @@
 		h->unanswered_since_us = 0;
 	}
 	if (!s->is_leader) {
+		apply_config(g, s);
 		// The process that was the leader no longer is.
 		if (sender_slot == g->leader)
 			g->leader = 0;
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -85,8 +85,20 @@
 	}
 }
 
+/// Fills in the configuration if a gateway has an older one. What this process
+/// has applied is committed, so it may be used whoever leads.
+static void
+fill_config(
+    const struct hub *h, const struct hub_gateway *g, struct hubmsg_state *s)
+{
+	s->version = hubstate_version(h->state);
+	if (g->version < s->version)
+		s->manifest = hubstate_manifest(h->state, &s->manifest_len);
+}
+
 /// Sends a gateway the state in force. A process that isn't the leader sends
-/// only the leader's slot and the members.
+/// only the leader's slot, the members and its configuration, which may be
+/// older than the one in force.
 static void
 send_state(struct hub *h, struct hub_gateway *g)
 {
@@ -104,13 +116,10 @@
 		hub_crashes_send_blocked(h, g);
 	s.leader = st.leader & RAFT_SLOT_MASK;
 	fill_members(&st, &s);
+	fill_config(h, g, &s);
 	if (s.is_leader) {
-		s.version = hubstate_version(h->state);
 		s.time_us = hub_wall_clock_us(h);
 		s.n_gateways = hub_fleet_live(h);
-		if (g->version < s.version)
-			s.manifest =
-			    hubstate_manifest(h->state, &s.manifest_len);
 		hub_servers_fill(h, g->list_revision, &s);
 		hub_quota_fill(h, g, s.quotas);
 		hub_rollout_fill(h, s.rollouts);
