Kinds of messages: comments in a form that the formatter keeps

clang-format moved two comments back and forth on each run, so that lint failed whatever was committed.

--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -43,11 +43,11 @@
 	WIRE_PARTS,          ///< leader to gateway: blocked and suspected parts
 			     ///< of prompts
 	WIRE_PARTS_ANSWER,   ///< gateway to leader: response to WIRE_PARTS
-	WIRE_LIMITS,   ///< gateway to leader and back: limits that backend
-		       ///< servers advertise
-	WIRE_LIST_ASK, ///< gateway or control to control: request for its list
-		       ///< of servers and for the next changes
-	WIRE_LIST, ///< control to gateway or control: list or changes
+	WIRE_LIMITS,         ///< gateway to leader and back: limits that
+			     ///< backend servers advertise
+	WIRE_LIST_ASK,       ///< gateway or control to control: request for its
+			     ///< list of servers and for the next changes
+	WIRE_LIST,           ///< the response: the list, or its changes
 	WIRE_KIND_COUNT,
 };
 
