A configuration is sent to a gateway once a link

Cause: the leader put the whole configuration into each state for a gateway that hadn't reported the new version, and gateways report every 400 ms. While the first copy was still in the link's queue more were added, to each of 291 links. Ruled out: an older leader (term 4 led from 19.7 s, acknowledged and sent it). Class: retransmission without regard to what is in flight. Change: the leader remembers to which link it sent which version, and sends the next one when the gateway has reported that. Test: Feed.AConfigurationIsSentOnceALink, red before (20 and 21 copies).

--- a/src/entry/entry_control.c
+++ b/src/entry/entry_control.c
@@ -327,8 +327,8 @@
 	case WIRE_PARTS:
 	case WIRE_PARTS_ANSWER:
 	case WIRE_LIMITS:
-	case WIRE_LIST_ASK:
-	case WIRE_LIST:
+	case WIRE_FEED_ASK:
+	case WIRE_FEED:
 	case WIRE_KIND_COUNT:
 		break;
 	}
--- a/src/fleet/listmsg.c
+++ b/src/fleet/feedmsg.c
@@ -1,16 +1,16 @@
-#include "fleet/listmsg.h"
+#include "fleet/feedmsg.h"
 
 #include "codec/codec.h"
 
 static void
-code_ask(struct codec *c, struct listmsg_ask *a)
+code_ask(struct codec *c, struct feedmsg_ask *a)
 {
 	codec_u64(c, &a->sent_us);
 	codec_u64(c, &a->revision);
 }
 
 static void
-code_update(struct codec *c, struct listmsg_update *u)
+code_update(struct codec *c, struct feedmsg_update *u)
 {
 	codec_u64(c, &u->echo_us);
 	codec_u64(c, &u->age_us);
@@ -34,9 +34,9 @@
 ///
 /// @param bytes  gets the message, to be released with free()
 void
-listmsg_ask_encode(const struct listmsg_ask *a, uint8_t **bytes, size_t *len)
+feedmsg_ask_encode(const struct feedmsg_ask *a, uint8_t **bytes, size_t *len)
 {
-	struct listmsg_ask copy = *a;
+	struct feedmsg_ask copy = *a;
 	struct codec *c = codec_writer();
 
 	code_ask(c, &copy);
@@ -47,11 +47,11 @@
 ///
 /// @return STATUS_CORRUPT when the bytes are malformed
 enum status
-listmsg_ask_decode(const uint8_t *bytes, size_t len, struct listmsg_ask *out)
+feedmsg_ask_decode(const uint8_t *bytes, size_t len, struct feedmsg_ask *out)
 {
 	struct codec *c = codec_reader(bytes, len);
 
-	*out = (struct listmsg_ask){ .sent_us = 0 };
+	*out = (struct feedmsg_ask){ .sent_us = 0 };
 	code_ask(c, out);
 	return end_decode(c);
 }
@@ -60,10 +60,10 @@
 ///
 /// @param bytes  gets the message, to be released with free()
 void
-listmsg_update_encode(
-    const struct listmsg_update *u, uint8_t **bytes, size_t *len)
+feedmsg_update_encode(
+    const struct feedmsg_update *u, uint8_t **bytes, size_t *len)
 {
-	struct listmsg_update copy = *u;
+	struct feedmsg_update copy = *u;
 	struct codec *c = codec_writer();
 
 	code_update(c, &copy);
@@ -75,12 +75,12 @@
 /// @param bytes  must outlive `out`, whose changes point into them
 /// @return STATUS_CORRUPT when the bytes are malformed
 enum status
-listmsg_update_decode(
-    const uint8_t *bytes, size_t len, struct listmsg_update *out)
+feedmsg_update_decode(
+    const uint8_t *bytes, size_t len, struct feedmsg_update *out)
 {
 	struct codec *c = codec_reader(bytes, len);
 
-	*out = (struct listmsg_update){ .echo_us = 0 };
+	*out = (struct feedmsg_update){ .echo_us = 0 };
 	code_update(c, out);
 	return end_decode(c);
 }
--- a/src/fleet/listmsg.h
+++ b/src/fleet/feedmsg.h
@@ -1,5 +1,5 @@
-#ifndef FLEET_LISTMSG_H
-#define FLEET_LISTMSG_H
+#ifndef FLEET_FEEDMSG_H
+#define FLEET_FEEDMSG_H
 
 #include <stddef.h>
 #include <stdint.h>
@@ -10,14 +10,14 @@
 /// control processes, and from each control process to gateways.
 
 /// A process asks a control process for its list, and so for the next changes.
-struct listmsg_ask {
+struct feedmsg_ask {
 	uint64_t sent_us;  ///< the sender's clock; echoed
 	uint64_t revision; ///< that it has from this process; 0: none
 };
 
 /// The list of a control process. Revisions are its own: another process
 /// numbers the same lists differently.
-struct listmsg_update {
+struct feedmsg_update {
 	uint64_t echo_us;  ///< the asker's clock was at least this when sent
 	uint64_t age_us;   ///< since the platform was asked for the list
 	uint64_t revision; ///< 0: the process has no list
@@ -27,13 +27,13 @@
 	size_t len;
 };
 
-void listmsg_ask_encode(
-    const struct listmsg_ask *a, uint8_t **bytes, size_t *len);
-enum status listmsg_ask_decode(
-    const uint8_t *bytes, size_t len, struct listmsg_ask *out);
-void listmsg_update_encode(
-    const struct listmsg_update *u, uint8_t **bytes, size_t *len);
-enum status listmsg_update_decode(
-    const uint8_t *bytes, size_t len, struct listmsg_update *out);
+void feedmsg_ask_encode(
+    const struct feedmsg_ask *a, uint8_t **bytes, size_t *len);
+enum status feedmsg_ask_decode(
+    const uint8_t *bytes, size_t len, struct feedmsg_ask *out);
+void feedmsg_update_encode(
+    const struct feedmsg_update *u, uint8_t **bytes, size_t *len);
+enum status feedmsg_update_decode(
+    const uint8_t *bytes, size_t len, struct feedmsg_update *out);
 
 #endif
--- a/src/fleet/hubmsg.h
+++ b/src/fleet/hubmsg.h
@@ -84,8 +84,8 @@
 };
 
 /// Revision in the report of a gateway that gets the list of servers from a
-/// control process near it (fleet/listmsg.h): the state has none for it.
-#define HUBMSG_LIST_SUBSCRIBED UINT64_MAX
+/// control process near it (fleet/feedmsg.h): the state has none for it.
+#define HUBMSG_SUBSCRIBED UINT64_MAX
 
 /// Message of a gateway to control.
 struct hubmsg_report {
@@ -94,7 +94,7 @@
 	uint64_t time_us; ///< since 1970, by the gateway's clock
 	bool stopping;    ///< the gateway is shutting down
 	uint64_t list_revision; ///< revision of its server list; 0: none
-	///< HUBMSG_LIST_SUBSCRIBED: it needs none
+	///< HUBMSG_SUBSCRIBED: it needs none
 	GArray *usage;  ///< struct hubmsg_usage
 	GArray *quotas; ///< struct hubmsg_quota
 	GArray *loads;  ///< struct hubmsg_load
--- a/src/fleet/listcopy.c
+++ b/src/fleet/listcopy.c
@@ -58,7 +58,7 @@
 /// @param source  incarnation of the process that sent it
 enum listcopy_result
 listcopy_apply(
-    struct listcopy *c, uint64_t source, const struct listmsg_update *u)
+    struct listcopy *c, uint64_t source, const struct feedmsg_update *u)
 {
 	const uint64_t has = listcopy_revision(c, source);
 	GArray *changes;
--- a/src/fleet/listcopy.h
+++ b/src/fleet/listcopy.h
@@ -4,7 +4,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-#include "fleet/listmsg.h"
+#include "fleet/feedmsg.h"
 
 /// Copy of another process's list of servers, without I/O, kept up to date by
 /// the process's updates.
@@ -22,7 +22,7 @@
 void listcopy_free(struct listcopy *c);
 uint64_t listcopy_revision(const struct listcopy *c, uint64_t source);
 enum listcopy_result listcopy_apply(
-    struct listcopy *c, uint64_t source, const struct listmsg_update *u);
+    struct listcopy *c, uint64_t source, const struct feedmsg_update *u);
 GArray *listcopy_servers(const struct listcopy *c);
 
 #endif
--- a/src/gateway/gateway_feed.c
+++ b/src/gateway/gateway_feed.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "fleet/listmsg.h"
+#include "fleet/feedmsg.h"
 
 /// This gateway gets the list of servers from one control process, if possible
 /// of its own data centre, and chooses another one when that doesn't answer or
@@ -101,8 +101,8 @@
 void
 gateway_feed_tick(struct gateway *g, uint64_t now_us)
 {
-	struct wire_msg msg = { .kind = WIRE_LIST_ASK };
-	struct listmsg_ask ask = { .sent_us = now_us };
+	struct wire_msg msg = { .kind = WIRE_FEED_ASK };
+	struct feedmsg_ask ask = { .sent_us = now_us };
 	const struct gateway_hub *h = current_hub(g, now_us);
 	uint8_t *bytes;
 
@@ -111,7 +111,7 @@
 	g->next_ask_us = now_us + GATEWAY_FEED_ASK_US;
 	if (g->list_source == h->incarnation)
 		ask.revision = g->list_revision;
-	listmsg_ask_encode(&ask, &bytes, &msg.payload.len);
+	feedmsg_ask_encode(&ask, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
 	if (transport_send(g->links, h->link, &msg) &&
 	    g->feed_unanswered_us == 0)
@@ -126,9 +126,9 @@
 {
 	struct gateway_hub *h =
 	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(hello->id));
-	struct listmsg_update u;
+	struct feedmsg_update u;
 
-	if (listmsg_update_decode(bytes->data, bytes->len, &u) != STATUS_OK) {
+	if (feedmsg_update_decode(bytes->data, bytes->len, &u) != STATUS_OK) {
 		logger_event(LOGGER_WARN, "list.unreadable",
 		    "peer=%s reason=\"%s\"", hello->node, status_last());
 		return;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -11,7 +11,7 @@
 #include "fleet/evstream.h"
 #include "fleet/fleetcfg.h"
 #include "fleet/hubmsg.h"
-#include "fleet/listmsg.h"
+#include "fleet/feedmsg.h"
 #include "fleet/partlog.h"
 #include "fleet/quota.h"
 #include "fleet/instance.h"
@@ -257,7 +257,7 @@
 void gateway_servers_on_misdirected(struct gateway *g, const char *id);
 void gateway_servers_refresh(struct gateway *g, struct gateway_server *s);
 void gateway_servers_update(
-    struct gateway *g, uint64_t source, const struct listmsg_update *u);
+    struct gateway *g, uint64_t source, const struct feedmsg_update *u);
 
 /// gateway_rollout.c: rollouts of services' versions
 void gateway_rollout_update(struct gateway *g, const GArray *rollouts);
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -184,7 +184,7 @@
 	r.version = g->config != NULL ? fleetcfg_version(g->config) : 0;
 	r.time_us = loop_wall_us();
 	r.stopping = g->stopping;
-	r.list_revision = HUBMSG_LIST_SUBSCRIBED;
+	r.list_revision = HUBMSG_SUBSCRIBED;
 	report_usage(g, &r);
 	report_quotas(g, &r);
 	report_loads(g, &r);
@@ -288,7 +288,7 @@
 static void
 apply_list(struct gateway *g, const struct hubmsg_state *s, uint64_t now_us)
 {
-	const struct listmsg_update u = {
+	const struct feedmsg_update u = {
 		.echo_us = s->echo_us,
 		.revision = s->list_revision,
 		.since = s->changes_since,
@@ -378,7 +378,7 @@
 		gateway_rollout_on_ack(g, &msg->payload);
 	if (msg->kind == WIRE_QUOTA_ANSWER)
 		gateway_quota_on_answer(g, &msg->payload);
-	if (msg->kind == WIRE_LIST)
+	if (msg->kind == WIRE_FEED)
 		gateway_feed_on_update(g, hello, &msg->payload);
 	if (msg->kind == WIRE_LIMITS)
 		gateway_limits_on_message(g, hello->id, &msg->payload);
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -166,7 +166,7 @@
 /// older one lead to the same list.
 static bool
 changes_apply(
-    const struct gateway *g, uint64_t source, const struct listmsg_update *u)
+    const struct gateway *g, uint64_t source, const struct feedmsg_update *u)
 {
 	return u->since == 0 ||
 	    (source == g->list_source && u->since <= g->list_revision &&
@@ -201,7 +201,7 @@
 /// @param source  incarnation of the process
 void
 gateway_servers_update(
-    struct gateway *g, uint64_t source, const struct listmsg_update *u)
+    struct gateway *g, uint64_t source, const struct feedmsg_update *u)
 {
 	const uint64_t fresh_us = u->echo_us - u->age_us;
 	GArray *changes;
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -33,9 +33,9 @@
 static void
 send_update(struct hub *h, struct hub_subscriber *s)
 {
-	struct wire_msg msg = { .kind = WIRE_LIST };
+	struct wire_msg msg = { .kind = WIRE_FEED };
 	const uint64_t now = loop_now_us(h->loop);
-	struct listmsg_update u = { .echo_us = s->echo_us + now - s->asked_us };
+	struct feedmsg_update u = { .echo_us = s->echo_us + now - s->asked_us };
 	struct listdiff_update changes;
 	uint8_t *bytes;
 
@@ -48,7 +48,7 @@
 		u.changes = changes.bytes;
 		u.len = changes.len;
 	}
-	listmsg_update_encode(&u, &bytes, &msg.payload.len);
+	feedmsg_update_encode(&u, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
 	if (transport_send(h->links, s->link, &msg))
 		s->revision = u.revision;
@@ -100,9 +100,9 @@
     const struct wire_bytes *bytes)
 {
 	struct hub_subscriber *s;
-	struct listmsg_ask ask;
+	struct feedmsg_ask ask;
 
-	if (listmsg_ask_decode(bytes->data, bytes->len, &ask) != STATUS_OK) {
+	if (feedmsg_ask_decode(bytes->data, bytes->len, &ask) != STATUS_OK) {
 		logger_event(LOGGER_WARN, "list.unreadable",
 		    "peer=%s reason=\"%s\"", hello->node, status_last());
 		return;
@@ -127,13 +127,13 @@
 {
 	const uint64_t now = loop_now_us(h->loop);
 	struct hub_peer *p = hub_peer(h, hello->id);
-	struct listmsg_update u;
+	struct feedmsg_update u;
 	enum listcopy_result result;
 	uint64_t fresh_us;
 	GArray *servers;
 
 	if (p == NULL ||
-	    listmsg_update_decode(bytes->data, bytes->len, &u) != STATUS_OK) {
+	    feedmsg_update_decode(bytes->data, bytes->len, &u) != STATUS_OK) {
 		logger_event(LOGGER_WARN, "list.unreadable",
 		    "peer=%s reason=\"%s\"", hello->node, status_last());
 		return;
@@ -188,8 +188,8 @@
 static void
 ask_leader(struct hub *h, uint64_t now_us)
 {
-	struct wire_msg msg = { .kind = WIRE_LIST_ASK };
-	struct listmsg_ask ask = { .sent_us = now_us };
+	struct wire_msg msg = { .kind = WIRE_FEED_ASK };
+	struct feedmsg_ask ask = { .sent_us = now_us };
 	struct replica_status st;
 	struct hub_peer *p;
 	uint8_t *bytes;
@@ -199,7 +199,7 @@
 	if (p == NULL || p->closes >= HUB_FEED_MAX_CLOSES)
 		return;
 	ask.revision = listcopy_revision(h->leader_list, p->incarnation);
-	listmsg_ask_encode(&ask, &bytes, &msg.payload.len);
+	feedmsg_ask_encode(&ask, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
 	p->asked = transport_send(h->links, p->dialled, &msg) ||
 	    (p->accepted != HANDLE_NONE &&
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -45,11 +45,12 @@
 	uint64_t incarnation;
 	handle_t link;
 	uint64_t last_report_us;
-	uint64_t echo_us; ///< its clock when it sent its newest report
-	uint64_t version; ///< of the configuration that it has; 0: none
-	uint64_t
-	    list_revision; ///< of its list of servers; 0: not from control,
-	///< or HUBMSG_LIST_SUBSCRIBED
+	uint64_t echo_us;        ///< its clock when it sent its newest report
+	uint64_t version;        ///< of the configuration that it has; 0: none
+	handle_t sent_link;      ///< link that its last configuration went to
+	uint64_t sent_version;   ///< of that
+	uint64_t list_revision;  ///< of its list; 0: not from control, or
+				 ///< HUBMSG_SUBSCRIBED
 	int64_t clock_offset_us; ///< its time since 1970 minus our steady clock
 	bool stopping;
 	bool push_due;    ///< to be sent a state that has changed
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -85,15 +85,21 @@
 	}
 }
 
-/// Fills in the configuration if a gateway has an older one. What this process
-/// has applied is committed, so it may be used whoever leads.
+/// Fills in the configuration if a gateway has an older one, unless the last
+/// one that was sent is still on its way. What this process has applied is
+/// committed, so it may be used whoever leads.
 static void
-fill_config(
-    const struct hub *h, const struct hub_gateway *g, struct hubmsg_state *s)
+fill_config(const struct hub *h, struct hub_gateway *g, struct hubmsg_state *s)
 {
+	const bool in_flight =
+	    g->sent_link == g->link && g->sent_version > g->version;
+
 	s->version = hubstate_version(h->state);
-	if (g->version < s->version)
-		s->manifest = hubstate_manifest(h->state, &s->manifest_len);
+	if (g->version >= s->version || in_flight)
+		return;
+	s->manifest = hubstate_manifest(h->state, &s->manifest_len);
+	g->sent_link = g->link;
+	g->sent_version = s->version;
 }
 
 /// Sends a gateway the state in force. A process that isn't the leader sends
@@ -291,10 +297,10 @@
 		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
 			on_limits(h, hello, &msg->payload);
 		break;
-	case WIRE_LIST_ASK:
+	case WIRE_FEED_ASK:
 		hub_feed_on_ask(h, link, hello, &msg->payload);
 		break;
-	case WIRE_LIST:
+	case WIRE_FEED:
 		if (hello->role == WIRE_ROLE_CONTROL)
 			hub_feed_on_update(h, hello, &msg->payload);
 		break;
--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -23,7 +23,7 @@
 {
 	struct listdiff_update update;
 
-	if (has == HUBMSG_LIST_SUBSCRIBED ||
+	if (has == HUBMSG_SUBSCRIBED ||
 	    loop_now_us(h->loop) >= h->list_fresh_us + HUB_LIST_OLD_US)
 		return;
 	listdiff_update(h->list, has, &update);
--- a/src/hub/hub_status.c
+++ b/src/hub/hub_status.c
@@ -66,7 +66,7 @@
 	return json_pack("{s:s, s:s, s:I, s:I, s:I, s:b, s:b}", "name", g->name,
 	    "data_centre", g->data_centre, "version", (json_int_t)g->version,
 	    "list",
-	    g->list_revision == HUBMSG_LIST_SUBSCRIBED
+	    g->list_revision == HUBMSG_SUBSCRIBED
 		? (json_int_t)0
 		: (json_int_t)g->list_revision,
 	    "heard_ms", (json_int_t)timerq_ms_since(now_us, g->last_report_us),
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -117,8 +117,8 @@
 	case WIRE_PARTS:
 	case WIRE_PARTS_ANSWER:
 	case WIRE_LIMITS:
-	case WIRE_LIST_ASK:
-	case WIRE_LIST:
+	case WIRE_FEED_ASK:
+	case WIRE_FEED:
 		put_kind(p, m->kind, 1);
 		put_bytes(p, m->payload);
 		break;
@@ -315,8 +315,8 @@
 	case WIRE_PARTS:
 	case WIRE_PARTS_ANSWER:
 	case WIRE_LIMITS:
-	case WIRE_LIST_ASK:
-	case WIRE_LIST:
+	case WIRE_FEED_ASK:
+	case WIRE_FEED:
 		m->payload = get_bytes(r);
 		break;
 	case WIRE_EXECUTE:
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -45,9 +45,9 @@
 	WIRE_PARTS_ANSWER,   ///< gateway to leader: response to WIRE_PARTS
 	WIRE_LIMITS,         ///< gateway to leader and back: limits that
 			     ///< backend servers advertise
-	WIRE_LIST_ASK,       ///< gateway or control to control: request for its
+	WIRE_FEED_ASK,       ///< gateway or control to control: request for its
 			     ///< list of servers and for the next changes
-	WIRE_LIST,           ///< the response: the list, or its changes
+	WIRE_FEED,           ///< the response: the list, or its changes
 	WIRE_KIND_COUNT,
 };
 
@@ -135,7 +135,7 @@
 		/// Encoded body of WIRE_ROLLOUT_STATS, WIRE_SLO_COUNTERS,
 		/// WIRE_GATEWAY_REPORT, WIRE_CONTROL_STATUS, WIRE_QUOTA_ASK,
 		/// WIRE_QUOTA_ANSWER, WIRE_CRASH, WIRE_PARTS,
-		/// WIRE_PARTS_ANSWER, WIRE_LIMITS, WIRE_LIST_ASK and WIRE_LIST.
+		/// WIRE_PARTS_ANSWER, WIRE_LIMITS, WIRE_FEED_ASK and WIRE_FEED.
 		struct wire_bytes payload;
 		struct wire_bytes execute; ///< of WIRE_EXECUTE
 	};
--- a/test/unit/fleet/test_listcopy.cc
+++ b/test/unit/fleet/test_listcopy.cc
@@ -71,8 +71,8 @@
 	enum listcopy_result send(struct listcopy *c, uint64_t has)
 	{
 		struct listdiff_update d;
-		struct listmsg_update u = {};
-		struct listmsg_update decoded;
+		struct feedmsg_update u = {};
+		struct feedmsg_update decoded;
 		uint8_t *bytes;
 		size_t len;
 
@@ -81,9 +81,9 @@
 		u.since = d.since;
 		u.changes = d.bytes;
 		u.len = d.len;
-		listmsg_update_encode(&u, &bytes, &len);
+		feedmsg_update_encode(&u, &bytes, &len);
 		EXPECT_EQ(
-		    listmsg_update_decode(bytes, len, &decoded), STATUS_OK);
+		    feedmsg_update_decode(bytes, len, &decoded), STATUS_OK);
 		const auto result = listcopy_apply(c, incarnation, &decoded);
 		free(bytes);
 		return result;
--- /dev/null
+++ b/test/unit/hub/test_feed.cc
@@ -0,0 +1,255 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "fleet/feedmsg.h"
+#include "hub/hub_internal.h"
+}
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <string>
+
+namespace
+{
+
+uint16_t
+freePort()
+{
+	const int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in address = {};
+	socklen_t len = sizeof(address);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, reinterpret_cast<struct sockaddr *>(&address), len);
+	getsockname(fd, reinterpret_cast<struct sockaddr *>(&address), &len);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+/// A control process that leads by itself.
+struct TestHub {
+	struct loop *loop = loop_new(1);
+	std::filesystem::path folder;
+	uint16_t port = freePort();
+	struct hub *hub = nullptr;
+
+	TestHub()
+	{
+		char name[] = "/tmp/hub-XXXXXX";
+		struct bootstrap_settings settings;
+		struct spec_problems problems = {};
+		const std::string operators =
+		    "127.0.0.1:" + std::to_string(freePort());
+
+		folder = mkdtemp(name);
+		const std::string text = R"({"role": "hub", "node": "core-1",
+		    "host": "127.0.0.1", "data_centre": "csepel",
+		    "cloud": "127.0.0.1:1", "first_start": true,
+		    "tolerated_vms": 0, "duties": [], "zones": {},
+		    "data_folder": ")" +
+		    folder.string() + R"(", "operators": ")" + operators +
+		    R"(", "seeds": [")" + operators + R"("], "peer_port": )" +
+		    std::to_string(port) + "}";
+		EXPECT_EQ(bootstrap_parse(
+			      text.data(), text.size(), &settings, &problems),
+		    STATUS_OK)
+		    << (problems.n > 0 ? problems.items[0].path : "");
+		spec_problems_free(&problems);
+		EXPECT_EQ(hub_start(loop, &settings, &hub), STATUS_OK);
+		for (int i = 0; i < 5000 && !hub_is_leader(hub); i++)
+			run(1);
+		EXPECT_TRUE(hub_is_leader(hub));
+	}
+
+	~TestHub()
+	{
+		hub_free(hub);
+		loop_free(loop);
+		std::filesystem::remove_all(folder);
+	}
+
+	void run(int ms)
+	{
+		for (int i = 0; i < ms; i++) {
+			event_base_loop(loop_event_base(loop), EVLOOP_NONBLOCK);
+			usleep(1000);
+		}
+	}
+
+	/// Commits a configuration with as many routes as a large deployment.
+	void configure(uint64_t version)
+	{
+		struct hubstate_command c = {};
+		std::string text = R"({"version": )" + std::to_string(version) +
+		    R"(, "tenants": [], "services": [{"name": "app",
+		    "health_path": "/h"}], "routes": [)";
+
+		for (int i = 0; i < 1500; i++)
+			text += (i > 0 ? "," : "") +
+			    std::string(R"({"name": "r)") + std::to_string(i) +
+			    R"(", "host": "a.example", "path_prefix": "/p)" +
+			    std::to_string(i) +
+			    R"(/", "kind": "idempotent", "timeout_ms": 2000,
+			    "target_latency_ms": 300, "service": "app",
+			    "max_attempts": 2})";
+		text += "]}";
+		c.kind = HUBSTATE_CONFIG;
+		c.version = version;
+		c.manifest = reinterpret_cast<const uint8_t *>(text.data());
+		c.manifest_len = text.size();
+		hub_propose(
+		    hub, &c,
+		    [](void *, enum status, const uint8_t *, size_t) {},
+		    nullptr);
+		for (int i = 0;
+		     i < 1000 && hubstate_version(hub->state) != version; i++)
+			run(1);
+		EXPECT_EQ(hubstate_version(hub->state), version);
+		run(50);
+	}
+};
+
+/// A gateway at the other end of a link. It reads only in configs().
+struct TestGateway {
+	TestHub &hub;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	std::string in;
+
+	explicit TestGateway(TestHub &h) : hub(h)
+	{
+		struct sockaddr_in address = {};
+		struct wire_msg hello = {};
+
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.sin_port = htons(hub.port);
+		EXPECT_EQ(
+		    connect(fd, reinterpret_cast<struct sockaddr *>(&address),
+			sizeof(address)),
+		    0);
+		EXPECT_EQ(fcntl(fd, F_SETFL, O_NONBLOCK), 0);
+		hello.kind = WIRE_HELLO;
+		hello.hello.role = WIRE_ROLE_ENTRY;
+		hello.hello.incarnation = 1;
+		g_strlcpy(hello.hello.deployment, "fleet", WIRE_NAME_BYTES);
+		g_strlcpy(hello.hello.node, "front-1", WIRE_NAME_BYTES);
+		send(hello);
+	}
+
+	~TestGateway()
+	{
+		close(fd);
+	}
+
+	void send(const struct wire_msg &msg)
+	{
+		uint8_t *bytes;
+		size_t len;
+
+		wire_encode(&msg, &bytes, &len);
+		EXPECT_EQ(write(fd, bytes, len), static_cast<ssize_t>(len));
+		g_free(bytes);
+		hub.run(5);
+	}
+
+	void sendPayload(enum wire_kind kind, uint8_t *bytes, size_t len)
+	{
+		struct wire_msg msg = {};
+
+		msg.kind = kind;
+		msg.payload.data = bytes;
+		msg.payload.len = len;
+		send(msg);
+		free(bytes);
+	}
+
+	void report(uint64_t version)
+	{
+		struct hubmsg_report r;
+		uint8_t *bytes;
+		size_t len;
+
+		hubmsg_report_init(&r);
+		r.sent_us = 1;
+		r.version = version;
+		hubmsg_report_encode(&r, &bytes, &len);
+		hubmsg_report_clear(&r);
+		sendPayload(WIRE_GATEWAY_REPORT, bytes, len);
+	}
+
+	/// Versions of the configurations that came, in their order.
+	std::string configs()
+	{
+		std::string versions;
+		char buffer[65536];
+		size_t at = 0;
+
+		for (int i = 0; i < 200; i++) {
+			ssize_t n;
+
+			while ((n = read(fd, buffer, sizeof(buffer))) > 0)
+				in.append(buffer, static_cast<size_t>(n));
+			hub.run(1);
+		}
+		while (in.size() >= at + 4) {
+			uint32_t be;
+			memcpy(&be, in.data() + at, 4);
+			const size_t len = ntohl(be);
+			if (in.size() < at + 4 + len)
+				break;
+			versions += versionIn(in.data() + at + 4, len);
+			at += 4 + len;
+		}
+		in.erase(0, at);
+		return versions;
+	}
+
+	static std::string versionIn(const char *frame, size_t len)
+	{
+		struct wire_msg msg;
+		std::string found;
+
+		EXPECT_EQ(wire_decode(reinterpret_cast<const uint8_t *>(frame),
+			      len, &msg),
+		    STATUS_OK);
+		if (msg.kind == WIRE_CONTROL_STATUS) {
+			struct hubmsg_state s;
+
+			hubmsg_state_init(&s);
+			EXPECT_EQ(hubmsg_state_decode(
+				      msg.payload.data, msg.payload.len, &s),
+			    STATUS_OK);
+			if (s.manifest_len > 0)
+				found = std::to_string(s.version) + " ";
+			hubmsg_state_clear(&s);
+		}
+		return found;
+	}
+};
+
+} // namespace
+
+/// Guards against a configuration that is sent with each reply until the
+/// gateway has it: a large one fills the memory of control and all links.
+TEST(Feed, AConfigurationIsSentOnceALink)
+{
+	TestHub hub;
+	TestGateway gateway(hub);
+
+	hub.configure(5);
+	for (int i = 0; i < 20; i++)
+		gateway.report(0);
+	EXPECT_EQ(gateway.configs(), "5 ");
+	gateway.report(5);
+	hub.configure(6);
+	for (int i = 0; i < 20; i++)
+		gateway.report(5);
+	EXPECT_EQ(gateway.configs(), "6 ");
+}
