Configurations spread over all control processes

Sent once a link it is still some 130 MB for one process with 0.15 of a core, whose log and leases wait meanwhile. Change: what the log has carried to every control process goes from there to the gateways that chose the process, with the list of servers. A gateway gets the next configuration when it has asked with the last one in force; pushes stop after 512 KB to let the loop look for urgent events. The leader's state has the version only; a gateway whose process hasn't sent that version for 1.5 s chooses another. Gateways of an older version get it in the state as before. Ruled out: patches of configurations, as the first one of a gateway is whole. Test: Feed.SubscribersGetTheNewestConfigurationOneAtATime.

--- a/src/fleet/feedmsg.c
+++ b/src/fleet/feedmsg.c
@@ -7,6 +7,7 @@
 {
 	codec_u64(c, &a->sent_us);
 	codec_u64(c, &a->revision);
+	codec_u64(c, &a->version);
 }
 
 static void
@@ -17,6 +18,8 @@
 	codec_u64(c, &u->revision);
 	codec_u64(c, &u->since);
 	codec_bytes(c, &u->changes, &u->len);
+	codec_u64(c, &u->version);
+	codec_bytes(c, &u->manifest, &u->manifest_len);
 }
 
 static enum status
@@ -27,7 +30,7 @@
 	codec_free(c);
 	return decoded ? STATUS_OK
 		       : status_fail(STATUS_CORRUPT,
-			     "message about the list can't be decoded");
+			     "message of the feed can't be decoded");
 }
 
 /// Encodes an ask.
@@ -72,7 +75,7 @@
 
 /// Decodes an update.
 ///
-/// @param bytes  must outlive `out`, whose changes point into them
+/// @param bytes  must outlive `out`, whose changes and manifest point into them
 /// @return STATUS_CORRUPT when the bytes are malformed
 enum status
 feedmsg_update_decode(
--- a/src/fleet/feedmsg.h
+++ b/src/fleet/feedmsg.h
@@ -6,17 +6,21 @@
 
 #include "base/status.h"
 
-/// Messages that carry the list of servers: from the leader to the other
-/// control processes, and from each control process to gateways.
+/// Messages that carry what all gateways need alike: the configuration and the
+/// list of servers. Each control process sends them to the gateways that chose
+/// it, and the leader its list to the other control processes.
 
-/// A process asks a control process for its list, and so for the next changes.
+/// A process asks a control process for what is new, and so for the next
+/// changes.
 struct feedmsg_ask {
 	uint64_t sent_us;  ///< the sender's clock; echoed
-	uint64_t revision; ///< that it has from this process; 0: none
+	uint64_t revision; ///< of the list that it has from this process; 0:
+			   ///< none
+	uint64_t version;  ///< of its configuration; 0: none
 };
 
-/// The list of a control process. Revisions are its own: another process
-/// numbers the same lists differently.
+/// The list and the configuration of a control process. Revisions are its own:
+/// another process numbers the same lists differently.
 struct feedmsg_update {
 	uint64_t echo_us;  ///< the asker's clock was at least this when sent
 	uint64_t age_us;   ///< since the platform was asked for the list
@@ -25,6 +29,10 @@
 	const uint8_t *changes; ///< by hubmsg_servers_encode(); empty: the
 				///< asker has `revision`
 	size_t len;
+	uint64_t version; ///< of the newest configuration that it has applied
+	const uint8_t *manifest; ///< of `version`; empty: the asker has it, or
+				 ///< it is on its way, or is no gateway
+	size_t manifest_len;
 };
 
 void feedmsg_ask_encode(
--- a/src/fleet/hubmsg.h
+++ b/src/fleet/hubmsg.h
@@ -83,8 +83,9 @@
 	bool removed; ///< removed from the list; only `instance.id` is set
 };
 
-/// Revision in the report of a gateway that gets the list of servers from a
-/// control process near it (fleet/feedmsg.h): the state has none for it.
+/// Revision in the report of a gateway that gets the list of servers and the
+/// configuration from a control process near it (fleet/feedmsg.h): the state
+/// has neither for it.
 #define HUBMSG_SUBSCRIBED UINT64_MAX
 
 /// Message of a gateway to control.
--- a/src/gateway/gateway_feed.c
+++ b/src/gateway/gateway_feed.c
@@ -6,14 +6,17 @@
 
 #include "fleet/feedmsg.h"
 
-/// This gateway gets the list of servers from one control process, if possible
-/// of its own data centre, and chooses another one when that doesn't answer or
-/// has only an old list.
+/// This gateway gets the configuration and the list of servers from one control
+/// process, if possible of its own data centre, and chooses another one when
+/// that doesn't answer or has only old ones.
 
 #define GATEWAY_FEED_ASK_US (400 * USEC_PER_MSEC)
 #define GATEWAY_FEED_UNANSWERED_US USEC_PER_SEC
 /// A process whose list is older is left for another one.
 #define GATEWAY_FEED_OLD_US (2 * USEC_PER_SEC)
+/// A process that hasn't sent the configuration that the leader told of for
+/// this long is left for another one.
+#define GATEWAY_FEED_BEHIND_US (1500 * USEC_PER_MSEC)
 /// For how long a process that was left isn't chosen again.
 #define GATEWAY_FEED_AVOID_US (5 * USEC_PER_SEC)
 /// A process that has closed the link this often without an answer is of an
@@ -84,7 +87,11 @@
 	const bool is_old = now_us > g->list_fresh_us + GATEWAY_FEED_OLD_US &&
 	    now_us > g->feed_chosen_us + patience_us;
 
-	if (h != NULL && (is_silent || is_old))
+	const bool is_behind = g->wanted_version > gateway_config_version(g) &&
+	    now_us > MAX(g->wanted_since_us, g->feed_chosen_us) +
+		    GATEWAY_FEED_BEHIND_US;
+
+	if (h != NULL && (is_silent || is_old || is_behind))
 		h->feed_avoid_until_us = now_us + GATEWAY_FEED_AVOID_US;
 	if (h != NULL && is_usable(g, h, now_us))
 		return h;
@@ -97,12 +104,23 @@
 	return h;
 }
 
-/// Asks for the list when it is time.
+/// The leader has told of a configuration's version.
+void
+gateway_feed_wants(struct gateway *g, uint64_t version)
+{
+	if (version <= g->wanted_version)
+		return;
+	g->wanted_version = version;
+	g->wanted_since_us = loop_now_us(g->loop);
+}
+
+/// Asks for what is new when it is time.
 void
 gateway_feed_tick(struct gateway *g, uint64_t now_us)
 {
 	struct wire_msg msg = { .kind = WIRE_FEED_ASK };
-	struct feedmsg_ask ask = { .sent_us = now_us };
+	struct feedmsg_ask ask = { .sent_us = now_us,
+		.version = gateway_config_version(g) };
 	const struct gateway_hub *h = current_hub(g, now_us);
 	uint8_t *bytes;
 
@@ -119,7 +137,7 @@
 	free(bytes);
 }
 
-/// A control process sends its list or the changes.
+/// A control process sends what is new.
 void
 gateway_feed_on_update(struct gateway *g, const struct wire_hello *hello,
     const struct wire_bytes *bytes)
@@ -133,6 +151,11 @@
 		    "peer=%s reason=\"%s\"", hello->node, status_last());
 		return;
 	}
+	if (u.version > gateway_config_version(g) && u.manifest_len > 0) {
+		gateway_apply_config(g, u.version, u.manifest, u.manifest_len);
+		// The next one comes when this one is known to be in force.
+		g->next_ask_us = 0;
+	}
 	if (h == NULL || h->slot != g->feed_hub)
 		return;
 	h->feed_closes = 0;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -127,6 +127,9 @@
 	uint64_t feed_unanswered_us; ///< when the first ask without an answer
 				     ///< was sent; 0: none
 	uint64_t next_ask_us;
+	uint64_t
+	    wanted_version; ///< newest configuration that the leader told of
+	uint64_t wanted_since_us;
 
 	struct turns_position position; ///< for the limits of servers
 	uint64_t next_leaving_us; ///< when leaving servers are looked at again
@@ -241,11 +244,15 @@
 
 /// gateway_links.c: reports to control, and its state
 enum status gateway_links_start(struct gateway *g);
+uint64_t gateway_config_version(const struct gateway *g);
+void gateway_apply_config(
+    struct gateway *g, uint64_t version, const uint8_t *manifest, size_t len);
 void gateway_links_tick(struct gateway *g, uint64_t now_us);
 void gateway_count_usage(struct gateway_request *q);
 void gateway_schedule_report(struct gateway *g);
 
-/// gateway_feed.c: the list of servers from control
+/// gateway_feed.c: the configuration and the list of servers from control
+void gateway_feed_wants(struct gateway *g, uint64_t version);
 void gateway_feed_tick(struct gateway *g, uint64_t now_us);
 void gateway_feed_on_update(struct gateway *g, const struct wire_hello *hello,
     const struct wire_bytes *bytes);
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -181,7 +181,7 @@
 	    now_us > g->leader_contact_us + GATEWAY_LEADER_SILENT_US;
 	hubmsg_report_init(&r);
 	r.sent_us = now_us;
-	r.version = g->config != NULL ? fleetcfg_version(g->config) : 0;
+	r.version = gateway_config_version(g);
 	r.time_us = loop_wall_us();
 	r.stopping = g->stopping;
 	r.list_revision = HUBMSG_SUBSCRIBED;
@@ -204,19 +204,28 @@
 	hubmsg_report_clear(&r);
 }
 
+/// Version of the configuration in force; 0: none.
+uint64_t
+gateway_config_version(const struct gateway *g)
+{
+	return g->config == NULL ? 0 : fleetcfg_version(g->config);
+}
+
 /// Puts control's configuration in force if it is newer.
-static void
-apply_config(struct gateway *g, const struct hubmsg_state *s)
+///
+/// @param manifest  empty: control sent none
+void
+gateway_apply_config(
+    struct gateway *g, uint64_t version, const uint8_t *manifest, size_t len)
 {
 	struct fleetcfg *config;
 
-	if (s->manifest_len == 0 ||
-	    (g->config != NULL && s->version <= fleetcfg_version(g->config)))
+	if (len == 0 || version <= gateway_config_version(g))
 		return;
-	if (api_manifest_read((const char *)s->manifest, s->manifest_len,
-		&config) != STATUS_OK) {
+	if (api_manifest_read((const char *)manifest, len, &config) !=
+	    STATUS_OK) {
 		logger_event(LOGGER_ERROR, "config.unreadable",
-		    "version=%" PRIu64 " reason=\"%s\"", s->version,
+		    "version=%" PRIu64 " reason=\"%s\"", version,
 		    status_last());
 		return;
 	}
@@ -224,7 +233,7 @@
 	g->config = config;
 	logger_event(LOGGER_INFO, "config.in_force",
 	    "version=%" PRIu64 " routes=%zu services=%zu customers=%zu",
-	    s->version, fleetcfg_n_routes(config), fleetcfg_n_services(config),
+	    version, fleetcfg_n_routes(config), fleetcfg_n_services(config),
 	    fleetcfg_n_customers(config));
 }
 
@@ -320,7 +329,8 @@
 		h->unanswered_since_us = 0;
 	}
 	if (!s->is_leader) {
-		apply_config(g, s);
+		gateway_apply_config(
+		    g, s->version, s->manifest, s->manifest_len);
 		// The process that was the leader no longer is.
 		if (sender_slot == g->leader)
 			g->leader = 0;
@@ -346,10 +356,11 @@
 	}
 	g->n_gateways = s->n_gateways;
 	balancer_set_entries(g->balancer, s->n_gateways);
-	apply_config(g, s);
+	gateway_apply_config(g, s->version, s->manifest, s->manifest_len);
+	gateway_feed_wants(g, s->version);
 	// The lease needs control's configuration: an older one may have
 	// revoked API keys.
-	if (g->config == NULL || fleetcfg_version(g->config) < s->version)
+	if (gateway_config_version(g) < s->version)
 		return;
 	apply_quotas(g, s, now);
 	apply_list(g, s, now);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -41,6 +41,7 @@
 {
 	(void)now_us;
 	hub_load_config(arg);
+	hub_feed_push_config(arg);
 	hub_push_begin(arg);
 }
 
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -4,11 +4,12 @@
 
 #include "fleet/listcopy.h"
 
-/// The list of servers spreads in two steps: the leader reads it from the
-/// platform and sends it to the other control processes, and each of them to
-/// the gateways that chose it. A control process to which the list doesn't come
-/// reads it itself (hub_servers.c), so that its gateways don't depend on the
-/// leader.
+/// What all gateways need alike spreads in two steps. The replicated log
+/// carries configurations to all control processes, and the leader, which reads
+/// the list of servers from the platform, sends that to the others. Each of
+/// them sends both to the gateways that chose it. A control process to which
+/// the list doesn't come reads it itself (hub_servers.c), so that its gateways
+/// don't depend on the leader.
 
 #define HUB_FEED_ASK_US (400 * USEC_PER_MSEC)
 /// A subscriber that hasn't asked for this long gets no more changes.
@@ -16,21 +17,42 @@
 /// A process that has closed the link this often without an answer is of an
 /// older version.
 #define HUB_FEED_MAX_CLOSES 3
-/// Subscribers that are sent a new list in one run of the timer, so that the
-/// loop isn't held up by all of them.
+/// Subscribers that are sent something new in one run of the timer, or the
+/// bytes after which no further one is, so that the loop isn't held up by all
+/// of them.
 #define HUB_FEED_SLICE 16
+#define HUB_FEED_SLICE_BYTES (512UL << 10)
 
 /// A process that asks this one for its list.
 struct hub_subscriber {
 	handle_t link;
 	uint64_t asked_us;
-	uint64_t echo_us;  ///< its clock when it asked last
-	uint64_t revision; ///< that it has, or was sent
+	uint64_t echo_us;      ///< its clock when it asked last
+	uint64_t revision;     ///< of the list that it has, or was sent
+	uint64_t version;      ///< of the configuration that it has
+	uint64_t sent_version; ///< of the last one that it was sent
 	bool is_hub;
-	bool due; ///< to be sent the newest list
+	bool due; ///< to be sent what is new
 };
 
+/// Adds the configuration if a gateway has an older one, unless the last one
+/// that was sent is still on its way.
 static void
+add_config(
+    const struct hub *h, struct hub_subscriber *s, struct feedmsg_update *u)
+{
+	u->version = hubstate_version(h->state);
+	if (s->is_hub || s->version >= u->version ||
+	    s->sent_version > s->version)
+		return;
+	u->manifest = hubstate_manifest(h->state, &u->manifest_len);
+	s->sent_version = u->version;
+}
+
+/// Sends a subscriber what is new.
+///
+/// @return bytes of the message
+static size_t
 send_update(struct hub *h, struct hub_subscriber *s)
 {
 	struct wire_msg msg = { .kind = WIRE_FEED };
@@ -48,11 +70,13 @@
 		u.changes = changes.bytes;
 		u.len = changes.len;
 	}
+	add_config(h, s, &u);
 	feedmsg_update_encode(&u, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
 	if (transport_send(h->links, s->link, &msg))
 		s->revision = u.revision;
 	free(bytes);
+	return msg.payload.len;
 }
 
 static void
@@ -61,6 +85,7 @@
 	struct hub *h = arg;
 	GHashTableIter it;
 	gpointer value;
+	size_t len = 0;
 	int n = 0;
 
 	g_hash_table_iter_init(&it, h->subscribers);
@@ -69,18 +94,18 @@
 
 		if (!s->due)
 			continue;
-		if (n++ == HUB_FEED_SLICE) {
+		if (n++ == HUB_FEED_SLICE || len > HUB_FEED_SLICE_BYTES) {
 			timerq_arm(h->feed, now_us + 1);
 			return;
 		}
-		send_update(h, s);
+		len += send_update(h, s);
 	}
 }
 
 /// The list was read, or came from the leader: sends it to the subscribers.
 /// Gateways learn that an unchanged list is current when they ask.
 void
-hub_feed_push(struct hub *h, bool changed)
+hub_feed_push_list(struct hub *h, bool changed)
 {
 	GHashTableIter it;
 	gpointer value;
@@ -94,7 +119,23 @@
 	timerq_arm_in(h->feed, 0);
 }
 
-/// A gateway or another control process asks for the list.
+/// A configuration was applied: sends it to the gateways.
+void
+hub_feed_push_config(struct hub *h)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->subscribers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hub_subscriber *s = value;
+
+		s->due = s->due || !s->is_hub;
+	}
+	timerq_arm_in(h->feed, 0);
+}
+
+/// A gateway or another control process asks for what is new.
 void
 hub_feed_on_ask(struct hub *h, handle_t link, const struct wire_hello *hello,
     const struct wire_bytes *bytes)
@@ -117,7 +158,8 @@
 	s->asked_us = loop_now_us(h->loop);
 	s->echo_us = ask.sent_us;
 	s->revision = ask.revision;
-	send_update(h, s);
+	s->version = ask.version;
+	(void)send_update(h, s);
 }
 
 /// The leader's list, or its changes.
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -218,11 +218,12 @@
 void hub_servers_fill(
     const struct hub *h, uint64_t has, struct hubmsg_state *s);
 
-/// hub_feed.c: the list on its way to gateways and other control processes
+/// hub_feed.c: configurations and the list on their way to gateways
 void hub_feed_start(struct hub *h);
 void hub_feed_stop(struct hub *h);
 void hub_feed_tick(struct hub *h, uint64_t now_us);
-void hub_feed_push(struct hub *h, bool changed);
+void hub_feed_push_list(struct hub *h, bool changed);
+void hub_feed_push_config(struct hub *h);
 void hub_feed_on_ask(struct hub *h, handle_t link,
     const struct wire_hello *hello, const struct wire_bytes *bytes);
 void hub_feed_on_update(struct hub *h, const struct wire_hello *hello,
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -87,7 +87,8 @@
 
 /// Fills in the configuration if a gateway has an older one, unless the last
 /// one that was sent is still on its way. What this process has applied is
-/// committed, so it may be used whoever leads.
+/// committed, so it may be used whoever leads. Subscribers have
+/// it from the feed.
 static void
 fill_config(const struct hub *h, struct hub_gateway *g, struct hubmsg_state *s)
 {
@@ -95,7 +96,8 @@
 	    g->sent_link == g->link && g->sent_version > g->version;
 
 	s->version = hubstate_version(h->state);
-	if (g->version >= s->version || in_flight)
+	if (g->version >= s->version || in_flight ||
+	    g->list_revision == HUBMSG_SUBSCRIBED)
 		return;
 	s->manifest = hubstate_manifest(h->state, &s->manifest_len);
 	g->sent_link = g->link;
--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -46,7 +46,7 @@
 
 	h->list_fresh_us = fresh_us;
 	hub_limits_prune(h, servers);
-	hub_feed_push(h, listdiff_set(h->list, servers, first));
+	hub_feed_push_list(h, listdiff_set(h->list, servers, first));
 }
 
 static void
--- a/test/unit/hub/test_feed.cc
+++ b/test/unit/hub/test_feed.cc
@@ -184,6 +184,18 @@
 		sendPayload(WIRE_GATEWAY_REPORT, bytes, len);
 	}
 
+	void ask(uint64_t version)
+	{
+		struct feedmsg_ask a = {};
+		uint8_t *bytes;
+		size_t len;
+
+		a.sent_us = 1;
+		a.version = version;
+		feedmsg_ask_encode(&a, &bytes, &len);
+		sendPayload(WIRE_FEED_ASK, bytes, len);
+	}
+
 	/// Versions of the configurations that came, in their order.
 	std::string configs()
 	{
@@ -230,6 +242,15 @@
 				found = std::to_string(s.version) + " ";
 			hubmsg_state_clear(&s);
 		}
+		if (msg.kind == WIRE_FEED) {
+			struct feedmsg_update u;
+
+			EXPECT_EQ(feedmsg_update_decode(
+				      msg.payload.data, msg.payload.len, &u),
+			    STATUS_OK);
+			if (u.manifest_len > 0)
+				found = std::to_string(u.version) + " ";
+		}
 		return found;
 	}
 };
@@ -253,3 +274,24 @@
 		gateway.report(5);
 	EXPECT_EQ(gateway.configs(), "6 ");
 }
+
+/// Guards against configurations that queue up on a link whose gateway takes
+/// them more slowly than they change: the next one waits until the last one is
+/// in force, and is then the newest.
+TEST(Feed, SubscribersGetTheNewestConfigurationOneAtATime)
+{
+	TestHub hub;
+	TestGateway gateway(hub);
+
+	hub.configure(5);
+	for (int i = 0; i < 20; i++)
+		gateway.ask(0);
+	hub.configure(6);
+	hub.configure(7);
+	EXPECT_EQ(gateway.configs(), "5 ");
+	gateway.ask(5);
+	EXPECT_EQ(gateway.configs(), "7 ");
+	gateway.ask(7);
+	hub.configure(8);
+	EXPECT_EQ(gateway.configs(), "8 ");
+}
