Feed: why a control process is left, in three named conditions; feed.unreadable

Splits current_hub(), which had grown three conditions, gives messages of the feed that can't be decoded an event of their own, and lets two tests share their search for a free port. No change of behaviour but the event's name.

--- a/src/gateway/gateway_feed.c
+++ b/src/gateway/gateway_feed.c
@@ -73,25 +73,42 @@
 		((struct gateway_hub *)value)->feed_avoid_until_us = 0;
 }
 
-/// The control process to ask now; NULL: there is none.
-static struct gateway_hub *
-current_hub(struct gateway *g, uint64_t now_us)
+static bool
+hub_is_silent(const struct gateway *g, uint64_t now_us)
 {
-	struct gateway_hub *h =
-	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->feed_hub));
-	const bool is_silent = g->feed_unanswered_us != 0 &&
+	return g->feed_unanswered_us != 0 &&
 	    now_us > g->feed_unanswered_us + GATEWAY_FEED_UNANSWERED_US;
+}
+
+static bool
+list_is_old(const struct gateway *g, uint64_t now_us)
+{
 	// The others may have no newer list, and a change costs a whole one.
 	const uint64_t patience_us =
 	    g->list_fresh_us == 0 ? GATEWAY_FEED_OLD_US : GATEWAY_FEED_AVOID_US;
-	const bool is_old = now_us > g->list_fresh_us + GATEWAY_FEED_OLD_US &&
+
+	return now_us > g->list_fresh_us + GATEWAY_FEED_OLD_US &&
 	    now_us > g->feed_chosen_us + patience_us;
+}
+
+static bool
+config_is_old(const struct gateway *g, uint64_t now_us)
+{
+	return g->wanted_version > gateway_config_version(g) &&
+	    now_us >
+	    MAX(g->wanted_since_us, g->feed_chosen_us) + GATEWAY_FEED_BEHIND_US;
+}
 
-	const bool is_behind = g->wanted_version > gateway_config_version(g) &&
-	    now_us > MAX(g->wanted_since_us, g->feed_chosen_us) +
-		    GATEWAY_FEED_BEHIND_US;
+/// The control process to ask now; NULL: there is none.
+static struct gateway_hub *
+current_hub(struct gateway *g, uint64_t now_us)
+{
+	struct gateway_hub *h =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->feed_hub));
 
-	if (h != NULL && (is_silent || is_old || is_behind))
+	if (h != NULL &&
+	    (hub_is_silent(g, now_us) || list_is_old(g, now_us) ||
+		config_is_old(g, now_us)))
 		h->feed_avoid_until_us = now_us + GATEWAY_FEED_AVOID_US;
 	if (h != NULL && is_usable(g, h, now_us))
 		return h;
@@ -147,7 +164,7 @@
 	struct feedmsg_update u;
 
 	if (feedmsg_update_decode(bytes->data, bytes->len, &u) != STATUS_OK) {
-		logger_event(LOGGER_WARN, "list.unreadable",
+		logger_event(LOGGER_WARN, "feed.unreadable",
 		    "peer=%s reason=\"%s\"", hello->node, status_last());
 		return;
 	}
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -127,8 +127,8 @@
 	uint64_t feed_unanswered_us; ///< when the first ask without an answer
 				     ///< was sent; 0: none
 	uint64_t next_ask_us;
-	uint64_t
-	    wanted_version; ///< newest configuration that the leader told of
+	uint64_t wanted_version; ///< of the newest configuration that the
+				 ///< leader told of
 	uint64_t wanted_since_us;
 
 	struct turns_position position; ///< for the limits of servers
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -144,7 +144,7 @@
 	struct feedmsg_ask ask;
 
 	if (feedmsg_ask_decode(bytes->data, bytes->len, &ask) != STATUS_OK) {
-		logger_event(LOGGER_WARN, "list.unreadable",
+		logger_event(LOGGER_WARN, "feed.unreadable",
 		    "peer=%s reason=\"%s\"", hello->node, status_last());
 		return;
 	}
@@ -176,7 +176,7 @@
 
 	if (p == NULL ||
 	    feedmsg_update_decode(bytes->data, bytes->len, &u) != STATUS_OK) {
-		logger_event(LOGGER_WARN, "list.unreadable",
+		logger_event(LOGGER_WARN, "feed.unreadable",
 		    "peer=%s reason=\"%s\"", hello->node, status_last());
 		return;
 	}
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -87,8 +87,8 @@
 
 /// Fills in the configuration if a gateway has an older one, unless the last
 /// one that was sent is still on its way. What this process has applied is
-/// committed, so it may be used whoever leads. Subscribers have
-/// it from the feed.
+/// committed, so it may be used whoever leads. Subscribers have it from the
+/// feed.
 static void
 fill_config(const struct hub *h, struct hub_gateway *g, struct hubmsg_state *s)
 {
--- a/test/unit/hub/test_feed.cc
+++ b/test/unit/hub/test_feed.cc
@@ -5,6 +5,8 @@
 #include "hub/hub_internal.h"
 }
 
+#include "free_port.h"
+
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <fcntl.h>
@@ -18,26 +20,11 @@
 namespace
 {
 
-uint16_t
-freePort()
-{
-	const int fd = socket(AF_INET, SOCK_STREAM, 0);
-	struct sockaddr_in address = {};
-	socklen_t len = sizeof(address);
-
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, reinterpret_cast<struct sockaddr *>(&address), len);
-	getsockname(fd, reinterpret_cast<struct sockaddr *>(&address), &len);
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
 /// A control process that leads by itself.
 struct TestHub {
 	struct loop *loop = loop_new(1);
 	std::filesystem::path folder;
-	uint16_t port = freePort();
+	uint16_t port = free_port();
 	struct hub *hub = nullptr;
 
 	TestHub()
@@ -46,7 +33,7 @@
 		struct bootstrap_settings settings;
 		struct spec_problems problems = {};
 		const std::string operators =
-		    "127.0.0.1:" + std::to_string(freePort());
+		    "127.0.0.1:" + std::to_string(free_port());
 
 		folder = mkdtemp(name);
 		const std::string text = R"({"role": "hub", "node": "core-1",
--- a/test/unit/hub/test_link_priority.cc
+++ b/test/unit/hub/test_link_priority.cc
@@ -5,6 +5,8 @@
 #include "wire/transport.h"
 }
 
+#include "free_port.h"
+
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <glib.h>
@@ -21,21 +23,6 @@
 const int nGateways = 64;
 const int maxMessagesBefore = 16;
 
-int
-freePort()
-{
-	const int fd = socket(AF_INET, SOCK_STREAM, 0);
-	struct sockaddr_in address = {};
-	socklen_t len = sizeof(address);
-
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, reinterpret_cast<struct sockaddr *>(&address), len);
-	getsockname(fd, reinterpret_cast<struct sockaddr *>(&address), &len);
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
 void
 sendTo(int fd, const struct wire_msg &msg)
 {
@@ -103,7 +90,7 @@
 	struct loop *l = loop_new(1);
 	Received r;
 	struct transport_config config = {};
-	const int port = freePort();
+	const int port = free_port();
 	std::vector<int> fds;
 
 	config.base = loop_event_base(l);
