A gateway leaves a control process that lags behind the leader

Change: the decision is a core, feedsource. Patience counts from the first configuration that is lacking, and is 0.5 s for a process that lacks it as well; the next choice is the leader; after 10 s the gateway returns to the process that it prefers. Patience for old lists counts between two such changes. Test: Source (six cases); the first and the fifth fail with the old conditions.

--- /dev/null
+++ b/src/fleet/feedsource.h
@@ -0,0 +1,37 @@
+#ifndef FLEET_FEEDSOURCE_H
+#define FLEET_FEEDSOURCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/// Decides when a gateway leaves the control process that it has chosen for the
+/// configuration and the list of servers. Has no I/O.
+
+struct feedsource {
+	uint32_t slot;             ///< of the chosen process; 0: none
+	uint64_t chosen_us;        ///< when it was chosen
+	uint64_t unanswered_us;    ///< when the first ask without an answer was
+				   ///< sent; 0: none
+	uint64_t version;          ///< of the newest configuration that it has
+	uint64_t wanted_version;   ///< newest one that the leader told of
+	uint64_t behind_since_us;  ///< since when `wanted_version` is lacking
+	uint64_t left_for_list_us; ///< when one was last left for its old list
+};
+
+/// What the gateway has.
+struct feedsource_state {
+	uint64_t version;       ///< of its configuration; 0: none
+	uint64_t list_fresh_us; ///< when its list was read; 0: it has none
+};
+
+void feedsource_choose(struct feedsource *f, uint32_t slot, uint64_t now_us);
+void feedsource_want(
+    struct feedsource *f, uint64_t version, uint64_t has, uint64_t now_us);
+void feedsource_on_ask(struct feedsource *f, uint64_t now_us);
+void feedsource_on_answer(struct feedsource *f, uint64_t version);
+bool feedsource_is_behind(const struct feedsource *f, uint64_t has);
+bool feedsource_must_leave(
+    struct feedsource *f, const struct feedsource_state *has, uint64_t now_us);
+bool feedsource_may_return(const struct feedsource *f, uint64_t now_us);
+
+#endif
--- a/src/gateway/gateway_feed.c
+++ b/src/gateway/gateway_feed.c
@@ -11,12 +11,6 @@
 /// that doesn't answer or has only old ones.
 
 #define GATEWAY_FEED_ASK_US (400 * USEC_PER_MSEC)
-#define GATEWAY_FEED_UNANSWERED_US USEC_PER_SEC
-/// A process whose list is older is left for another one.
-#define GATEWAY_FEED_OLD_US (2 * USEC_PER_SEC)
-/// A process that hasn't sent the configuration that the leader told of for
-/// this long is left for another one.
-#define GATEWAY_FEED_BEHIND_US (1500 * USEC_PER_MSEC)
 /// For how long a process that was left isn't chosen again.
 #define GATEWAY_FEED_AVOID_US (5 * USEC_PER_SEC)
 /// A process that has closed the link this often without an answer is of an
@@ -31,17 +25,21 @@
 	    transport_is_up(g->links, h->link);
 }
 
-/// Rank of a control process, the highest is chosen: those of the same data
-/// centre first, and among them evenly over the gateways.
+/// Rank of a control process, the highest is chosen: the leader if this gateway
+/// lacks the configuration that the leader told of, then those of the same data
+/// centre, and among them evenly over the gateways.
 static uint64_t
 rank_of(const struct gateway *g, const struct gateway_hub *h)
 {
 	const uint64_t hash =
 	    XXH64(g->settings.node, strlen(g->settings.node), h->slot);
-	const bool is_near =
-	    strcmp(h->data_centre, g->settings.data_centre) == 0;
 
-	return (hash >> 1) | (is_near ? UINT64_C(1) << 63 : 0);
+	if (h->slot == g->leader &&
+	    feedsource_is_behind(&g->feed, gateway_config_version(g)))
+		return UINT64_MAX;
+	if (strcmp(h->data_centre, g->settings.data_centre) == 0)
+		return hash >> 1 | UINT64_C(1) << 62;
+	return hash >> 2;
 }
 
 static struct gateway_hub *
@@ -73,62 +71,30 @@
 		((struct gateway_hub *)value)->feed_avoid_until_us = 0;
 }
 
-static bool
-hub_is_silent(const struct gateway *g, uint64_t now_us)
-{
-	return g->feed_unanswered_us != 0 &&
-	    now_us > g->feed_unanswered_us + GATEWAY_FEED_UNANSWERED_US;
-}
-
-static bool
-list_is_old(const struct gateway *g, uint64_t now_us)
-{
-	// The others may have no newer list, and a change costs a whole one.
-	const uint64_t patience_us =
-	    g->list_fresh_us == 0 ? GATEWAY_FEED_OLD_US : GATEWAY_FEED_AVOID_US;
-
-	return now_us > g->list_fresh_us + GATEWAY_FEED_OLD_US &&
-	    now_us > g->feed_chosen_us + patience_us;
-}
-
-static bool
-config_is_old(const struct gateway *g, uint64_t now_us)
-{
-	return g->wanted_version > gateway_config_version(g) &&
-	    now_us >
-	    MAX(g->wanted_since_us, g->feed_chosen_us) + GATEWAY_FEED_BEHIND_US;
-}
-
 /// The control process to ask now; NULL: there is none.
 static struct gateway_hub *
 current_hub(struct gateway *g, uint64_t now_us)
 {
+	const struct feedsource_state has = {
+		.version = gateway_config_version(g),
+		.list_fresh_us = g->list_fresh_us,
+	};
 	struct gateway_hub *h =
-	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->feed_hub));
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->feed.slot));
+	struct gateway_hub *best;
 
-	if (h != NULL &&
-	    (hub_is_silent(g, now_us) || list_is_old(g, now_us) ||
-		config_is_old(g, now_us)))
+	if (h != NULL && feedsource_must_leave(&g->feed, &has, now_us))
 		h->feed_avoid_until_us = now_us + GATEWAY_FEED_AVOID_US;
-	if (h != NULL && is_usable(g, h, now_us))
+	if (h != NULL && is_usable(g, h, now_us) &&
+	    !feedsource_may_return(&g->feed, now_us))
 		return h;
-	h = choose_hub(g, now_us);
-	if (h == NULL)
+	best = choose_hub(g, now_us);
+	if (best == NULL)
 		allow_avoided(g);
-	g->feed_hub = h != NULL ? h->slot : 0;
-	g->feed_chosen_us = now_us;
-	g->feed_unanswered_us = 0;
-	return h;
-}
-
-/// The leader has told of a configuration's version.
-void
-gateway_feed_wants(struct gateway *g, uint64_t version)
-{
-	if (version <= g->wanted_version)
-		return;
-	g->wanted_version = version;
-	g->wanted_since_us = loop_now_us(g->loop);
+	if (best == NULL || best != h || !is_usable(g, h, now_us))
+		feedsource_choose(
+		    &g->feed, best != NULL ? best->slot : 0, now_us);
+	return best;
 }
 
 /// Asks for what is new when it is time.
@@ -148,9 +114,8 @@
 		ask.revision = g->list_revision;
 	feedmsg_ask_encode(&ask, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
-	if (transport_send(g->links, h->link, &msg) &&
-	    g->feed_unanswered_us == 0)
-		g->feed_unanswered_us = now_us;
+	if (transport_send(g->links, h->link, &msg))
+		feedsource_on_ask(&g->feed, now_us);
 	free(bytes);
 }
 
@@ -173,10 +138,10 @@
 		// The next one comes when this one is known to be in force.
 		g->next_ask_us = 0;
 	}
-	if (h == NULL || h->slot != g->feed_hub)
+	if (h == NULL || h->slot != g->feed.slot)
 		return;
 	h->feed_closes = 0;
-	g->feed_unanswered_us = 0;
+	feedsource_on_answer(&g->feed, u.version);
 	if (u.echo_us > loop_now_us(g->loop) || u.age_us >= u.echo_us)
 		return;
 	gateway_servers_update(g, hello->incarnation, &u);
@@ -186,9 +151,9 @@
 void
 gateway_feed_on_link_down(struct gateway *g, struct gateway_hub *h)
 {
-	if (h->slot != g->feed_hub)
+	if (h->slot != g->feed.slot)
 		return;
-	if (g->feed_unanswered_us != 0)
+	if (g->feed.unanswered_us != 0)
 		h->feed_closes++;
-	g->feed_unanswered_us = 0;
+	g->feed.unanswered_us = 0;
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -12,6 +12,7 @@
 #include "fleet/fleetcfg.h"
 #include "fleet/hubmsg.h"
 #include "fleet/feedmsg.h"
+#include "fleet/feedsource.h"
 #include "fleet/partlog.h"
 #include "fleet/quota.h"
 #include "fleet/instance.h"
@@ -122,14 +123,8 @@
 	uint64_t next_list_us;
 	bool reads_list; ///< from the platform, as control doesn't send it
 	struct api_lister *lister;
-	uint32_t feed_hub;       ///< slot of the process that sends the list
-	uint64_t feed_chosen_us; ///< when that was chosen
-	uint64_t feed_unanswered_us; ///< when the first ask without an answer
-				     ///< was sent; 0: none
+	struct feedsource feed; ///< where the list and configurations come from
 	uint64_t next_ask_us;
-	uint64_t wanted_version; ///< of the newest configuration that the
-				 ///< leader told of
-	uint64_t wanted_since_us;
 
 	struct turns_position position; ///< for the limits of servers
 	uint64_t next_leaving_us; ///< when leaving servers are looked at again
@@ -252,7 +247,6 @@
 void gateway_schedule_report(struct gateway *g);
 
 /// gateway_feed.c: the configuration and the list of servers from control
-void gateway_feed_wants(struct gateway *g, uint64_t version);
 void gateway_feed_tick(struct gateway *g, uint64_t now_us);
 void gateway_feed_on_update(struct gateway *g, const struct wire_hello *hello,
     const struct wire_bytes *bytes);
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -357,7 +357,7 @@
 	g->n_gateways = s->n_gateways;
 	balancer_set_entries(g->balancer, s->n_gateways);
 	gateway_apply_config(g, s->version, s->manifest, s->manifest_len);
-	gateway_feed_wants(g, s->version);
+	feedsource_want(&g->feed, s->version, gateway_config_version(g), now);
 	// The lease needs control's configuration: an older one may have
 	// revoked API keys.
 	if (gateway_config_version(g) < s->version)
--- /dev/null
+++ b/test/unit/fleet/test_feedsource.cc
@@ -0,0 +1,108 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "base/timerq.h"
+#include "fleet/feedsource.h"
+}
+
+namespace
+{
+
+const uint64_t ms = USEC_PER_MSEC;
+const uint64_t start = 100 * USEC_PER_SEC;
+
+struct Source : ::testing::Test {
+	struct feedsource f = {};
+	struct feedsource_state has = { 5, start };
+
+	void SetUp() override
+	{
+		feedsource_choose(&f, 7, start);
+		feedsource_on_answer(&f, 5);
+	}
+
+	/// When the process is left, with a list that stays fresh and newer
+	/// configurations at an interval; 0: it isn't.
+	uint64_t leftAfterMs(uint64_t newerEveryMs, uint64_t forMs)
+	{
+		for (uint64_t t = 0; t < forMs; t += 50) {
+			const uint64_t now = start + t * ms;
+
+			has.list_fresh_us = now;
+			if (t % newerEveryMs == 0)
+				feedsource_want(
+				    &f, 6 + t / newerEveryMs, 5, now);
+			if (feedsource_must_leave(&f, &has, now))
+				return t;
+		}
+		return 0;
+	}
+};
+
+} // namespace
+
+/// Guards against a gateway that stays with a process that is cut off from the
+/// leader, because each newer configuration starts its patience again.
+TEST_F(Source, IsLeftWhenItLagsBehindHoweverOftenConfigurationsChange)
+{
+	EXPECT_EQ(leftAfterMs(400, 5000), 550U);
+}
+
+TEST_F(Source, HasMoreTimeToSendAConfigurationThatItHas)
+{
+	feedsource_on_answer(&f, 100);
+	EXPECT_EQ(leftAfterMs(400, 5000), 1550U);
+}
+
+TEST_F(Source, IsKeptWhenTheGatewayHasTheConfiguration)
+{
+	feedsource_want(&f, 5, 5, start);
+	has.list_fresh_us = start + 60 * USEC_PER_SEC;
+	EXPECT_FALSE(
+	    feedsource_must_leave(&f, &has, start + 60 * USEC_PER_SEC));
+	// Behind for a moment, some time later: that time doesn't count.
+	feedsource_want(&f, 6, 5, start + 60 * USEC_PER_SEC);
+	EXPECT_FALSE(feedsource_must_leave(
+	    &f, &has, start + 60 * USEC_PER_SEC + 400 * ms));
+	has.version = 6;
+	EXPECT_FALSE(feedsource_must_leave(
+	    &f, &has, start + 60 * USEC_PER_SEC + 900 * ms));
+	feedsource_want(&f, 7, 6, start + 61 * USEC_PER_SEC);
+	has.list_fresh_us = start + 61 * USEC_PER_SEC;
+	EXPECT_FALSE(feedsource_must_leave(
+	    &f, &has, start + 61 * USEC_PER_SEC + 400 * ms));
+}
+
+TEST_F(Source, IsLeftWhenItDoesNotAnswer)
+{
+	feedsource_on_ask(&f, start);
+	feedsource_on_ask(&f, start + 400 * ms);
+	EXPECT_FALSE(feedsource_must_leave(&f, &has, start + 1000 * ms));
+	EXPECT_TRUE(feedsource_must_leave(&f, &has, start + 1001 * ms));
+	feedsource_on_answer(&f, 5);
+	EXPECT_FALSE(feedsource_must_leave(&f, &has, start + 1001 * ms));
+}
+
+/// Guards against requests to a leaving server because the process that was
+/// chosen last can't read the list.
+TEST_F(Source, IsLeftForAnOldListSoonAfterTheFirstChoice)
+{
+	EXPECT_FALSE(feedsource_must_leave(&f, &has, start + 1900 * ms));
+	EXPECT_TRUE(feedsource_must_leave(&f, &has, start + 2001 * ms));
+}
+
+/// A change costs a whole list, so old lists everywhere must not make a gateway
+/// change from one process to the next.
+TEST_F(Source, IsLeftForAnOldListAtMostEveryFiveSeconds)
+{
+	const uint64_t left = start + 2001 * ms;
+
+	EXPECT_TRUE(feedsource_must_leave(&f, &has, left));
+	feedsource_choose(&f, 8, left);
+	EXPECT_FALSE(feedsource_must_leave(&f, &has, left + 4900 * ms));
+	EXPECT_TRUE(feedsource_must_leave(&f, &has, left + 5001 * ms));
+	feedsource_choose(&f, 7, left + 5001 * ms);
+	has.list_fresh_us = 0;
+	EXPECT_FALSE(feedsource_must_leave(&f, &has, left + 6900 * ms));
+	EXPECT_TRUE(feedsource_must_leave(&f, &has, left + 7100 * ms));
+}
