The feed's timer survives a subscriber that is removed while it sends

A link whose send queue is over its limit is closed by the send, which removes its subscriber from the table that the timer was iterating. Found by reading; no run showed it, and no test plays a queue of 16 MB. The timer looks for the next subscriber that is due after each send. Ruled out for the push of the state: gateways stay in their table when a link is down. unit_hub, script_list_spread and script_fleet hold.

--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -23,7 +23,7 @@
 #define HUB_FEED_SLICE 16
 #define HUB_FEED_SLICE_BYTES (512UL << 10)
 
-/// A process that asks this one for its list.
+/// A process that asks this one for what is new.
 struct hub_subscriber {
 	handle_t link;
 	uint64_t asked_us;
@@ -79,21 +79,33 @@
 	return msg.payload.len;
 }
 
-static void
-on_feed_timer(void *arg, uint64_t now_us)
+static struct hub_subscriber *
+find_due(const struct hub *h)
 {
-	struct hub *h = arg;
 	GHashTableIter it;
 	gpointer value;
-	size_t len = 0;
-	int n = 0;
 
 	g_hash_table_iter_init(&it, h->subscribers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct hub_subscriber *s = value;
 
-		if (!s->due)
-			continue;
+		if (s->due)
+			return s;
+	}
+	return NULL;
+}
+
+static void
+on_feed_timer(void *arg, uint64_t now_us)
+{
+	struct hub *h = arg;
+	struct hub_subscriber *s;
+	size_t len = 0;
+	int n = 0;
+
+	// Sending closes a link whose queue is full, which removes a
+	// subscriber.
+	while ((s = find_due(h)) != NULL) {
 		if (n++ == HUB_FEED_SLICE || len > HUB_FEED_SLICE_BYTES) {
 			timerq_arm(h->feed, now_us + 1);
 			return;
