A gateway looks for a newer list without waiting five seconds

At a slow start it leaves one that has no list yet; when the leader's list got old within 5 s of that, it stayed. Change: the cost goes, and with it the wait. An ask has the age of the gateway's list, and a process whose list isn't newer by 100 ms doesn't send it to a gateway that doesn't follow its changes. A process is left for an old list a second after it was chosen.

--- a/src/fleet/feedmsg.c
+++ b/src/fleet/feedmsg.c
@@ -8,6 +8,7 @@
 	codec_u64(c, &a->sent_us);
 	codec_u64(c, &a->revision);
 	codec_u64(c, &a->version);
+	codec_u64(c, &a->list_age_us);
 }
 
 static void
--- a/src/fleet/feedmsg.h
+++ b/src/fleet/feedmsg.h
@@ -10,6 +10,8 @@
 /// list of servers. Each control process sends them to the gateways that chose
 /// it, and the leader its list to the other control processes.
 
+#define FEEDMSG_NO_LIST UINT64_MAX
+
 /// A process asks a control process for what is new, and so for the next
 /// changes.
 struct feedmsg_ask {
@@ -17,6 +19,9 @@
 	uint64_t revision; ///< of the list that it has from this process; 0:
 			   ///< none
 	uint64_t version;  ///< of its configuration; 0: none
+	/// Age of its list, FEEDMSG_NO_LIST if it has none. A list that isn't
+	/// newer is only sent to a process that follows its changes.
+	uint64_t list_age_us;
 };
 
 /// The list and the configuration of a control process. Revisions are its own:
--- a/src/fleet/feedsource.c
+++ b/src/fleet/feedsource.c
@@ -5,12 +5,7 @@
 #define UNANSWERED_US USEC_PER_SEC
 /// A process whose list is older is left for another one.
 #define LIST_OLD_US (2 * USEC_PER_SEC)
-/// The other processes may have no newer list, and a change costs a whole one:
-/// that is the shortest time between two changes for an old list.
-#define LIST_PATIENCE_US (5 * USEC_PER_SEC)
-/// A gateway without any list changes sooner.
-#define NO_LIST_PATIENCE_US (2 * USEC_PER_SEC)
-/// A process that was just chosen has this long to send its list.
+/// A process that was just chosen has this long to send a newer one.
 #define FIRST_LIST_US USEC_PER_SEC
 /// A process that doesn't have the configuration that the leader told of is
 /// left after this time: several heartbeats of the log.
@@ -83,12 +78,8 @@
 static bool
 list_is_old(const struct feedsource *f, uint64_t fresh_us, uint64_t now_us)
 {
-	const uint64_t patience_us =
-	    fresh_us == 0 ? NO_LIST_PATIENCE_US : LIST_PATIENCE_US;
-
 	return now_us > fresh_us + LIST_OLD_US &&
-	    now_us > f->chosen_us + FIRST_LIST_US &&
-	    now_us > f->left_for_list_us + patience_us;
+	    now_us > f->chosen_us + FIRST_LIST_US;
 }
 
 static bool
@@ -104,15 +95,12 @@
 /// Whether the gateway has to choose another process: this one doesn't answer,
 /// or others are likely to have a newer list or configuration.
 bool
-feedsource_must_leave(
-    struct feedsource *f, const struct feedsource_state *has, uint64_t now_us)
+feedsource_must_leave(const struct feedsource *f,
+    const struct feedsource_state *has, uint64_t now_us)
 {
-	if (list_is_old(f, has->list_fresh_us, now_us)) {
-		f->left_for_list_us = now_us;
-		return true;
-	}
 	return (f->unanswered_us != 0 &&
 		   now_us > f->unanswered_us + UNANSWERED_US) ||
+	    list_is_old(f, has->list_fresh_us, now_us) ||
 	    config_is_late(f, has->version, now_us);
 }
 
--- a/src/fleet/feedsource.h
+++ b/src/fleet/feedsource.h
@@ -8,14 +8,13 @@
 /// configuration and the list of servers. Has no I/O.
 
 struct feedsource {
-	uint32_t slot;             ///< of the chosen process; 0: none
-	uint64_t chosen_us;        ///< when it was chosen
-	uint64_t unanswered_us;    ///< when the first ask without an answer was
-				   ///< sent; 0: none
-	uint64_t version;          ///< of the newest configuration that it has
-	uint64_t wanted_version;   ///< newest one that the leader told of
-	uint64_t behind_since_us;  ///< since when `wanted_version` is lacking
-	uint64_t left_for_list_us; ///< when one was last left for its old list
+	uint32_t slot;            ///< of the chosen process; 0: none
+	uint64_t chosen_us;       ///< when it was chosen
+	uint64_t unanswered_us;   ///< when the first ask without an answer was
+				  ///< sent; 0: none
+	uint64_t version;         ///< of the newest configuration that it has
+	uint64_t wanted_version;  ///< newest one that the leader told of
+	uint64_t behind_since_us; ///< since when `wanted_version` is lacking
 };
 
 /// What the gateway has.
@@ -30,8 +29,8 @@
 void feedsource_on_ask(struct feedsource *f, uint64_t now_us);
 void feedsource_on_answer(struct feedsource *f, uint64_t version);
 bool feedsource_is_behind(const struct feedsource *f, uint64_t has);
-bool feedsource_must_leave(
-    struct feedsource *f, const struct feedsource_state *has, uint64_t now_us);
+bool feedsource_must_leave(const struct feedsource *f,
+    const struct feedsource_state *has, uint64_t now_us);
 bool feedsource_may_return(const struct feedsource *f, uint64_t now_us);
 
 #endif
--- a/src/gateway/gateway_feed.c
+++ b/src/gateway/gateway_feed.c
@@ -103,7 +103,10 @@
 {
 	struct wire_msg msg = { .kind = WIRE_FEED_ASK };
 	struct feedmsg_ask ask = { .sent_us = now_us,
-		.version = gateway_config_version(g) };
+		.version = gateway_config_version(g),
+		.list_age_us = g->list_fresh_us == 0
+		    ? FEEDMSG_NO_LIST
+		    : now_us - g->list_fresh_us };
 	const struct gateway_hub *h = current_hub(g, now_us);
 	uint8_t *bytes;
 
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -17,6 +17,8 @@
 /// A process that has closed the link this often without an answer is of an
 /// older version.
 #define HUB_FEED_MAX_CLOSES 3
+/// Ages differ by less than this if two lists are of the same reading.
+#define HUB_FEED_NEWER_US (100 * USEC_PER_MSEC)
 /// Subscribers that are sent something new in one run of the timer, or the
 /// bytes after which no further one is, so that the loop isn't held up by all
 /// of them.
@@ -27,14 +29,38 @@
 struct hub_subscriber {
 	handle_t link;
 	uint64_t asked_us;
-	uint64_t echo_us;      ///< its clock when it asked last
-	uint64_t revision;     ///< of the list that it has, or was sent
+	uint64_t echo_us;  ///< its clock when it asked last
+	uint64_t revision; ///< of the list that it has, or was sent; 0: it has
+			   ///< none of this process
+	uint64_t list_age_us;  ///< of its list when it asked last
 	uint64_t version;      ///< of the configuration that it has
 	uint64_t sent_version; ///< of the last one that it was sent
 	bool is_hub;
 	bool due; ///< to be sent what is new
 };
 
+/// Adds the list or its changes. A subscriber that has the list of another
+/// process needs this one only if it is newer.
+static void
+add_list(const struct hub *h, const struct hub_subscriber *s, uint64_t now_us,
+    struct feedmsg_update *u)
+{
+	const uint64_t age_us = now_us - h->list_fresh_us;
+	struct listdiff_update changes;
+
+	if (h->list_fresh_us == 0 ||
+	    (s->revision == 0 && s->list_age_us != FEEDMSG_NO_LIST &&
+		age_us + HUB_FEED_NEWER_US >
+		    s->list_age_us + now_us - s->asked_us))
+		return;
+	listdiff_update(h->list, s->revision, &changes);
+	u->age_us = age_us;
+	u->revision = listdiff_revision(h->list);
+	u->since = changes.since;
+	u->changes = changes.bytes;
+	u->len = changes.len;
+}
+
 /// Adds the configuration if a gateway has an older one, unless the last one
 /// that was sent is still on its way.
 static void
@@ -58,18 +84,10 @@
 	struct wire_msg msg = { .kind = WIRE_FEED };
 	const uint64_t now = loop_now_us(h->loop);
 	struct feedmsg_update u = { .echo_us = s->echo_us + now - s->asked_us };
-	struct listdiff_update changes;
 	uint8_t *bytes;
 
 	s->due = false;
-	if (h->list_fresh_us != 0) {
-		listdiff_update(h->list, s->revision, &changes);
-		u.age_us = now - h->list_fresh_us;
-		u.revision = listdiff_revision(h->list);
-		u.since = changes.since;
-		u.changes = changes.bytes;
-		u.len = changes.len;
-	}
+	add_list(h, s, now, &u);
 	add_config(h, s, &u);
 	feedmsg_update_encode(&u, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
@@ -171,6 +189,7 @@
 	s->echo_us = ask.sent_us;
 	s->revision = ask.revision;
 	s->version = ask.version;
+	s->list_age_us = ask.list_age_us;
 	(void)send_update(h, s);
 }
 
@@ -243,7 +262,8 @@
 ask_leader(struct hub *h, uint64_t now_us)
 {
 	struct wire_msg msg = { .kind = WIRE_FEED_ASK };
-	struct feedmsg_ask ask = { .sent_us = now_us };
+	struct feedmsg_ask ask = { .sent_us = now_us,
+		.list_age_us = FEEDMSG_NO_LIST };
 	struct replica_status st;
 	struct hub_peer *p;
 	uint8_t *bytes;
