--- a/src/gateway/gateway_feed.c
+++ b/src/gateway/gateway_feed.c
@@ -17,6 +17,7 @@
 /// older version.
 #define GATEWAY_FEED_MAX_CLOSES 3
 
+/// Whether a control process may be chosen.
 static bool
 is_usable(const struct gateway *g, const struct gateway_hub *h, uint64_t now_us)
 {
@@ -60,6 +61,7 @@
 	return best;
 }
 
+/// Lets processes that were left lately be chosen again, as no other is there.
 static void
 allow_avoided(struct gateway *g)
 {
