A head that is no HTTP/1.1 head ends the call

Cause: httpc took any number as a status, as evhttp does; the gateway checks only id and stamp.

Change: respscan, a core without I/O, reads each response's head before evhttp does, from a callback of the input buffer. A status line, field name or character that the protocol doesn't have ends the call as one that may have run; the log names it. All users of httpc get it: callers' requests, health checks, list, platform, entry.

Ruled out: a check in the gateway (the library's result hides what is wrong with a head).

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -15,6 +15,8 @@
 #include <sys/socket.h>
 #include <time.h>
 
+#include "back/respscan.h"
+
 #define HTTPC_MAX_BODY_BYTES (16UL * 1024 * 1024)
 #define HTTPC_MAX_HEADER_BYTES (64UL * 1024)
 #define HTTPC_MAX_IDLE_PER_ADDRESS 64
@@ -33,6 +35,8 @@
 	bool dead;               ///< waits to be freed by free_dead_conns()
 	bool checks_output;      ///< on_output() is set
 	bool expired;            ///< its call expired before it was sent
+	bool checks_input;       ///< on_input() is set
+	struct respscan scan;    ///< of the response to its call
 	int64_t unused_after_us; ///< not reused after (monotonic); 0: no limit
 };
 
@@ -60,6 +64,8 @@
 	GHashTable *idle; ///< address -> GQueue of struct httpc_conn
 	GPtrArray *dead_conns;
 	struct event *free_dead_event;
+	GArray *refused; ///< handles of calls that end_refused_calls() ends
+	struct event *end_refused_event;
 	uint64_t n_opened;
 };
 
@@ -334,6 +340,43 @@
 	finish(a, &result);
 }
 
+/// Passes bytes that have just been added to an input buffer to the scanner.
+static void
+scan_input(struct httpc_conn *conn, struct evbuffer *in, size_t from, size_t n)
+{
+	struct evbuffer_ptr at;
+	struct evbuffer_iovec part;
+
+	if (evbuffer_ptr_set(in, &at, from, EVBUFFER_PTR_SET) != 0)
+		return;
+	while (n > 0 && evbuffer_peek(in, (ev_ssize_t)n, &at, &part, 1) > 0) {
+		const size_t len = MIN(part.iov_len, n);
+
+		respscan_feed(&conn->scan, part.iov_base, len);
+		(void)evbuffer_ptr_set(in, &at, len, EVBUFFER_PTR_ADD);
+		n -= len;
+	}
+}
+
+/// Called when bytes have arrived on a connection, before evhttp parses them.
+static void
+on_input(struct evbuffer *in, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct httpc_conn *conn = arg;
+	struct httpc *c = conn->client;
+
+	if (info->n_added == 0 || conn->call == HANDLE_NONE ||
+	    conn->scan.state == RESPSCAN_INVALID)
+		return;
+	scan_input(conn, in, info->orig_size - info->n_deleted, info->n_added);
+	if (conn->scan.state != RESPSCAN_INVALID)
+		return;
+	// The buffer is in use here, so the call ends later in this iteration
+	// of the loop.
+	(void)g_array_append_val(c->refused, conn->call);
+	event_active(c->end_refused_event, EV_TIMEOUT, 0);
+}
+
 /// Called when all headers of a response have been read.
 static int
 on_headers(struct evhttp_request *req, void *arg)
@@ -341,7 +384,7 @@
 	struct httpc_conn *conn = arg;
 	struct httpc_active *a = conn_call(conn);
 
-	if (a == NULL)
+	if (a == NULL || conn->scan.state == RESPSCAN_INVALID)
 		return -1;
 	a->http_status = evhttp_request_get_response_code(req);
 	a->response = req;
@@ -361,7 +404,8 @@
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	const size_t len = evbuffer_get_length(in);
 
-	if (a == NULL || a->on_data == NULL || len == 0)
+	if (a == NULL || a->on_data == NULL || len == 0 ||
+	    conn->scan.state == RESPSCAN_INVALID)
 		return;
 	a->on_data(a->arg, evbuffer_pullup(in, -1), len);
 }
@@ -379,12 +423,31 @@
 		.verdict = conn->expired ? VERDICT_NOT_RUN : verdict,
 		.http_status = a->http_status,
 		.content_type = "",
+		.error = conn->scan.error,
 	};
 
 	conn_free_later(conn);
 	finish(a, &result);
 }
 
+/// Ends the calls whose response was found to be none.
+static void
+end_refused_calls(evutil_socket_t fd, short what, void *arg)
+{
+	struct httpc *c = arg;
+
+	(void)fd;
+	(void)what;
+	for (guint i = 0; i < c->refused->len; i++) {
+		const struct httpc_active *a = slotmap_get(
+		    c->calls, g_array_index(c->refused, handle_t, i));
+
+		if (a != NULL)
+			finish_failed(a->conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
+	}
+	g_array_set_size(c->refused, 0);
+}
+
 static void
 on_done(struct evhttp_request *req, void *arg)
 {
@@ -407,6 +470,10 @@
 		finish_failed(conn, STATUS_UNAVAILABLE, VERDICT_NOT_RUN);
 		return;
 	}
+	if (conn->scan.state == RESPSCAN_INVALID) {
+		finish_failed(conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
+		return;
+	}
 	in = evhttp_request_get_input_buffer(req);
 	type = evhttp_find_header(
 	    evhttp_request_get_input_headers(req), "Content-Type");
@@ -499,6 +566,20 @@
 	(void)evbuffer_add_cb(bufferevent_get_output(bev), on_output, a->conn);
 }
 
+/// Lets the response to the call that a connection is about to send be checked.
+static void
+check_response(struct httpc_conn *conn)
+{
+	struct bufferevent *bev =
+	    evhttp_connection_get_bufferevent(conn->evcon);
+
+	respscan_begin(&conn->scan);
+	if (bev == NULL || conn->checks_input)
+		return;
+	conn->checks_input = true;
+	(void)evbuffer_add_cb(bufferevent_get_input(bev), on_input, conn);
+}
+
 /// Creates a client on an event loop, to be released with httpc_free().
 struct httpc *
 httpc_new(struct event_base *base)
@@ -510,6 +591,8 @@
 	c->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->dead_conns = g_ptr_array_new();
 	c->free_dead_event = event_new(base, -1, 0, free_dead_conns, c);
+	c->refused = g_array_new(FALSE, FALSE, sizeof(handle_t));
+	c->end_refused_event = event_new(base, -1, 0, end_refused_calls, c);
 	return c;
 }
 
@@ -538,6 +621,8 @@
 	g_hash_table_destroy(c->idle);
 	g_ptr_array_free(c->dead_conns, TRUE);
 	event_free(c->free_dead_event);
+	(void)g_array_free(c->refused, TRUE);
+	event_free(c->end_refused_event);
 	slotmap_free(c->calls);
 	g_free(c);
 }
@@ -570,6 +655,7 @@
 	    call->max_body != 0 ? call->max_body : HTTPC_MAX_BODY_BYTES;
 	evhttp_connection_set_max_body_size(
 	    conn->evcon, (ev_ssize_t)a->max_body);
+	check_response(conn);
 	req = evhttp_request_new(on_done, conn);
 	evhttp_request_set_header_cb(req, on_headers);
 	if (call->on_data != NULL)
--- a/src/back/httpc.h
+++ b/src/back/httpc.h
@@ -29,8 +29,11 @@
 /// request can have reached the server, VERDICT_RAN when a complete response
 /// arrived.
 struct httpc_result {
-	enum status status; ///< OK, TIMEOUT, IO (connection lost or response
-			    ///< too large), UNAVAILABLE (could not connect)
+	enum status status; ///< OK, TIMEOUT, IO (connection lost, or the
+			    ///< response is none or too large), UNAVAILABLE
+			    ///< (could not connect)
+	const char *error;  ///< what is wrong with the response, a static
+			    ///< string; NULL: nothing, or not known
 	enum verdict verdict;
 	int http_status;          ///< 0 when no response head arrived
 	const char *content_type; ///< "" when none; valid in on_end only
--- /dev/null
+++ b/src/back/respscan.h
@@ -0,0 +1,31 @@
+#ifndef BACK_RESPSCAN_H
+#define BACK_RESPSCAN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/// Checks the head of an HTTP/1.1 response while its bytes arrive. The HTTP
+/// library that parses the same bytes accepts what no proxy may forward: a
+/// status of any length, control characters, two lengths.
+
+#define RESPSCAN_LINE_BYTES 256
+
+enum respscan_state {
+	RESPSCAN_STATUS_LINE,
+	RESPSCAN_FIELDS,
+	RESPSCAN_BODY,
+	RESPSCAN_INVALID,
+};
+
+struct respscan {
+	enum respscan_state state;
+	const char *error; ///< why it is invalid, a static string; NULL: valid
+	char line[RESPSCAN_LINE_BYTES]; ///< start of the current line
+	size_t line_len;                ///< in bytes, also beyond `line`
+};
+
+void respscan_begin(struct respscan *s);
+void respscan_feed(struct respscan *s, const uint8_t *bytes, size_t len);
+
+#endif
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -431,6 +431,14 @@
 	forward_response(q, body, len);
 }
 
+static const char *
+failure_reason(const struct httpc_result *result)
+{
+	if (result->verdict == VERDICT_NOT_RUN)
+		return "no connection";
+	return result->error != NULL ? result->error : "the answer broke off";
+}
+
 static void
 on_end(void *arg, const struct httpc_result *result)
 {
@@ -446,9 +454,8 @@
 	}
 	if (result->verdict != VERDICT_NOT_RUN)
 		gateway_crashes_on_lost(q);
-	attempt_failed(q, BALANCER_FAILED, result->verdict,
-	    result->verdict == VERDICT_NOT_RUN ? "no connection"
-					       : "the answer broke off");
+	attempt_failed(
+	    q, BALANCER_FAILED, result->verdict, failure_reason(result));
 }
 
 /// Asks the server to fetch the KV cache of the shared prompt from the
--- a/test/script/faulty_server.sh
+++ b/test/script/faulty_server.sh
@@ -85,3 +85,13 @@
 		sleep 0.1
 	done
 done
+
+echo "== a response whose status is none"
+for none in 2000 99 600 -1; do
+	for path in plain booking stream; do
+		responds "\"HTTP/1.1 $none OK\r\nX-Acaciahinge-Request-Id: \$ID\r\nX-Acaciahinge-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno\""
+		ask /$path/a
+		responds "$ok"
+		sleep 0.1
+	done
+done
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -363,3 +363,37 @@
 		EXPECT_EQ(p.verdict, VERDICT_MAY_HAVE_RUN) << c.text;
 	}
 }
+
+/// A head that no HTTP/1.1 response can have was passed on as a response, with
+/// a status that the server didn't send.
+TEST(Client, HeadThatIsNoneEndsTheCall)
+{
+	const char *heads[] = { "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 99 Low\r\n",
+		"HTTP/1.1 600 High\r\n", "HTTP/1.1 -1 Low\r\n",
+		"HTTP/1.1 20 OK\r\n", "HTTP/1.1 2x0 OK\r\n",
+		"HTTP/1.1 200OK\r\n", "HTTP/2.0 200 OK\r\n",
+		"HTTP/1.1  200 OK\r\n", "ICY 200 OK\r\n",
+		"HTTP/1.1 200 OK\r\nA b: c\r\n", "HTTP/1.1 200 OK\r\n: c\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\n folded: c\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\x01\r\n" };
+
+	for (const char *head : heads) {
+		for (const bool stream : { false, true }) {
+			Peer p;
+
+			p.get(stream, 0);
+			(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+			const int fd = accept(p.listener, nullptr, nullptr);
+			const std::string text =
+			    std::string(head) + "Content-Length: 2\r\n\r\nno";
+			(void)::send(
+			    fd, text.data(), text.size(), MSG_NOSIGNAL);
+			p.run();
+			EXPECT_EQ(p.n_ends, 1) << head;
+			EXPECT_EQ(p.status, STATUS_IO) << head;
+			EXPECT_EQ(p.verdict, VERDICT_MAY_HAVE_RUN) << head;
+			EXPECT_EQ(p.n_data, 0U) << head;
+			close(fd);
+		}
+	}
+}
