Interim responses are skipped, whatever their status

Callers saw: a server's 103 as the final response, and headers of a 100 among those of the response after it.

Cause: evhttp starts over after 100 only and keeps the headers; httpc reported any head. Ruled out: dropping the bytes before evhttp reads them (it may have read a part).

Change: for each 1xx the code is set to 100 and the headers are cleared when the head is complete, so evhttp reads on. 101 ends the call.

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -19,6 +19,7 @@
 
 #define HTTPC_MAX_BODY_BYTES (16UL * 1024 * 1024)
 #define HTTPC_MAX_HEADER_BYTES (64UL * 1024)
+#define HTTPC_STATUS_CONTINUE 100
 #define HTTPC_MAX_IDLE_PER_ADDRESS 64
 /// An idle connection is not reused from this time before the end that the
 /// server announced (Keep-Alive: timeout): it could be closed while the request
@@ -377,6 +378,15 @@
 	event_active(c->end_refused_event, EV_TIMEOUT, 0);
 }
 
+/// Lets evhttp read on after an interim response. It does so for 100 only, and
+/// would add the headers to those of the next response.
+static void
+skip_interim(struct evhttp_request *req)
+{
+	req->response_code = HTTPC_STATUS_CONTINUE;
+	evhttp_clear_headers(evhttp_request_get_input_headers(req));
+}
+
 /// Called when all headers of a response have been read.
 static int
 on_headers(struct evhttp_request *req, void *arg)
@@ -386,6 +396,10 @@
 
 	if (a == NULL || conn->scan.state == RESPSCAN_INVALID)
 		return -1;
+	if (respscan_is_interim(evhttp_request_get_response_code(req))) {
+		skip_interim(req);
+		return 0;
+	}
 	a->http_status = evhttp_request_get_response_code(req);
 	a->response = req;
 	if (a->on_head != NULL)
--- a/src/back/respscan.c
+++ b/src/back/respscan.c
@@ -1,11 +1,15 @@
 #include "back/respscan.h"
 
 #include <ctype.h>
+#include <stdlib.h>
 #include <string.h>
 
 /// Characters of a field's name besides letters and digits (RFC 9110, 5.6.2).
 static const char name_punctuation[] = "!#$%&'*+-.^_`|~";
 
+/// We ask for no other protocol.
+#define STATUS_SWITCHING_PROTOCOLS 101
+
 static void
 fail(struct respscan *s, const char *why)
 {
@@ -46,20 +50,39 @@
 	return at > line && *at == ':';
 }
 
+static void
+take_status_line(struct respscan *s)
+{
+	if (!is_status_line(s->line)) {
+		fail(s, "the status line isn't one");
+		return;
+	}
+	s->status = atoi(strchr(s->line, ' '));
+	if (s->status == STATUS_SWITCHING_PROTOCOLS)
+		fail(s, "the server switches protocols");
+	else
+		s->state = RESPSCAN_FIELDS;
+}
+
+/// The empty line after a head has come.
+static void
+end_head(struct respscan *s)
+{
+	s->state = respscan_is_interim(s->status) ? RESPSCAN_STATUS_LINE
+						  : RESPSCAN_BODY;
+}
+
 /// Handles a complete line.
 static void
 take_line(struct respscan *s)
 {
 	switch (s->state) {
 	case RESPSCAN_STATUS_LINE:
-		if (!is_status_line(s->line))
-			fail(s, "the status line isn't one");
-		else
-			s->state = RESPSCAN_FIELDS;
+		take_status_line(s);
 		break;
 	case RESPSCAN_FIELDS:
 		if (s->line[0] == '\0')
-			s->state = RESPSCAN_BODY;
+			end_head(s);
 		else if (!is_field_line(s->line))
 			fail(s, "a header line has no name");
 		break;
--- a/src/back/respscan.h
+++ b/src/back/respscan.h
@@ -23,8 +23,17 @@
 	const char *error; ///< why it is invalid, a static string; NULL: valid
 	char line[RESPSCAN_LINE_BYTES]; ///< start of the current line
 	size_t line_len;                ///< in bytes, also beyond `line`
+	int status; ///< of the head whose status line came last
 };
 
+/// Whether a status is that of an interim response, which another one follows
+/// (RFC 9110, 15.2).
+static inline bool
+respscan_is_interim(int status)
+{
+	return status >= 100 && status < 200;
+}
+
 void respscan_begin(struct respscan *s);
 void respscan_feed(struct respscan *s, const uint8_t *bytes, size_t len);
 
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -58,6 +58,8 @@
 	}
 
 	std::string body;    ///< of the last response
+	std::string header;  ///< of the last response: "A"
+	int http_status = 0; ///< of the last response
 	uint64_t n_data = 0; ///< bytes given to on_data
 	bool discard = false;
 
@@ -82,6 +84,10 @@
 			p->n_ends++;
 			p->status = result->status;
 			p->verdict = result->verdict;
+			p->http_status = result->http_status;
+			const char *a =
+			    httpc_response_header(p->client, p->handle, "A");
+			p->header = a != nullptr ? a : "";
 			p->body.assign(
 			    reinterpret_cast<const char *>(result->body),
 			    result->len);
@@ -397,3 +403,33 @@
 		}
 	}
 }
+
+/// An interim response was taken for the response (103), and its headers for
+/// those of the response (100).
+TEST(Client, InterimResponsesAreSkipped)
+{
+	const std::string text =
+	    "HTTP/1.1 103 Early Hints\r\nA: hint\r\nContent-Length: 9\r\n"
+	    "\r\nHTTP/1.1 100 Continue\r\nA: go\r\n\r\n"
+	    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes";
+
+	for (const size_t step : { text.size(), size_t{ 7 } }) {
+		Peer p;
+
+		p.get(false, 0);
+		(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+		const int fd = accept(p.listener, nullptr, nullptr);
+		for (size_t at = 0; at < text.size(); at += step) {
+			(void)::send(fd, text.data() + at,
+			    std::min(step, text.size() - at), MSG_NOSIGNAL);
+			(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+		}
+		p.run();
+		EXPECT_EQ(p.n_ends, 1);
+		EXPECT_EQ(p.status, STATUS_OK);
+		EXPECT_EQ(p.http_status, 200);
+		EXPECT_EQ(p.body, "yes");
+		EXPECT_EQ(p.header, "");
+		close(fd);
+	}
+}
--- a/test/unit/back/test_respscan.cc
+++ b/test/unit/back/test_respscan.cc
@@ -48,6 +48,18 @@
 	EXPECT_EQ(scan(start + value + "\x02\r\n\r\n"), RESPSCAN_INVALID);
 }
 
+TEST(RespScan, AnotherHeadFollowsAnInterimResponse)
+{
+	const std::string hints = "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n";
+
+	EXPECT_EQ(scan(hints), RESPSCAN_STATUS_LINE);
+	EXPECT_EQ(
+	    scan(hints + hints + "HTTP/1.1 200 OK\r\n\r\n"), RESPSCAN_BODY);
+	EXPECT_EQ(scan(hints + "body"), RESPSCAN_STATUS_LINE);
+	EXPECT_EQ(scan(hints + "body\n"), RESPSCAN_INVALID);
+	EXPECT_EQ(scan("HTTP/1.1 101 Switch\r\n"), RESPSCAN_INVALID);
+}
+
 TEST(RespScan, HeadsThatAreNone)
 {
 	for (const char *head : { "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 099 OK\r\n",
