A response with two framings ends the call

Callers saw: of two lengths the first one counted, so a part of a body came as the whole; a length beside chunks and unknown transfer encodings were ignored.

Cause: evhttp takes the first Content-Length; httpc checked none.

Change: respscan derives the framing (RFC 9112, 6.3) and follows the body to its end; a call succeeds only if scanner and evhttp agree that the response is complete.

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -140,7 +140,7 @@
 	return q;
 }
 
-/// Whether unread bytes follow a complete response. They belong to no request,
+/// Whether bytes have followed a complete response. They belong to no request,
 /// so the connection can't be reused.
 static bool
 has_stray_bytes(const struct httpc_conn *conn)
@@ -148,8 +148,9 @@
 	struct bufferevent *bev =
 	    evhttp_connection_get_bufferevent(conn->evcon);
 
-	return bev != NULL &&
-	    evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+	return conn->scan.is_surplus ||
+	    (bev != NULL &&
+		evbuffer_get_length(bufferevent_get_input(bev)) > 0);
 }
 
 /// Reads how long the server keeps the idle connection: `Keep-Alive:
@@ -484,7 +485,7 @@
 		finish_failed(conn, STATUS_UNAVAILABLE, VERDICT_NOT_RUN);
 		return;
 	}
-	if (conn->scan.state == RESPSCAN_INVALID) {
+	if (!respscan_may_end(&conn->scan)) {
 		finish_failed(conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
 		return;
 	}
@@ -582,12 +583,12 @@
 
 /// Lets the response to the call that a connection is about to send be checked.
 static void
-check_response(struct httpc_conn *conn)
+check_response(struct httpc_conn *conn, const struct httpc_request *call)
 {
 	struct bufferevent *bev =
 	    evhttp_connection_get_bufferevent(conn->evcon);
 
-	respscan_begin(&conn->scan);
+	respscan_begin(&conn->scan, strcmp(call->method, "HEAD") == 0);
 	if (bev == NULL || conn->checks_input)
 		return;
 	conn->checks_input = true;
@@ -669,7 +670,7 @@
 	    call->max_body != 0 ? call->max_body : HTTPC_MAX_BODY_BYTES;
 	evhttp_connection_set_max_body_size(
 	    conn->evcon, (ev_ssize_t)a->max_body);
-	check_response(conn);
+	check_response(conn, call);
 	req = evhttp_request_new(on_done, conn);
 	evhttp_request_set_header_cb(req, on_headers);
 	if (call->on_data != NULL)
--- a/src/back/respscan.c
+++ b/src/back/respscan.c
@@ -3,12 +3,20 @@
 #include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 /// Characters of a field's name besides letters and digits (RFC 9110, 5.6.2).
 static const char name_punctuation[] = "!#$%&'*+-.^_`|~";
 
 /// We ask for no other protocol.
 #define STATUS_SWITCHING_PROTOCOLS 101
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+/// Digits of a length that a uint64_t holds.
+#define MAX_DECIMAL_DIGITS 18
+#define MAX_HEX_DIGITS 15
+#define HEX_BASE 16
+#define DECIMAL_BASE 10
 
 static void
 fail(struct respscan *s, const char *why)
@@ -18,10 +26,15 @@
 }
 
 /// Prepares for the response to a new request.
+///
+/// @param head_only  the request's method is HEAD
 void
-respscan_begin(struct respscan *s)
+respscan_begin(struct respscan *s, bool head_only)
 {
-	*s = (struct respscan){ .state = RESPSCAN_STATUS_LINE };
+	*s = (struct respscan){
+		.state = RESPSCAN_STATUS_LINE,
+		.head_only = head_only,
+	};
 }
 
 /// Whether a line is "HTTP/1.x NNN" or "HTTP/1.x NNN REASON", with a status
@@ -38,16 +51,79 @@
 	    isdigit((unsigned char)at[4]) && (at[5] == '\0' || at[5] == ' ');
 }
 
-/// Whether a line begins with a field's name and a colon.
-static bool
-is_field_line(const char *line)
+/// Length of the field name that a line begins with.
+///
+/// @return 0 when no name and colon come first
+static size_t
+name_length(const char *line)
 {
 	const char *at = line;
 
 	while (isalnum((unsigned char)*at) ||
 	    (*at != '\0' && strchr(name_punctuation, *at) != NULL))
 		at++;
-	return at > line && *at == ':';
+	return *at == ':' ? (size_t)(at - line) : 0;
+}
+
+/// Value of a field line with this name, without the spaces around it.
+///
+/// @return NULL when it is another field
+static char *
+field_value(char *line, size_t name_len, const char *name)
+{
+	char *value = line + name_len + 1;
+	size_t len;
+
+	if (strlen(name) != name_len || strncasecmp(line, name, name_len) != 0)
+		return NULL;
+	value += strspn(value, " \t");
+	len = strlen(value);
+	while (len > 0 && (value[len - 1] == ' ' || value[len - 1] == '\t'))
+		value[--len] = '\0';
+	return value;
+}
+
+static void
+take_length(struct respscan *s, const char *value)
+{
+	const size_t digits = strspn(value, "0123456789");
+	uint64_t length;
+
+	if (digits == 0 || digits > MAX_DECIMAL_DIGITS ||
+	    value[digits] != '\0') {
+		fail(s, "the length isn't a number");
+		return;
+	}
+	length = strtoull(value, NULL, DECIMAL_BASE);
+	if (s->has_length && length != s->left) {
+		fail(s, "two lengths that differ");
+		return;
+	}
+	s->has_length = true;
+	s->left = length;
+}
+
+static void
+take_field(struct respscan *s)
+{
+	const size_t name_len = name_length(s->line);
+	const char *value;
+
+	if (name_len == 0) {
+		fail(s, "a header line has no name");
+		return;
+	}
+	value = field_value(s->line, name_len, "Content-Length");
+	if (value != NULL) {
+		take_length(s, value);
+		return;
+	}
+	value = field_value(s->line, name_len, "Transfer-Encoding");
+	if (value == NULL)
+		return;
+	if (s->is_chunked || strcasecmp(value, "chunked") != 0)
+		fail(s, "a transfer encoding other than chunked");
+	s->is_chunked = true;
 }
 
 static void
@@ -58,18 +134,53 @@
 		return;
 	}
 	s->status = atoi(strchr(s->line, ' '));
+	s->has_length = false;
+	s->is_chunked = false;
 	if (s->status == STATUS_SWITCHING_PROTOCOLS)
 		fail(s, "the server switches protocols");
 	else
 		s->state = RESPSCAN_FIELDS;
 }
 
-/// The empty line after a head has come.
+static bool
+has_no_body(const struct respscan *s)
+{
+	return s->head_only || s->status == STATUS_NO_CONTENT ||
+	    s->status == STATUS_NOT_MODIFIED;
+}
+
+/// The empty line after a head has come: decides how the body is framed (RFC
+/// 9112, 6.3).
 static void
 end_head(struct respscan *s)
 {
-	s->state = respscan_is_interim(s->status) ? RESPSCAN_STATUS_LINE
-						  : RESPSCAN_BODY;
+	if (respscan_is_interim(s->status))
+		s->state = RESPSCAN_STATUS_LINE;
+	else if (s->has_length && s->is_chunked)
+		fail(s, "a length beside chunks");
+	else if (has_no_body(s))
+		s->state = RESPSCAN_COMPLETE;
+	else if (s->is_chunked)
+		s->state = RESPSCAN_CHUNK_SIZE;
+	else if (!s->has_length)
+		s->state = RESPSCAN_UNTIL_CLOSE;
+	else
+		s->state = s->left > 0 ? RESPSCAN_LENGTH : RESPSCAN_COMPLETE;
+}
+
+static void
+take_chunk_size(struct respscan *s)
+{
+	const size_t digits = strspn(s->line, "0123456789abcdefABCDEF");
+	const char *rest = s->line + digits + strspn(s->line + digits, " \t");
+
+	if (digits == 0 || digits > MAX_HEX_DIGITS ||
+	    (*rest != '\0' && *rest != ';')) {
+		fail(s, "a chunk's size isn't a number");
+		return;
+	}
+	s->left = strtoull(s->line, NULL, HEX_BASE);
+	s->state = s->left > 0 ? RESPSCAN_CHUNK : RESPSCAN_TRAILERS;
 }
 
 /// Handles a complete line.
@@ -83,10 +194,28 @@
 	case RESPSCAN_FIELDS:
 		if (s->line[0] == '\0')
 			end_head(s);
-		else if (!is_field_line(s->line))
-			fail(s, "a header line has no name");
+		else
+			take_field(s);
+		break;
+	case RESPSCAN_CHUNK_SIZE:
+		take_chunk_size(s);
+		break;
+	case RESPSCAN_CHUNK_END:
+		if (s->line[0] != '\0')
+			fail(s, "a chunk is longer than its size");
+		else
+			s->state = RESPSCAN_CHUNK_SIZE;
+		break;
+	case RESPSCAN_TRAILERS:
+		if (s->line[0] == '\0')
+			s->state = RESPSCAN_COMPLETE;
+		else if (name_length(s->line) == 0)
+			fail(s, "a trailer line has no name");
 		break;
-	case RESPSCAN_BODY:
+	case RESPSCAN_LENGTH:
+	case RESPSCAN_CHUNK:
+	case RESPSCAN_UNTIL_CLOSE:
+	case RESPSCAN_COMPLETE:
 	case RESPSCAN_INVALID:
 		break;
 	}
@@ -109,13 +238,13 @@
 			s->line[n] = '\0';
 			if (n > 0 && s->line[n - 1] == '\r')
 				s->line[n - 1] = '\0';
-			take_line(s);
 			s->line_len = 0;
+			take_line(s);
 			return i + 1;
 		}
 		if ((c >= 0 && c < ' ' && c != '\t' && c != '\r') ||
 		    c == '\x7f') {
-			fail(s, "a control character in the head");
+			fail(s, "a control character between its data");
 			return len;
 		}
 		if (s->line_len < sizeof(s->line) - 1)
@@ -125,15 +254,57 @@
 	return len;
 }
 
-/// Takes the next bytes of the response; those after its head are ignored.
+/// Skips bytes of a body or chunk of known length.
+///
+/// @return number of bytes taken
+static size_t
+feed_data(struct respscan *s, size_t len)
+{
+	const size_t n = len < s->left ? len : (size_t)s->left;
+
+	s->left -= n;
+	if (s->left == 0)
+		s->state = s->state == RESPSCAN_CHUNK ? RESPSCAN_CHUNK_END
+						      : RESPSCAN_COMPLETE;
+	return n;
+}
+
+/// Takes the next bytes of the response.
 void
 respscan_feed(struct respscan *s, const uint8_t *bytes, size_t len)
 {
-	while (len > 0 &&
-	    (s->state == RESPSCAN_STATUS_LINE || s->state == RESPSCAN_FIELDS)) {
-		const size_t used = feed_line(s, bytes, len);
+	while (len > 0) {
+		size_t used = len;
 
+		switch (s->state) {
+		case RESPSCAN_STATUS_LINE:
+		case RESPSCAN_FIELDS:
+		case RESPSCAN_CHUNK_SIZE:
+		case RESPSCAN_CHUNK_END:
+		case RESPSCAN_TRAILERS:
+			used = feed_line(s, bytes, len);
+			break;
+		case RESPSCAN_LENGTH:
+		case RESPSCAN_CHUNK:
+			used = feed_data(s, len);
+			break;
+		case RESPSCAN_COMPLETE:
+			s->is_surplus = true;
+			break;
+		case RESPSCAN_UNTIL_CLOSE:
+		case RESPSCAN_INVALID:
+			break;
+		}
 		bytes += used;
 		len -= used;
 	}
 }
+
+/// Whether the response is complete, or becomes so by the end of the
+/// connection.
+bool
+respscan_may_end(const struct respscan *s)
+{
+	return s->state == RESPSCAN_COMPLETE ||
+	    s->state == RESPSCAN_UNTIL_CLOSE;
+}
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -433,3 +433,29 @@
 		close(fd);
 	}
 }
+
+/// Of two lengths the first one counted, and a length beside chunks was
+/// ignored: what the caller got depended on whom it asked.
+TEST(Client, AmbiguousFramingEndsTheCall)
+{
+	for (const char *fields :
+	    { "Content-Length: 2\r\nContent-Length: 3\r\n\r\nyes",
+		"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"1\r\ny\r\n0\r\n\r\n",
+		"Transfer-Encoding: gzip\r\n\r\nyes",
+		"Content-Length: 2x\r\n\r\nyes" }) {
+		Peer p;
+
+		p.get(false, 0);
+		(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+		const int fd = accept(p.listener, nullptr, nullptr);
+		const std::string text =
+		    std::string("HTTP/1.1 200 OK\r\n") + fields;
+		(void)::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+		p.run();
+		close(fd);
+		p.run();
+		EXPECT_EQ(p.n_ends, 1) << fields;
+		EXPECT_EQ(p.status, STATUS_IO) << fields;
+	}
+}
--- a/test/unit/back/test_respscan.cc
+++ b/test/unit/back/test_respscan.cc
@@ -18,9 +18,9 @@
 	struct respscan parts;
 	const auto *all = reinterpret_cast<const uint8_t *>(bytes.data());
 
-	respscan_begin(&whole);
+	respscan_begin(&whole, false);
 	respscan_feed(&whole, all, bytes.size());
-	respscan_begin(&parts);
+	respscan_begin(&parts, false);
 	for (size_t i = 0; i < bytes.size(); i++)
 		respscan_feed(&parts, all + i, 1);
 	EXPECT_EQ(whole.state, parts.state) << bytes;
@@ -35,7 +35,7 @@
 	for (const char *head : { "HTTP/1.1 200 OK\r\nA: b\r\nX-Y_z:\r\n\r\n",
 		 "HTTP/1.0 599\r\n\r\n", "HTTP/1.1 404 \nA:\tb c\n\n",
 		 "HTTP/1.1 200 \xc3\xa9\r\nA: \xff\r\n\r\n" })
-		EXPECT_EQ(scan(head), RESPSCAN_BODY) << head;
+		EXPECT_EQ(scan(head), RESPSCAN_UNTIL_CLOSE) << head;
 }
 
 /// A line longer than the scanner keeps is still checked to its end.
@@ -44,7 +44,7 @@
 	const std::string start = "HTTP/1.1 200 OK\r\nA: ";
 	const std::string value(3 * RESPSCAN_LINE_BYTES, 'v');
 
-	EXPECT_EQ(scan(start + value + "\r\n\r\n"), RESPSCAN_BODY);
+	EXPECT_EQ(scan(start + value + "\r\n\r\n"), RESPSCAN_UNTIL_CLOSE);
 	EXPECT_EQ(scan(start + value + "\x02\r\n\r\n"), RESPSCAN_INVALID);
 }
 
@@ -53,8 +53,8 @@
 	const std::string hints = "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n";
 
 	EXPECT_EQ(scan(hints), RESPSCAN_STATUS_LINE);
-	EXPECT_EQ(
-	    scan(hints + hints + "HTTP/1.1 200 OK\r\n\r\n"), RESPSCAN_BODY);
+	EXPECT_EQ(scan(hints + hints + "HTTP/1.1 200 OK\r\n\r\n"),
+	    RESPSCAN_UNTIL_CLOSE);
 	EXPECT_EQ(scan(hints + "body"), RESPSCAN_STATUS_LINE);
 	EXPECT_EQ(scan(hints + "body\n"), RESPSCAN_INVALID);
 	EXPECT_EQ(scan("HTTP/1.1 101 Switch\r\n"), RESPSCAN_INVALID);
@@ -69,3 +69,62 @@
 		 "HTTP/1.1 200 OK\r\nA : b\r\n" })
 		EXPECT_EQ(scan(head), RESPSCAN_INVALID) << head;
 }
+
+TEST(RespScan, BodiesOfEachFraming)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\n";
+	const std::string chunked = ok + "Transfer-Encoding:Chunked\r\n\r\n";
+
+	EXPECT_EQ(scan(ok + "Content-Length: 3 \r\n\r\nye"), RESPSCAN_LENGTH);
+	EXPECT_EQ(scan(ok + "content-length:3\r\n\r\nyes"), RESPSCAN_COMPLETE);
+	EXPECT_EQ(scan(ok + "Content-Length: 0\r\n\r\n"), RESPSCAN_COMPLETE);
+	EXPECT_EQ(
+	    scan(ok + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nyes"),
+	    RESPSCAN_COMPLETE);
+	EXPECT_EQ(scan("HTTP/1.1 204 None\r\n\r\n"), RESPSCAN_COMPLETE);
+	EXPECT_EQ(scan(chunked + "3\r\nyes"), RESPSCAN_CHUNK_END);
+	EXPECT_EQ(scan(chunked + "3;a=b\r\nyes\r\nA\r\n"), RESPSCAN_CHUNK);
+	EXPECT_EQ(scan(chunked + "3\r\nyes\r\n0\r\n"), RESPSCAN_TRAILERS);
+	EXPECT_EQ(scan(chunked + "0\r\nA: b\r\n\r\n"), RESPSCAN_COMPLETE);
+}
+
+/// A response with two framings has more than one reading, and the next hop may
+/// choose another one.
+TEST(RespScan, AmbiguousFraming)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\n";
+	const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+
+	for (const char *fields :
+	    { "Content-Length: 3\r\nContent-Length: 4\r\n",
+		"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+		"Content-Length: -1\r\n", "Content-Length: 3, 3\r\n",
+		"Content-Length:\r\n", "Content-Length: 0x3\r\n",
+		"Content-Length: 99999999999999999999\r\n",
+		"Transfer-Encoding: gzip, chunked\r\n",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" })
+		EXPECT_EQ(scan(ok + fields + "\r\n"), RESPSCAN_INVALID)
+		    << fields;
+	for (const char *body : { "x\r\n", "\r\n", "-1\r\n", "3 3\r\n",
+		 "1\r\nyes\r\n", "0\r\nno name\r\n", "1234567890abcdef1\r\n" })
+		EXPECT_EQ(scan(chunked + body), RESPSCAN_INVALID) << body;
+}
+
+TEST(RespScan, BytesAfterTheResponseAreNoted)
+{
+	struct respscan s;
+	const std::string text =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny";
+	const auto *bytes = reinterpret_cast<const uint8_t *>(text.data());
+
+	respscan_begin(&s, false);
+	respscan_feed(&s, bytes, text.size());
+	EXPECT_FALSE(s.is_surplus);
+	EXPECT_TRUE(respscan_may_end(&s));
+	respscan_feed(&s, bytes, 1);
+	EXPECT_TRUE(s.is_surplus);
+	respscan_begin(&s, true);
+	respscan_feed(&s, bytes, text.size());
+	EXPECT_EQ(s.state, RESPSCAN_COMPLETE);
+	EXPECT_TRUE(s.is_surplus);
+}
