A body without a length ends with its connection, whatever Connection says

Callers saw: the status and an empty body, as a complete response, where a server sent neither length nor chunks and Connection: close, x or keep-alive.

Cause: evhttp takes such a response for one without a body.

Change: when respscan finds that the body ends with the connection, the Connection headers and what they name are removed before evhttp decides. They are hop-by-hop.

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -388,6 +388,28 @@
 	evhttp_clear_headers(evhttp_request_get_input_headers(req));
 }
 
+/// Removes the Connection headers of a response and the headers that they name.
+/// evhttp would take a response without a length for an empty one if its
+/// connection isn't said to close.
+static void
+remove_connection_headers(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	const char *value;
+
+	while ((value = evhttp_find_header(headers, "Connection")) != NULL) {
+		gchar **names = g_strsplit(value, ",", -1);
+
+		(void)evhttp_remove_header(headers, "Connection");
+		for (gchar **n = names; *n != NULL; n++) {
+			while (
+			    evhttp_remove_header(headers, g_strstrip(*n)) == 0)
+				;
+		}
+		g_strfreev(names);
+	}
+}
+
 /// Called when all headers of a response have been read.
 static int
 on_headers(struct evhttp_request *req, void *arg)
@@ -401,6 +423,8 @@
 		skip_interim(req);
 		return 0;
 	}
+	if (conn->scan.state == RESPSCAN_UNTIL_CLOSE)
+		remove_connection_headers(req);
 	a->http_status = evhttp_request_get_response_code(req);
 	a->response = req;
 	if (a->on_head != NULL)
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -459,3 +459,33 @@
 		EXPECT_EQ(p.status, STATUS_IO) << fields;
 	}
 }
+
+/// A body without a length or chunks ends with its connection, whatever the
+/// Connection header says; it was passed on as complete and empty.
+TEST(Client, BodyThatEndsWithItsConnection)
+{
+	for (const char *field :
+	    { "", "Connection: close\r\n", "Connection: close, x\r\nx: y\r\n",
+		"Connection: keep-alive\r\n",
+		"Connection: x\r\nConnection: close\r\n" }) {
+		Peer p;
+
+		p.get(false, 0);
+		(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+		const int fd = accept(p.listener, nullptr, nullptr);
+		const std::string text = std::string("HTTP/1.1 200 OK\r\n") +
+		    field + "A: b\r\n\r\nyes";
+		char request[512];
+		(void)::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+		p.run();
+		// Closing with unread bytes would reset the connection.
+		EXPECT_GT(read(fd, request, sizeof(request)), 0);
+		EXPECT_EQ(p.n_ends, 0) << field;
+		close(fd);
+		p.run();
+		EXPECT_EQ(p.n_ends, 1) << field;
+		EXPECT_EQ(p.status, STATUS_OK) << field;
+		EXPECT_EQ(p.body, "yes") << field;
+		EXPECT_EQ(p.header, "b") << field;
+	}
+}
