Test: trailers of a response are no headers

Looked at beside the framing of responses: a trailer could say that a request hasn't run, if the library added it to the headers. It doesn't; the test holds before and after, in one piece and in pieces of seven bytes.

--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -57,10 +57,12 @@
 		close(listener);
 	}
 
-	std::string body;    ///< of the last response
-	std::string header;  ///< of the last response: "A"
-	int http_status = 0; ///< of the last response
-	uint64_t n_data = 0; ///< bytes given to on_data
+	std::string body;   ///< of the last response
+	std::string header; ///< of the last response: "A"
+	std::string content_type;
+	size_t n_headers = 0; ///< of the last response
+	int http_status = 0;  ///< of the last response
+	uint64_t n_data = 0;  ///< bytes given to on_data
 	bool discard = false;
 
 	/// Gets what a server sends, as a whole or as it comes.
@@ -88,6 +90,14 @@
 			const char *a =
 			    httpc_response_header(p->client, p->handle, "A");
 			p->header = a != nullptr ? a : "";
+			p->content_type = result->content_type;
+			p->n_headers = 0;
+			httpc_foreach_response_header(
+			    p->client, p->handle,
+			    [](void *n, const char *, const char *) {
+				    ++*static_cast<size_t *>(n);
+			    },
+			    &p->n_headers);
 			p->body.assign(
 			    reinterpret_cast<const char *>(result->body),
 			    result->len);
@@ -489,3 +499,33 @@
 		EXPECT_EQ(p.header, "b") << field;
 	}
 }
+
+/// Fields after the last chunk are no headers of the response: one of them
+/// could say that the request hasn't run.
+TEST(Client, TrailersAreNoHeaders)
+{
+	const std::string text =
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nyes\r\n0\r\nA: late\r\nContent-Type: x/y\r\n\r\n";
+
+	for (const size_t step : { text.size(), size_t{ 7 } }) {
+		Peer p;
+
+		p.get(false, 0);
+		(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+		const int fd = accept(p.listener, nullptr, nullptr);
+		for (size_t at = 0; at < text.size(); at += step) {
+			(void)::send(fd, text.data() + at,
+			    std::min(step, text.size() - at), MSG_NOSIGNAL);
+			(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+		}
+		p.run();
+		EXPECT_EQ(p.n_ends, 1);
+		EXPECT_EQ(p.status, STATUS_OK);
+		EXPECT_EQ(p.body, "yes");
+		EXPECT_EQ(p.header, "");
+		EXPECT_EQ(p.content_type, "");
+		EXPECT_EQ(p.n_headers, 1U);
+		close(fd);
+	}
+}
