Heads, chunk lines and trailers of a response have a bound each

Callers would see: 504, while one request to a faulty server takes the gateway to 1,955 MB (interim responses without end); a chunk's size line without end takes 2 to 4 MB a request until its deadline.

Cause: the library's limit on headers is per head, so each interim response begins anew; while it waits to write, it doesn't read, and what comes waits in the connection's buffer. A chunk's line and trailers have no limit there at all.

Change: respscan counts what comes between data: all heads of a response together, a chunk's line, the trailers; and the body, as announced and as come. Over the limit the call ends at once, not at its deadline.

Measured: Client.EndlessPartsOfAResponseEndTheCall fails before the change (8 of its 12 calls aren't ended), and passes now.

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -18,7 +18,6 @@
 #include "back/respscan.h"
 
 #define HTTPC_MAX_BODY_BYTES (16UL * 1024 * 1024)
-#define HTTPC_MAX_HEADER_BYTES (64UL * 1024)
 #define HTTPC_STATUS_CONTINUE 100
 #define HTTPC_MAX_IDLE_PER_ADDRESS 64
 /// An idle connection is not reused from this time before the end that the
@@ -241,7 +240,7 @@
 		return NULL;
 	}
 	evhttp_connection_set_max_headers_size(
-	    conn->evcon, HTTPC_MAX_HEADER_BYTES);
+	    conn->evcon, RESPSCAN_MAX_HEAD_BYTES);
 	return conn;
 }
 
@@ -607,12 +606,14 @@
 
 /// Lets the response to the call that a connection is about to send be checked.
 static void
-check_response(struct httpc_conn *conn, const struct httpc_request *call)
+check_response(struct httpc_conn *conn, const struct httpc_request *call,
+    uint64_t max_body)
 {
 	struct bufferevent *bev =
 	    evhttp_connection_get_bufferevent(conn->evcon);
 
-	respscan_begin(&conn->scan, strcmp(call->method, "HEAD") == 0);
+	respscan_begin(
+	    &conn->scan, strcmp(call->method, "HEAD") == 0, max_body);
 	if (bev == NULL || conn->checks_input)
 		return;
 	conn->checks_input = true;
@@ -694,7 +695,7 @@
 	    call->max_body != 0 ? call->max_body : HTTPC_MAX_BODY_BYTES;
 	evhttp_connection_set_max_body_size(
 	    conn->evcon, (ev_ssize_t)a->max_body);
-	check_response(conn, call);
+	check_response(conn, call, a->max_body);
 	req = evhttp_request_new(on_done, conn);
 	evhttp_request_set_header_cb(req, on_headers);
 	if (call->on_data != NULL)
--- a/src/back/respscan.c
+++ b/src/back/respscan.c
@@ -28,15 +28,35 @@
 /// Prepares for the response to a new request.
 ///
 /// @param head_only  the request's method is HEAD
+/// @param max_body   bytes that the body may have
 void
-respscan_begin(struct respscan *s, bool head_only)
+respscan_begin(struct respscan *s, bool head_only, uint64_t max_body)
 {
 	*s = (struct respscan){
 		.state = RESPSCAN_STATUS_LINE,
 		.head_only = head_only,
+		.body_left = max_body,
+		.section_left = RESPSCAN_MAX_HEAD_BYTES,
 	};
 }
 
+/// Counts bytes of the body that have come or are announced.
+static void
+count_body(struct respscan *s, uint64_t n)
+{
+	if (n > s->body_left)
+		fail(s, "the body is too long");
+	else
+		s->body_left -= n;
+}
+
+static void
+begin_section(struct respscan *s, enum respscan_state state, size_t max_bytes)
+{
+	s->state = state;
+	s->section_left = max_bytes;
+}
+
 /// Whether a line is "HTTP/1.x NNN" or "HTTP/1.x NNN REASON", with a status
 /// from 100 to 599.
 static bool
@@ -161,11 +181,14 @@
 	else if (has_no_body(s))
 		s->state = RESPSCAN_COMPLETE;
 	else if (s->is_chunked)
-		s->state = RESPSCAN_CHUNK_SIZE;
+		begin_section(
+		    s, RESPSCAN_CHUNK_SIZE, RESPSCAN_MAX_CHUNK_LINE_BYTES);
 	else if (!s->has_length)
 		s->state = RESPSCAN_UNTIL_CLOSE;
-	else
+	else {
 		s->state = s->left > 0 ? RESPSCAN_LENGTH : RESPSCAN_COMPLETE;
+		count_body(s, s->left);
+	}
 }
 
 static void
@@ -180,7 +203,12 @@
 		return;
 	}
 	s->left = strtoull(s->line, NULL, HEX_BASE);
-	s->state = s->left > 0 ? RESPSCAN_CHUNK : RESPSCAN_TRAILERS;
+	if (s->left == 0) {
+		begin_section(s, RESPSCAN_TRAILERS, RESPSCAN_MAX_HEAD_BYTES);
+		return;
+	}
+	s->state = RESPSCAN_CHUNK;
+	count_body(s, s->left);
 }
 
 /// Handles a complete line.
@@ -204,7 +232,8 @@
 		if (s->line[0] != '\0')
 			fail(s, "a chunk is longer than its size");
 		else
-			s->state = RESPSCAN_CHUNK_SIZE;
+			begin_section(s, RESPSCAN_CHUNK_SIZE,
+			    RESPSCAN_MAX_CHUNK_LINE_BYTES);
 		break;
 	case RESPSCAN_TRAILERS:
 		if (s->line[0] == '\0')
@@ -230,6 +259,11 @@
 	for (size_t i = 0; i < len; i++) {
 		const char c = (char)bytes[i];
 
+		if (s->section_left == 0) {
+			fail(s, "a head or a chunk's line is too long");
+			return len;
+		}
+		s->section_left--;
 		if (c == '\n') {
 			const size_t n = s->line_len < sizeof(s->line)
 			    ? s->line_len
@@ -263,9 +297,13 @@
 	const size_t n = len < s->left ? len : (size_t)s->left;
 
 	s->left -= n;
-	if (s->left == 0)
-		s->state = s->state == RESPSCAN_CHUNK ? RESPSCAN_CHUNK_END
-						      : RESPSCAN_COMPLETE;
+	if (s->left > 0)
+		return n;
+	if (s->state == RESPSCAN_CHUNK)
+		begin_section(
+		    s, RESPSCAN_CHUNK_END, RESPSCAN_MAX_CHUNK_LINE_BYTES);
+	else
+		s->state = RESPSCAN_COMPLETE;
 	return n;
 }
 
@@ -292,6 +330,8 @@
 			s->is_surplus = true;
 			break;
 		case RESPSCAN_UNTIL_CLOSE:
+			count_body(s, len);
+			break;
 		case RESPSCAN_INVALID:
 			break;
 		}
--- a/src/back/respscan.h
+++ b/src/back/respscan.h
@@ -10,6 +10,9 @@
 /// any length, control characters, two lengths.
 
 #define RESPSCAN_LINE_BYTES 256
+/// All heads of a response, interim ones included; also its trailers.
+#define RESPSCAN_MAX_HEAD_BYTES (64U * 1024)
+#define RESPSCAN_MAX_CHUNK_LINE_BYTES 1024
 
 enum respscan_state {
 	RESPSCAN_STATUS_LINE,
@@ -33,8 +36,10 @@
 	bool head_only; ///< the response to a HEAD request
 	bool has_length;
 	bool is_chunked;
-	bool is_surplus; ///< bytes have followed a complete response
-	uint64_t left;   ///< of the body or chunk, in bytes
+	bool is_surplus;     ///< bytes have followed a complete response
+	uint64_t left;       ///< of the body or chunk, in bytes
+	uint64_t body_left;  ///< until the body is too long, in bytes
+	size_t section_left; ///< until the head, chunk line or trailers are
 };
 
 /// Whether a status is that of an interim response, which another one follows
@@ -45,7 +50,7 @@
 	return status >= 100 && status < 200;
 }
 
-void respscan_begin(struct respscan *s, bool head_only);
+void respscan_begin(struct respscan *s, bool head_only, uint64_t max_body);
 void respscan_feed(struct respscan *s, const uint8_t *bytes, size_t len);
 bool respscan_may_end(const struct respscan *s);
 
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -255,6 +255,38 @@
 	}
 }
 
+/// A server that sent interim responses without an end took a gateway to 2 GB
+/// with one request; one that never ends a chunk's line, to 2 MB a request.
+TEST(Client, EndlessPartsOfAResponseEndTheCall)
+{
+	const std::string chunked =
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+	const struct {
+		std::string head, bytes;
+	} cases[] = {
+		{ "", "HTTP/1.1 100 Continue\r\n\r\n" },
+		{ "", "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n" },
+		{ chunked, "0" },
+		{ chunked + "1;", "x" },
+		{ chunked + "0\r\n", "A: b\r\n" },
+		{ "HTTP/1.1 200 ", "x" },
+	};
+
+	for (const auto &c : cases) {
+		for (const bool stream : { false, true }) {
+			Peer p;
+
+			p.get(stream, 1 << 20);
+			// The kernel's buffers of both sides are part of it.
+			EXPECT_LT(p.flood(c.head, c.bytes), 12U << 20)
+			    << c.head << c.bytes;
+			EXPECT_EQ(p.n_ends, 1) << c.head << c.bytes;
+			EXPECT_EQ(p.status, STATUS_IO) << c.head << c.bytes;
+			EXPECT_TRUE(p.closed) << c.head << c.bytes;
+		}
+	}
+}
+
 TEST(Client, BytesThatAreNoResponseEndTheCall)
 {
 	Peer p;
--- a/test/unit/back/test_respscan.cc
+++ b/test/unit/back/test_respscan.cc
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr uint64_t MAX_BODY = 1000;
+
 /// State of the scanner after these bytes, given at once and one at a time.
 enum respscan_state
 scan(const std::string &bytes)
@@ -18,9 +20,9 @@
 	struct respscan parts;
 	const auto *all = reinterpret_cast<const uint8_t *>(bytes.data());
 
-	respscan_begin(&whole, false);
+	respscan_begin(&whole, false, MAX_BODY);
 	respscan_feed(&whole, all, bytes.size());
-	respscan_begin(&parts, false);
+	respscan_begin(&parts, false, MAX_BODY);
 	for (size_t i = 0; i < bytes.size(); i++)
 		respscan_feed(&parts, all + i, 1);
 	EXPECT_EQ(whole.state, parts.state) << bytes;
@@ -117,14 +119,58 @@
 	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny";
 	const auto *bytes = reinterpret_cast<const uint8_t *>(text.data());
 
-	respscan_begin(&s, false);
+	respscan_begin(&s, false, 1);
 	respscan_feed(&s, bytes, text.size());
 	EXPECT_FALSE(s.is_surplus);
 	EXPECT_TRUE(respscan_may_end(&s));
 	respscan_feed(&s, bytes, 1);
 	EXPECT_TRUE(s.is_surplus);
-	respscan_begin(&s, true);
+	respscan_begin(&s, true, 1);
 	respscan_feed(&s, bytes, text.size());
 	EXPECT_EQ(s.state, RESPSCAN_COMPLETE);
 	EXPECT_TRUE(s.is_surplus);
 }
+
+/// What a server sends without an end is refused after a bounded number of
+/// bytes, also where each of its parts is short.
+TEST(RespScan, EndlessPartsAreRefused)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\n";
+	const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+	const struct {
+		std::string start, again;
+		size_t bound;
+	} cases[] = {
+		{ "", "HTTP/1.1 100 Continue\r\n\r\n",
+		    RESPSCAN_MAX_HEAD_BYTES },
+		{ "HTTP/1.1 200 ", "x", RESPSCAN_MAX_HEAD_BYTES },
+		{ ok, "A: b\r\n", RESPSCAN_MAX_HEAD_BYTES },
+		{ ok + "A: ", "x", RESPSCAN_MAX_HEAD_BYTES },
+		{ ok + "\r\n", "x", MAX_BODY },
+		{ chunked, "0", RESPSCAN_MAX_CHUNK_LINE_BYTES },
+		{ chunked + "1;", "x", RESPSCAN_MAX_CHUNK_LINE_BYTES },
+		{ chunked + "1\r\nx", " ", RESPSCAN_MAX_CHUNK_LINE_BYTES },
+		{ chunked, "4\r\nbody\r\n", 3 * MAX_BODY },
+		{ chunked + "0\r\n", "A: b\r\n", RESPSCAN_MAX_HEAD_BYTES },
+	};
+
+	for (const auto &c : cases) {
+		struct respscan s;
+		size_t sent = 0;
+
+		respscan_begin(&s, false, MAX_BODY);
+		for (const std::string *part = &c.start;
+		     s.state != RESPSCAN_INVALID && sent < 1 << 20;
+		     part = &c.again) {
+			respscan_feed(&s,
+			    reinterpret_cast<const uint8_t *>(part->data()),
+			    part->size());
+			sent += part->size();
+		}
+		EXPECT_LE(sent, c.start.size() + c.bound + c.again.size())
+		    << c.start << c.again;
+	}
+	EXPECT_EQ(scan(ok + "Content-Length: 1001\r\n\r\n"), RESPSCAN_INVALID);
+	EXPECT_EQ(scan(chunked + "3e9\r\n"), RESPSCAN_INVALID);
+	EXPECT_EQ(scan(chunked + "3e8\r\n"), RESPSCAN_CHUNK);
+}
