The HTTP client in three files: connections, input, calls

Moved and renamed; the one change of shape is that the reuse limit is read where a connection returns to the pool. unit_back passes as before.

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -1,73 +1,18 @@
-#include "back/httpc.h"
+#include "back/httpc_internal.h"
 
-#include <arpa/inet.h>
 #include <assert.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/bufferevent_ssl.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <glib.h>
-#include <openssl/ssl.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
 
-#include "back/respscan.h"
-
 #define HTTPC_MAX_BODY_BYTES (16UL * 1024 * 1024)
 #define HTTPC_STATUS_CONTINUE 100
-#define HTTPC_MAX_IDLE_PER_ADDRESS 64
-/// An idle connection is not reused from this time before the end that the
-/// server announced (Keep-Alive: timeout): it could be closed while the request
-/// is in flight.
-#define HTTPC_IDLE_MARGIN_US 700000
-
-/// One connection; it carries one call at a time.
-struct httpc_conn {
-	struct httpc *client;
-	struct evhttp_connection *evcon;
-	char *key;               ///< "HOST:PORT", key of its idle queue
-	handle_t call;           ///< HANDLE_NONE while idle
-	bool single_use;         ///< closed after its call
-	bool dead;               ///< waits to be freed by free_dead_conns()
-	bool checks_output;      ///< on_output() is set
-	bool expired;            ///< its call expired before it was sent
-	bool checks_input;       ///< on_input() is set
-	struct respscan scan;    ///< of the response to its call
-	int64_t unused_after_us; ///< not reused after (monotonic); 0: no limit
-};
-
-/// One call in flight.
-struct httpc_active {
-	struct httpc_conn *conn;
-	struct evhttp_request *response; ///< set while a callback runs
-	struct event *timeout;
-	struct event *connect_timeout;
-	httpc_head_cb on_head;
-	httpc_data_cb on_data;
-	httpc_end_cb on_end;
-	void *arg;
-	uint64_t expires_us; ///< no byte leaves after this; 0: no limit
-	int http_status;
-	size_t max_body;
-	size_t seen;
-	handle_t handle;
-	struct httpc *client;
-};
-
-struct httpc {
-	struct event_base *base;
-	struct slotmap *calls;
-	GHashTable *idle; ///< address -> GQueue of struct httpc_conn
-	GPtrArray *dead_conns;
-	struct event *free_dead_event;
-	GArray *refused; ///< handles of calls that end_refused_calls() ends
-	struct event *end_refused_event;
-	uint64_t n_opened;
-};
 
 /// Time on the clock that also counts suspended time.
 static uint64_t
@@ -79,177 +24,6 @@
 	return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
 }
 
-/// Makes the kernel drop what it hasn't sent when the connection is closed.
-static void
-reset_on_close(const struct httpc_conn *conn)
-{
-	const struct linger now = { .l_onoff = 1 };
-	struct bufferevent *bev =
-	    evhttp_connection_get_bufferevent(conn->evcon);
-
-	if (bev != NULL && bufferevent_getfd(bev) >= 0)
-		(void)setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER,
-		    &now, sizeof(now));
-}
-
-static void
-conn_free(struct httpc_conn *conn)
-{
-	if (conn->evcon != NULL)
-		evhttp_connection_free(conn->evcon);
-	g_free(conn->key);
-	g_free(conn);
-}
-
-static void
-free_dead_conns(evutil_socket_t fd, short what, void *arg)
-{
-	struct httpc *c = arg;
-
-	(void)fd;
-	(void)what;
-	for (guint i = 0; i < c->dead_conns->len; i++)
-		conn_free(g_ptr_array_index(c->dead_conns, i));
-	g_ptr_array_set_size(c->dead_conns, 0);
-}
-
-/// Schedules a connection to be freed on the next iteration of the loop, since
-/// evhttp may still use it in the callback that is running.
-static void
-conn_free_later(struct httpc_conn *conn)
-{
-	if (conn->dead)
-		return;
-	conn->dead = true;
-	conn->call = HANDLE_NONE;
-	g_ptr_array_add(conn->client->dead_conns, conn);
-	event_active(conn->client->free_dead_event, EV_TIMEOUT, 0);
-}
-
-/// Idle connections of a key; creates an empty queue when there is none.
-static GQueue *
-idle_queue(struct httpc *c, const char *key)
-{
-	GQueue *q = g_hash_table_lookup(c->idle, key);
-
-	if (q == NULL) {
-		q = g_queue_new();
-		g_hash_table_insert(c->idle, g_strdup(key), q);
-	}
-	return q;
-}
-
-/// Whether bytes have followed a complete response. They belong to no request,
-/// so the connection can't be reused.
-static bool
-has_stray_bytes(const struct httpc_conn *conn)
-{
-	struct bufferevent *bev =
-	    evhttp_connection_get_bufferevent(conn->evcon);
-
-	return conn->scan.is_surplus ||
-	    (bev != NULL &&
-		evbuffer_get_length(bufferevent_get_input(bev)) > 0);
-}
-
-/// Reads how long the server keeps the idle connection: `Keep-Alive:
-/// timeout=S`.
-static void
-set_reuse_limit(struct httpc_conn *conn, struct evhttp_request *req)
-{
-	const char *value = evhttp_find_header(
-	    evhttp_request_get_input_headers(req), "Keep-Alive");
-	const char *at = value == NULL ? NULL : strstr(value, "timeout=");
-
-	conn->unused_after_us = 0;
-	if (at == NULL)
-		return;
-	conn->unused_after_us = g_get_monotonic_time() - HTTPC_IDLE_MARGIN_US +
-	    (int64_t)g_ascii_strtoull(at + strlen("timeout="), NULL, 10) *
-		G_USEC_PER_SEC;
-}
-
-static void
-conn_release(struct httpc_conn *conn)
-{
-	GQueue *q = idle_queue(conn->client, conn->key);
-
-	conn->call = HANDLE_NONE;
-	if (conn->single_use || q->length >= HTTPC_MAX_IDLE_PER_ADDRESS ||
-	    has_stray_bytes(conn)) {
-		conn_free_later(conn);
-		return;
-	}
-	g_queue_push_head(q, conn);
-}
-
-static bool
-conn_connected(const struct httpc_conn *conn)
-{
-	struct bufferevent *bev;
-	struct sockaddr_storage peer;
-	socklen_t len = sizeof(peer);
-	evutil_socket_t fd;
-
-	bev = evhttp_connection_get_bufferevent(conn->evcon);
-	fd = bev == NULL ? -1 : bufferevent_getfd(bev);
-	if (fd < 0)
-		return false;
-	return getpeername(fd, (struct sockaddr *)&peer, &len) == 0;
-}
-
-static struct evhttp_connection *
-make_evcon(struct httpc *c, const struct httpc_request *call)
-{
-	struct bufferevent *bev;
-
-	if (call->tls == NULL)
-		return evhttp_connection_base_new(
-		    c->base, NULL, call->host, call->port);
-	bev = bufferevent_openssl_socket_new(c->base, -1, SSL_new(call->tls),
-	    BUFFEREVENT_SSL_CONNECTING, BEV_OPT_CLOSE_ON_FREE);
-	return evhttp_connection_base_bufferevent_new(
-	    c->base, NULL, bev, call->host, call->port);
-}
-
-static struct httpc_conn *
-conn_get(struct httpc *c, const struct httpc_request *call)
-{
-	char *key = g_strdup_printf("%s:%u", call->host, call->port);
-	struct httpc_conn *conn = NULL;
-
-	while (!call->new_connection) {
-		conn = g_queue_pop_head(idle_queue(c, key));
-		if (conn == NULL || conn->unused_after_us == 0 ||
-		    g_get_monotonic_time() < conn->unused_after_us)
-			break;
-		conn_free_later(conn);
-	}
-	if (conn != NULL) {
-		g_free(key);
-		return conn;
-	}
-	c->n_opened++;
-	conn = g_new0(struct httpc_conn, 1);
-	conn->client = c;
-	conn->key = key;
-	conn->single_use = call->new_connection;
-	conn->evcon = make_evcon(c, call);
-	if (conn->evcon == NULL) {
-		conn_free(conn);
-		return NULL;
-	}
-	evhttp_connection_set_max_headers_size(
-	    conn->evcon, RESPSCAN_MAX_HEAD_BYTES);
-	return conn;
-}
-
-static struct httpc_active *
-conn_call(const struct httpc_conn *conn)
-{
-	return slotmap_get(conn->client->calls, conn->call);
-}
-
 static void
 free_timers(struct httpc_active *a)
 {
@@ -286,7 +60,7 @@
 	struct httpc_conn *conn = a->conn;
 	const struct httpc_result result = {
 		.status = STATUS_TIMEOUT,
-		.verdict = conn_connected(conn) && !conn->expired
+		.verdict = httpc_conn_is_connected(conn) && !conn->expired
 		    ? VERDICT_MAY_HAVE_RUN
 		    : VERDICT_NOT_RUN,
 		.http_status = a->http_status,
@@ -296,8 +70,8 @@
 	(void)fd;
 	(void)what;
 	if (a->expires_us != 0)
-		reset_on_close(conn);
-	conn_free_later(conn);
+		httpc_conn_reset_on_close(conn);
+	httpc_conn_free_later(conn);
 	finish(a, &result);
 }
 
@@ -307,7 +81,7 @@
 on_output(struct evbuffer *out, const struct evbuffer_cb_info *info, void *arg)
 {
 	struct httpc_conn *conn = arg;
-	const struct httpc_active *a = conn_call(conn);
+	const struct httpc_active *a = httpc_conn_call(conn);
 
 	(void)out;
 	if (info->n_added == 0 || a == NULL || a->expires_us == 0 ||
@@ -335,49 +109,12 @@
 
 	(void)fd;
 	(void)what;
-	if (conn_connected(conn))
+	if (httpc_conn_is_connected(conn))
 		return;
-	conn_free_later(conn);
+	httpc_conn_free_later(conn);
 	finish(a, &result);
 }
 
-/// Passes bytes that have just been added to an input buffer to the scanner.
-static void
-scan_input(struct httpc_conn *conn, struct evbuffer *in, size_t from, size_t n)
-{
-	struct evbuffer_ptr at;
-	struct evbuffer_iovec part;
-
-	if (evbuffer_ptr_set(in, &at, from, EVBUFFER_PTR_SET) != 0)
-		return;
-	while (n > 0 && evbuffer_peek(in, (ev_ssize_t)n, &at, &part, 1) > 0) {
-		const size_t len = MIN(part.iov_len, n);
-
-		respscan_feed(&conn->scan, part.iov_base, len);
-		(void)evbuffer_ptr_set(in, &at, len, EVBUFFER_PTR_ADD);
-		n -= len;
-	}
-}
-
-/// Called when bytes have arrived on a connection, before evhttp parses them.
-static void
-on_input(struct evbuffer *in, const struct evbuffer_cb_info *info, void *arg)
-{
-	struct httpc_conn *conn = arg;
-	struct httpc *c = conn->client;
-
-	if (info->n_added == 0 || conn->call == HANDLE_NONE ||
-	    conn->scan.state == RESPSCAN_INVALID)
-		return;
-	scan_input(conn, in, info->orig_size - info->n_deleted, info->n_added);
-	if (conn->scan.state != RESPSCAN_INVALID)
-		return;
-	// The buffer is in use here, so the call ends later in this iteration
-	// of the loop.
-	(void)g_array_append_val(c->refused, conn->call);
-	event_active(c->end_refused_event, EV_TIMEOUT, 0);
-}
-
 /// Lets evhttp read on after an interim response. It does so for 100 only, and
 /// would add the headers to those of the next response.
 static void
@@ -414,7 +151,7 @@
 on_headers(struct evhttp_request *req, void *arg)
 {
 	struct httpc_conn *conn = arg;
-	struct httpc_active *a = conn_call(conn);
+	struct httpc_active *a = httpc_conn_call(conn);
 
 	if (a == NULL || conn->scan.state == RESPSCAN_INVALID)
 		return -1;
@@ -428,7 +165,7 @@
 	a->response = req;
 	if (a->on_head != NULL)
 		a->on_head(a->arg, a->http_status);
-	a = conn_call(conn);
+	a = httpc_conn_call(conn);
 	if (a != NULL)
 		a->response = NULL;
 	return a == NULL ? -1 : 0;
@@ -438,7 +175,7 @@
 on_chunk(struct evhttp_request *req, void *arg)
 {
 	struct httpc_conn *conn = arg;
-	struct httpc_active *a = conn_call(conn);
+	struct httpc_active *a = httpc_conn_call(conn);
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	const size_t len = evbuffer_get_length(in);
 
@@ -452,10 +189,11 @@
 /// connection.
 ///
 /// @param verdict  whether the server may have run the request
-static void
-finish_failed(struct httpc_conn *conn, enum status status, enum verdict verdict)
+void
+httpc_finish_failed(
+    struct httpc_conn *conn, enum status status, enum verdict verdict)
 {
-	struct httpc_active *a = conn_call(conn);
+	struct httpc_active *a = httpc_conn_call(conn);
 	const struct httpc_result result = {
 		.status = conn->expired ? STATUS_TIMEOUT : status,
 		.verdict = conn->expired ? VERDICT_NOT_RUN : verdict,
@@ -464,33 +202,15 @@
 		.error = conn->scan.error,
 	};
 
-	conn_free_later(conn);
+	httpc_conn_free_later(conn);
 	finish(a, &result);
 }
 
-/// Ends the calls whose response was found to be none.
-static void
-end_refused_calls(evutil_socket_t fd, short what, void *arg)
-{
-	struct httpc *c = arg;
-
-	(void)fd;
-	(void)what;
-	for (guint i = 0; i < c->refused->len; i++) {
-		const struct httpc_active *a = slotmap_get(
-		    c->calls, g_array_index(c->refused, handle_t, i));
-
-		if (a != NULL)
-			finish_failed(a->conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
-	}
-	g_array_set_size(c->refused, 0);
-}
-
 static void
 on_done(struct evhttp_request *req, void *arg)
 {
 	struct httpc_conn *conn = arg;
-	struct httpc_active *a = conn_call(conn);
+	struct httpc_active *a = httpc_conn_call(conn);
 	struct httpc_result result = { .status = STATUS_OK,
 		.verdict = VERDICT_RAN };
 	struct evbuffer *in;
@@ -501,15 +221,15 @@
 	// evhttp passes no request when the connection was lost, and one
 	// without a status when the connection could not be made.
 	if (req == NULL) {
-		finish_failed(conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
+		httpc_finish_failed(conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
 		return;
 	}
 	if (evhttp_request_get_response_code(req) == 0) {
-		finish_failed(conn, STATUS_UNAVAILABLE, VERDICT_NOT_RUN);
+		httpc_finish_failed(conn, STATUS_UNAVAILABLE, VERDICT_NOT_RUN);
 		return;
 	}
 	if (!respscan_may_end(&conn->scan)) {
-		finish_failed(conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
+		httpc_finish_failed(conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
 		return;
 	}
 	in = evhttp_request_get_input_buffer(req);
@@ -520,8 +240,7 @@
 	result.len = evbuffer_get_length(in);
 	result.body = evbuffer_pullup(in, -1);
 	a->response = req;
-	set_reuse_limit(conn, req);
-	conn_release(conn);
+	httpc_conn_release(conn, req);
 	finish(a, &result);
 }
 
@@ -604,22 +323,6 @@
 	(void)evbuffer_add_cb(bufferevent_get_output(bev), on_output, a->conn);
 }
 
-/// Lets the response to the call that a connection is about to send be checked.
-static void
-check_response(struct httpc_conn *conn, const struct httpc_request *call,
-    uint64_t max_body)
-{
-	struct bufferevent *bev =
-	    evhttp_connection_get_bufferevent(conn->evcon);
-
-	respscan_begin(
-	    &conn->scan, strcmp(call->method, "HEAD") == 0, max_body);
-	if (bev == NULL || conn->checks_input)
-		return;
-	conn->checks_input = true;
-	(void)evbuffer_add_cb(bufferevent_get_input(bev), on_input, conn);
-}
-
 /// Creates a client on an event loop, to be released with httpc_free().
 struct httpc *
 httpc_new(struct event_base *base)
@@ -630,9 +333,10 @@
 	c->calls = slotmap_new(sizeof(struct httpc_active));
 	c->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->dead_conns = g_ptr_array_new();
-	c->free_dead_event = event_new(base, -1, 0, free_dead_conns, c);
+	c->free_dead_event = event_new(base, -1, 0, httpc_conn_free_dead, c);
 	c->refused = g_array_new(FALSE, FALSE, sizeof(handle_t));
-	c->end_refused_event = event_new(base, -1, 0, end_refused_calls, c);
+	c->end_refused_event =
+	    event_new(base, -1, 0, httpc_input_end_refused, c);
 	return c;
 }
 
@@ -649,13 +353,13 @@
 	for (handle_t h = slotmap_next(c->calls, HANDLE_NONE); h != HANDLE_NONE;
 	     h = slotmap_next(c->calls, h))
 		httpc_cancel(c, h);
-	free_dead_conns(-1, 0, c);
+	httpc_conn_free_dead(-1, 0, c);
 	g_hash_table_iter_init(&it, c->idle);
 	while (g_hash_table_iter_next(&it, NULL, &q)) {
 		struct httpc_conn *conn;
 
 		while ((conn = g_queue_pop_head(q)) != NULL)
-			conn_free(conn);
+			httpc_conn_free(conn);
 		g_queue_free(q);
 	}
 	g_hash_table_destroy(c->idle);
@@ -674,7 +378,7 @@
 handle_t
 httpc_send(struct httpc *c, const struct httpc_request *call)
 {
-	struct httpc_conn *conn = conn_get(c, call);
+	struct httpc_conn *conn = httpc_conn_get(c, call);
 	struct evhttp_request *req;
 	struct httpc_active *a;
 	void *item;
@@ -695,7 +399,7 @@
 	    call->max_body != 0 ? call->max_body : HTTPC_MAX_BODY_BYTES;
 	evhttp_connection_set_max_body_size(
 	    conn->evcon, (ev_ssize_t)a->max_body);
-	check_response(conn, call, a->max_body);
+	httpc_input_check(conn, call, a->max_body);
 	req = evhttp_request_new(on_done, conn);
 	evhttp_request_set_header_cb(req, on_headers);
 	if (call->on_data != NULL)
@@ -704,7 +408,7 @@
 	a->timeout = arm_timeout(a, call->timeout_us, on_timeout);
 	if (call->expires && call->timeout_us != 0)
 		set_expiry(a, call->timeout_us);
-	if (!conn_connected(conn))
+	if (!httpc_conn_is_connected(conn))
 		a->connect_timeout =
 		    arm_timeout(a, call->connect_us, on_connect_timeout);
 	if (evhttp_make_request(conn->evcon, req, parse_method(call->method),
@@ -730,8 +434,8 @@
 		return;
 	free_timers(a);
 	if (a->expires_us != 0)
-		reset_on_close(a->conn);
-	conn_free_later(a->conn);
+		httpc_conn_reset_on_close(a->conn);
+	httpc_conn_free_later(a->conn);
 	slotmap_remove(c->calls, handle);
 }
 
@@ -743,10 +447,8 @@
 {
 	const struct httpc_active *a = slotmap_get(c->calls, handle);
 
-	if (a == NULL || a->conn->dead || a->conn->call != HANDLE_NONE)
-		return;
-	(void)g_queue_remove(idle_queue(c, a->conn->key), a->conn);
-	conn_free_later(a->conn);
+	if (a != NULL)
+		httpc_conn_discard(a->conn);
 }
 
 /// Header of the response, within on_head or on_end of that call.
