All responses in flight have a bound together

Callers would see: requests of others cut as the gateway is ended for its memory, while a faulty server sends bodies, events or errors of some MB without an end: 555 MB at 100 plain requests, where the VM has 260 MB.

Cause: limits count a response; 4 MiB, or 1 MiB for an event or an error in place of a stream, times the requests in flight is more than the machine has.

Change: httpc counts what responses hold, parsed or not, and what the owner of a call keeps from on_data. Over an eighth of the VM's memory the largest ones end. An error body of an earlier attempt is released. ac_response_bytes shows the figure.

Ruled out: a smaller limit a response (360 connections a server are allowed); refusing new requests (the sound ones would pay).

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -12,6 +12,7 @@
 #include <time.h>
 
 #define HTTPC_MAX_BODY_BYTES (16UL * 1024 * 1024)
+#define HTTPC_MAX_HELD_BYTES (32UL * 1024 * 1024)
 #define HTTPC_STATUS_CONTINUE 100
 
 /// Time on the clock that also counts suspended time.
@@ -45,6 +46,7 @@
 	void *const arg = a->arg;
 
 	free_timers(a);
+	httpc_input_release(a);
 	a->on_data = NULL;
 	a->on_head = NULL;
 	a->on_end = NULL;
@@ -153,7 +155,7 @@
 	struct httpc_conn *conn = arg;
 	struct httpc_active *a = httpc_conn_call(conn);
 
-	if (a == NULL || conn->scan.state == RESPSCAN_INVALID)
+	if (a == NULL || a->refused)
 		return -1;
 	if (respscan_is_interim(evhttp_request_get_response_code(req))) {
 		skip_interim(req);
@@ -179,8 +181,7 @@
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	const size_t len = evbuffer_get_length(in);
 
-	if (a == NULL || a->on_data == NULL || len == 0 ||
-	    conn->scan.state == RESPSCAN_INVALID)
+	if (a == NULL || a->on_data == NULL || len == 0 || a->refused)
 		return;
 	a->on_data(a->arg, evbuffer_pullup(in, -1), len);
 }
@@ -199,7 +200,7 @@
 		.verdict = conn->expired ? VERDICT_NOT_RUN : verdict,
 		.http_status = a->http_status,
 		.content_type = "",
-		.error = conn->scan.error,
+		.error = a->error,
 	};
 
 	httpc_conn_free_later(conn);
@@ -228,7 +229,7 @@
 		httpc_finish_failed(conn, STATUS_UNAVAILABLE, VERDICT_NOT_RUN);
 		return;
 	}
-	if (!respscan_may_end(&conn->scan)) {
+	if (a->refused || !respscan_may_end(&conn->scan)) {
 		httpc_finish_failed(conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
 		return;
 	}
@@ -330,6 +331,7 @@
 	struct httpc *c = g_new0(struct httpc, 1);
 
 	c->base = base;
+	c->max_held = HTTPC_MAX_HELD_BYTES;
 	c->calls = slotmap_new(sizeof(struct httpc_active));
 	c->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->dead_conns = g_ptr_array_new();
@@ -433,6 +435,7 @@
 	if (a == NULL)
 		return;
 	free_timers(a);
+	httpc_input_release(a);
 	if (a->expires_us != 0)
 		httpc_conn_reset_on_close(a->conn);
 	httpc_conn_free_later(a->conn);
@@ -481,6 +484,34 @@
 		cb(arg, kv->key, kv->value);
 }
 
+/// Bounds the memory of all responses in flight together; 32 MiB if it isn't
+/// called. Beyond it the largest ones end with STATUS_IO.
+void
+httpc_set_max_held(struct httpc *c, size_t bytes)
+{
+	c->max_held = bytes;
+}
+
+/// Says how many bytes of a response the owner of the call keeps from on_data,
+/// which count among those that the response holds.
+void
+httpc_set_retained(struct httpc *c, handle_t handle, size_t bytes)
+{
+	struct httpc_active *a = slotmap_get(c->calls, handle);
+
+	if (a == NULL)
+		return;
+	a->retained = bytes;
+	httpc_input_count(a);
+}
+
+/// Bytes that the responses in flight hold.
+size_t
+httpc_held_bytes(const struct httpc *c)
+{
+	return c->held;
+}
+
 /// Number of connections opened so far.
 uint64_t
 httpc_connections_opened(const struct httpc *c)
--- a/src/back/httpc.h
+++ b/src/back/httpc.h
@@ -86,6 +86,9 @@
 void httpc_foreach_response_header(
     struct httpc *c, handle_t handle, httpc_header_cb cb, void *arg);
 
+void httpc_set_max_held(struct httpc *c, size_t bytes);
+void httpc_set_retained(struct httpc *c, handle_t handle, size_t bytes);
+size_t httpc_held_bytes(const struct httpc *c);
 uint64_t httpc_connections_opened(const struct httpc *c);
 
 enum status httpc_send_blocking(const struct httpc_request *call,
--- a/src/back/httpc_internal.h
+++ b/src/back/httpc_internal.h
@@ -41,7 +41,11 @@
 	uint64_t expires_us; ///< no byte leaves after this; 0: no limit
 	int http_status;
 	size_t max_body;
-	size_t seen;
+	size_t received;   ///< bytes of the response, parsed or not
+	size_t held;       ///< bytes of the response in memory
+	size_t retained;   ///< of these, kept by the owner of the call
+	bool refused;      ///< waits for httpc_input_end_refused()
+	const char *error; ///< why it was refused
 	handle_t handle;
 	struct httpc *client;
 };
@@ -55,6 +59,8 @@
 	GArray *refused; ///< handles of calls that end_refused_calls() ends
 	struct event *end_refused_event;
 	uint64_t n_opened;
+	size_t held;     ///< sum over calls that aren't refused
+	size_t max_held; ///< see httpc_set_max_held()
 };
 
 void httpc_conn_reset_on_close(const struct httpc_conn *conn);
@@ -70,6 +76,8 @@
 
 void httpc_input_check(struct httpc_conn *conn,
     const struct httpc_request *call, uint64_t max_body);
+void httpc_input_count(struct httpc_active *a);
+void httpc_input_release(struct httpc_active *a);
 void httpc_input_end_refused(int fd, short what, void *arg);
 
 void httpc_finish_failed(
--- a/src/conf/bootstrap.c
+++ b/src/conf/bootstrap.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#define BOOTSTRAP_DEFAULT_MEMORY_MB 256
 #define JSON_PATH_BYTES 64
 
 static const char *const roles[] = { "gateway", "hub", NULL };
@@ -78,7 +79,7 @@
 	{ "metrics_port", SCHEMA_U16, false, AT(metrics_port),
 	    .max = UINT16_MAX },
 	{ "first_start", SCHEMA_BOOL, false, AT(first_start) },
-	U32("memory_mb", memory_mb, 0, UINT32_MAX, 256),
+	U32("memory_mb", memory_mb, 0, UINT32_MAX, BOOTSTRAP_DEFAULT_MEMORY_MB),
 	U32("max_fds", max_fds, 0, UINT32_MAX, 1024),
 	U32("tolerated_vms", tolerance.vms, 0, 100, 1),
 	U32("tolerated_data_centres", tolerance.data_centres, 0, 100, 0),
@@ -262,3 +263,16 @@
 	g_free(text);
 	return st;
 }
+
+/// The memory of the VM divided by `share`, in bytes; that of a VM of
+/// BOOTSTRAP_DEFAULT_MEMORY_MB if it isn't known.
+size_t
+bootstrap_memory_share(
+    const struct bootstrap_settings *settings, unsigned share)
+{
+	const size_t mb = settings->memory_mb != 0
+	    ? settings->memory_mb
+	    : BOOTSTRAP_DEFAULT_MEMORY_MB;
+
+	return (mb << 20) / share;
+}
--- a/src/conf/bootstrap.h
+++ b/src/conf/bootstrap.h
@@ -67,7 +67,7 @@
 	/// First start of the whole deployment, with empty disks: the hubs
 	/// among the seeds become the voters.
 	bool first_start;
-	uint32_t memory_mb;
+	uint32_t memory_mb; ///< of the VM; 0: not known
 	uint32_t max_fds;
 	struct settings_addr cloud; ///< the cloud's API
 	double list_calls_per_s;    ///< limit for all processes together
@@ -87,4 +87,7 @@
 enum status bootstrap_load(const char *file, struct bootstrap_settings *out,
     struct spec_problems *problems);
 
+size_t bootstrap_memory_share(
+    const struct bootstrap_settings *settings, unsigned share);
+
 #endif
--- a/src/fleet/evstream.c
+++ b/src/fleet/evstream.c
@@ -157,6 +157,13 @@
 	return s->partial->len > 0;
 }
 
+/// Number of bytes of an incomplete event.
+size_t
+evstream_partial_bytes(const struct evstream *s)
+{
+	return s->partial->len;
+}
+
 /// Id of the newest event delivered; 0: none.
 uint64_t
 evstream_last_id(const struct evstream *s)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -20,6 +20,9 @@
 /// A list that is older than this is logged: servers on it may have been
 /// removed.
 #define GATEWAY_LIST_OLD_US (10 * USEC_PER_SEC)
+/// Part of the memory that responses of backend servers may hold. A response is
+/// copied twice on its way to the caller.
+#define GATEWAY_RESPONSES_SHARE 8
 #define GATEWAY_MAX_PREFIX_ENTRIES (1U << 15)
 
 /// Whether this gateway can serve new requests.
@@ -219,6 +222,8 @@
 	g->settings = *settings;
 	g->started_us = loop_now_us(loop);
 	g->http = httpc_new(loop_event_base(loop));
+	httpc_set_max_held(
+	    g->http, bootstrap_memory_share(settings, GATEWAY_RESPONSES_SHARE));
 	g->hubs =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	g->servers =
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -320,6 +320,8 @@
 	    gateway_signals_count(g, API_SIGNAL_LEAVING);
 	metrics_gauge(registry, "ac_servers_paused", "")->value =
 	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER);
+	metrics_gauge(registry, "ac_response_bytes", "")->value =
+	    httpc_held_bytes(g->http);
 	metrics_gauge(registry, "ac_requests_open", "")->value =
 	    slotmap_count(g->requests);
 	metrics_gauge(registry, "ac_connections_made_total", "")->value =
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -280,6 +280,26 @@
 		l->tokens_per_ms *= 1 - GATEWAY_LEARN_DOWN;
 }
 
+/// Collects the body of a response that should be a stream and isn't.
+static void
+collect_error_body(struct gateway_request *q, const uint8_t *bytes, size_t len)
+{
+	if (q->error_body == NULL)
+		q->error_body = g_string_new(NULL);
+	if (q->error_body->len + len <= GATEWAY_MAX_ERROR_BYTES) {
+		(void)g_string_append_len(
+		    q->error_body, (const char *)bytes, (gssize)len);
+		httpc_set_retained(
+		    q->gateway->http, q->call_handle, q->error_body->len);
+		return;
+	}
+	// A part of it must not be forwarded as the whole.
+	if (!q->protocol_error) {
+		q->protocol_error = true;
+		timerq_arm_in(q->timer, 0);
+	}
+}
+
 static void
 on_data(void *arg, const uint8_t *bytes, size_t len)
 {
@@ -288,18 +308,7 @@
 	const uint32_t before = evstream_n_events(q->events);
 
 	if (!q->is_stream) {
-		if (q->error_body == NULL)
-			q->error_body = g_string_new(NULL);
-		if (q->error_body->len + len <= GATEWAY_MAX_ERROR_BYTES) {
-			(void)g_string_append_len(
-			    q->error_body, (const char *)bytes, (gssize)len);
-			return;
-		}
-		// A part of it must not be forwarded as the whole.
-		if (!q->protocol_error) {
-			q->protocol_error = true;
-			timerq_arm_in(q->timer, 0);
-		}
+		collect_error_body(q, bytes, len);
 		return;
 	}
 	if (q->protocol_error)
@@ -313,6 +322,8 @@
 		timerq_arm_in(q->timer, 0);
 		return;
 	}
+	httpc_set_retained(
+	    g->http, q->call_handle, evstream_partial_bytes(q->events));
 	if (evstream_n_events(q->events) == before)
 		return;
 	if (q->first_event_us == 0) {
@@ -528,7 +539,8 @@
 	q->protocol_error = false;
 	q->status = 0;
 	if (q->error_body != NULL)
-		(void)g_string_truncate(q->error_body, 0);
+		(void)g_string_free(q->error_body, TRUE);
+	q->error_body = NULL;
 	if (q->events != NULL)
 		evstream_restart(q->events, 0);
 	if (!q->head_sent) {
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -6,6 +6,8 @@
 #include "fleet/slotaddr.h"
 
 #define HUB_TICK_US (100 * USEC_PER_MSEC)
+/// Part of the memory that responses of the platform may hold.
+#define HUB_RESPONSES_SHARE 8
 /// A graceful stop takes this long: another process is elected as the leader
 /// and the last responses are sent.
 #define HUB_SHUTDOWN_US (1200 * USEC_PER_MSEC)
@@ -85,6 +87,8 @@
 		status = status_fail(STATUS_INVALID,
 		    "can't derive a slot from address %s", settings->host);
 	h->http = httpc_new(loop_event_base(loop));
+	httpc_set_max_held(
+	    h->http, bootstrap_memory_share(settings, HUB_RESPONSES_SHARE));
 	h->state = hubstate_new();
 	h->crashlog = crashlog_new();
 	h->asked_parts = g_array_new(FALSE, TRUE, sizeof(struct crashlog_part));
--- a/test/standin/raw.c
+++ b/test/standin/raw.c
@@ -9,12 +9,17 @@
 #define ID_BYTES 128
 /// A response that ends with this is followed by the end of the connection.
 #define CLOSE_MARK "$CLOSE"
+/// What stands after this is repeated until the client closes.
+#define FOREVER_MARK "$FOREVER"
+/// Bytes without an end are written in portions of about this size.
+#define FOREVER_BYTES 65536
 
 /// A backend server whose responses are the bytes of the setting "responses",
 /// one for each request, the last one for all further ones. It listens on the
 /// setting "raw_address". In a response "$ID" is the request's id. The response
 /// "$AGAIN" is the connection's last one once more, or the last of the setting
 /// on a new connection.
+/// What stands after "$FOREVER" is sent without an end.
 struct raw {
 	struct standin_env *env;
 	GHashTable *runs; ///< request id -> number of requests
@@ -24,7 +29,8 @@
 struct raw_conn {
 	struct raw *r;
 	struct bufferevent *bev;
-	GString *sent; ///< the last response, "": none
+	GString *sent;    ///< the last response, "": none
+	GString *forever; ///< written again and again; NULL: nothing
 };
 
 static void
@@ -32,9 +38,44 @@
 {
 	bufferevent_free(c->bev);
 	(void)g_string_free(c->sent, TRUE);
+	if (c->forever != NULL)
+		(void)g_string_free(c->forever, TRUE);
 	g_free(c);
 }
 
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	(void)what;
+	close_conn(arg);
+}
+
+static void
+write_forever(struct bufferevent *bev, void *arg)
+{
+	const struct raw_conn *c = arg;
+
+	(void)bufferevent_write(bev, c->forever->str, c->forever->len);
+}
+
+/// Cuts the part after FOREVER_MARK off a response, and lets it be written
+/// without an end.
+static void
+take_forever(struct raw_conn *c, GString *text)
+{
+	char *mark = strstr(text->str, FOREVER_MARK);
+	const char *again = mark != NULL ? mark + strlen(FOREVER_MARK) : "";
+
+	if (*again == '\0')
+		return;
+	c->forever = g_string_new(NULL);
+	while (c->forever->len < FOREVER_BYTES)
+		(void)g_string_append(c->forever, again);
+	(void)g_string_truncate(text, (gsize)(mark - text->str));
+	bufferevent_setcb(c->bev, NULL, write_forever, on_event, c);
+}
+
 static void
 on_sent(struct bufferevent *bev, void *arg)
 {
@@ -70,11 +111,14 @@
 	if (closes)
 		(void)g_string_truncate(text, text->len - strlen(CLOSE_MARK));
 	(void)g_string_replace(text, "$ID", id, 0);
+	take_forever(c, text);
 	r->n_requests++;
 	(void)g_hash_table_insert(r->runs, g_strdup(id),
 	    GINT_TO_POINTER(
 		GPOINTER_TO_INT(g_hash_table_lookup(r->runs, id)) + 1));
 	(void)bufferevent_write(c->bev, text->str, text->len);
+	if (c->forever != NULL)
+		write_forever(c->bev, c);
 	(void)g_string_free(c->sent, TRUE);
 	c->sent = text;
 	if (closes)
@@ -105,14 +149,6 @@
 	respond(c, id);
 }
 
-static void
-on_event(struct bufferevent *bev, short what, void *arg)
-{
-	(void)bev;
-	(void)what;
-	close_conn(arg);
-}
-
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
     struct sockaddr *address, int len, void *arg)
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 namespace
 {
@@ -41,7 +42,7 @@
 		    0);
 		const struct timeval patience = { 2, 0 };
 
-		EXPECT_EQ(listen(listener, 8), 0);
+		EXPECT_EQ(listen(listener, 32), 0);
 		(void)setsockopt(listener, SOL_SOCKET, SO_RCVTIMEO, &patience,
 		    sizeof(patience));
 		EXPECT_EQ(getsockname(listener,
@@ -561,3 +562,53 @@
 		close(fd);
 	}
 }
+
+/// Responses within their own limits took more memory than the process has when
+/// many came at once. The largest ones are given up, and small ones aren't.
+TEST(Client, ResponsesTogetherHaveABound)
+{
+	for (const bool stream : { false, true }) {
+		Peer p;
+		std::vector<int> fds;
+		const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+		const std::string large(100000, 'x');
+
+		httpc_set_max_held(p.client, 1 << 20);
+		for (int i = 0; i < 20; i++) {
+			p.get(stream, 4 << 20);
+			(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+			fds.push_back(accept(p.listener, nullptr, nullptr));
+			const std::string text = head + (i == 0 ? "small" : "");
+			(void)::send(
+			    fds[i], text.data(), text.size(), MSG_NOSIGNAL);
+		}
+		p.run();
+		ASSERT_EQ(p.n_ends, 0);
+		for (int round = 0; round < 2; round++) {
+			for (int i = 1; i < 20; i++)
+				(void)::send(fds[i], large.data(), large.size(),
+				    MSG_NOSIGNAL | MSG_DONTWAIT);
+			p.run();
+			EXPECT_LE(httpc_held_bytes(p.client), 1U << 20);
+		}
+		if (stream) {
+			// Nothing is kept, so nothing has to be given up.
+			EXPECT_EQ(p.n_ends, 0);
+		} else {
+			EXPECT_GE(p.n_ends, 9);
+			EXPECT_LE(p.n_ends, 15);
+			EXPECT_EQ(p.status, STATUS_IO);
+		}
+		p.body = "";
+		char request[512];
+		(void)read(fds[0], request, sizeof(request));
+		const int before = p.n_ends;
+		close(fds[0]);
+		p.run();
+		EXPECT_EQ(p.n_ends, before + 1);
+		EXPECT_EQ(p.status, STATUS_OK);
+		EXPECT_EQ(p.body, stream ? "" : "small");
+		for (int i = 1; i < 20; i++)
+			close(fds[i]);
+	}
+}
