Numbers of tokens that contradict each other end no gateway

Cause: cost_of() was negative where the shared parts have more tokens than the prompt is said to have; pick_cheapest() then finds no server within the tolerance and the invariant route.load_bound ends the process.

Change: the codec makes the numbers agree, the balancer bounds what is cached by the prompt. The request is served; a 400 was ruled out, as the numbers only decide where a request goes. Quotas count what the caller says, as before.

--- a/src/back/respscan.h
+++ b/src/back/respscan.h
@@ -11,7 +11,7 @@
 
 #define RESPSCAN_LINE_BYTES 256
 /// All heads of a response, interim ones included; also its trailers.
-#define RESPSCAN_MAX_HEAD_BYTES (64U * 1024)
+#define RESPSCAN_MAX_HEAD_BYTES ((size_t)64 * 1024)
 #define RESPSCAN_MAX_CHUNK_LINE_BYTES 1024
 
 enum respscan_state {
--- a/src/gateway/gateway_quota.c
+++ b/src/gateway/gateway_quota.c
@@ -21,7 +21,7 @@
 		return 1;
 	if (!q->call.has_tokens)
 		return q->customer->default_tokens;
-	return (double)q->call.prompt_tokens + q->call.output_tokens;
+	return (double)q->call.quota_tokens;
 }
 
 static struct quota_limit
--- a/src/platform/api_request.c
+++ b/src/platform/api_request.c
@@ -72,7 +72,10 @@
 		return false;
 	for (end++; *end == ' '; end++)
 		;
-	return read_u32(end, &end, &out->output_tokens) && *end == '\0';
+	if (!read_u32(end, &end, &out->output_tokens) || *end != '\0')
+		return false;
+	out->quota_tokens = (uint64_t)out->prompt_tokens + out->output_tokens;
+	return true;
 }
 
 /// Reads API_HDR_PROMPT_PREFIX: "ID:TOKENS,...", ids in hexadecimal; parts
@@ -154,6 +157,28 @@
 	}
 }
 
+/// Makes the numbers of tokens in a request's headers agree. A prompt has at
+/// least the tokens of its parts, whether API_HDR_TOKENS says less, says more
+/// than any server holds, or is missing. Where a request is sent to depends on
+/// that; a request whose headers disagree is still served. Its customer's quota
+/// counts what the caller says.
+void
+api_request_settle_tokens(struct api_request *request)
+{
+	uint64_t parts = 0;
+
+	for (uint32_t i = 0; i < request->n_parts; i++) {
+		struct api_prompt_part *p = &request->parts[i];
+
+		p->tokens = MIN(p->tokens, API_MAX_TOKENS);
+		parts += p->tokens;
+	}
+	request->prompt_tokens = MIN(request->prompt_tokens, API_MAX_TOKENS);
+	request->output_tokens = MIN(request->output_tokens, API_MAX_TOKENS);
+	request->length_hint = MIN(request->length_hint, API_MAX_TOKENS);
+	request->prompt_tokens = (uint32_t)MAX(request->prompt_tokens, parts);
+}
+
 /// Reads the headers of a caller's request.
 ///
 /// @param out  overwritten; a malformed header sets `bad`
@@ -162,6 +187,7 @@
 {
 	memset(out, 0, sizeof(*out));
 	httpd_foreach_header(f, handle, read_request_header, out);
+	api_request_settle_tokens(out);
 }
 
 /// Reads API_HDR_SERVER_LOAD: "RUNNING,WAITING,SLOTS".
--- a/src/platform/api_request.h
+++ b/src/platform/api_request.h
@@ -17,6 +17,9 @@
 #define API_KEY_BYTES 256
 #define API_EVENT_ID_BYTES 32
 #define API_MAX_PROMPT_PARTS 16
+/// A larger number of tokens is read as this many: no server has as much
+/// memory.
+#define API_MAX_TOKENS (1U << 24)
 
 /// A part of a prompt. Prompts that begin with the same parts can share the KV
 /// cache of these.
@@ -34,7 +37,8 @@
 	bool has_deadline;
 	uint32_t deadline_ms; ///< how long the caller waits
 	bool has_tokens;
-	uint32_t prompt_tokens;
+	uint64_t quota_tokens;  ///< of prompt and output, as the caller says
+	uint32_t prompt_tokens; ///< at least those of its parts
 	uint32_t output_tokens; ///< most that may be generated
 	uint32_t length_hint;   ///< estimate of output tokens; 0: none
 	bool resumes;           ///< resumes a stream after last_event
@@ -61,6 +65,7 @@
 /// List of headers to forward; owns copies of their names and values.
 struct api_headers;
 
+void api_request_settle_tokens(struct api_request *request);
 void api_request_read(
     struct httpd *f, handle_t handle, struct api_request *out);
 void api_response_read(
--- a/src/route/balancer_choose.c
+++ b/src/route/balancer_choose.c
@@ -174,14 +174,18 @@
 	const struct prefix_match *m = &s->r->matches[p->slot];
 	const double shared =
 	    p == s->preferred ? s->request->shared_tokens * SHARED_CACHED : 0;
-	double staleness;
-
-	if (s->request->n_blocks == 0 || m->blocks == 0)
-		return shared;
-	staleness =
-	    balancer__staleness(s->r, p, s->now_us) - (double)m->oldest_stamp;
-	return MAX(
-	    m->blocks * s->tokens_per_block * exp(-MAX(staleness, 0)), shared);
+	double cached = shared;
+
+	if (s->request->n_blocks > 0 && m->blocks > 0) {
+		const double staleness =
+		    balancer__staleness(s->r, p, s->now_us) -
+		    (double)m->oldest_stamp;
+
+		cached = MAX(shared,
+		    m->blocks * s->tokens_per_block * exp(-MAX(staleness, 0)));
+	}
+	// No more than the prompt has, so that a cost isn't negative.
+	return MIN(cached, s->request->prompt_tokens);
 }
 
 /// How many times slower a server is than the median of its pool.
--- a/test/unit/route/test_balancer.cc
+++ b/test/unit/route/test_balancer.cc
@@ -394,3 +394,29 @@
 	}
 	EXPECT_LT(choose(a).cached_tokens, before / 2);
 }
+
+/// A request whose shared parts have more tokens than its prompt made the cost
+/// of the preferred server negative; no server was within the tolerance of it,
+/// and the process ended.
+TEST_F(Balancer, SharedPartsLongerThanThePrompt)
+{
+	const std::vector<uint64_t> blocks = { 1, 2, 3 };
+
+	for (int i = 0; i < 4; i++)
+		add("s" + std::to_string(i));
+	for (const uint32_t prompt_tokens : { 0U, 1U, 100U, UINT32_MAX }) {
+		for (const uint32_t shared : { 6300U, UINT32_MAX }) {
+			struct balancer_request a = request_for(blocks);
+
+			a.shared_hash = 7;
+			a.shared_tokens = shared;
+			a.prompt_tokens = prompt_tokens;
+			for (int i = 0; i < 3; i++) {
+				const struct balancer_choice c = choose(a);
+
+				EXPECT_LE(c.cached_tokens, prompt_tokens);
+				(void)balancer_begin(r, now, &a, &c);
+			}
+		}
+	}
+}
