A trailer of a request ends no gateway

Cause: evhtp lists the trailer among the headers without a value, httpd_foreach_header() passed the NULL on.

Change: a header without a value isn't one. Trailers are dropped; forwarding them was ruled out, as bodies are forwarded with a length.

--- a/src/front/httpd.c
+++ b/src/front/httpd.c
@@ -348,7 +348,8 @@
 	return evhtp_header_find(open->req->headers_in, name);
 }
 
-/// Calls `cb` for each header of a request, in the order received.
+/// Calls `cb` for each header of a request, in the order received. Trailers
+/// aren't among them.
 void
 httpd_foreach_header(
     struct httpd *f, handle_t handle, httpd_header_cb cb, void *arg)
@@ -359,7 +360,11 @@
 	if (open == NULL)
 		return;
 	TAILQ_FOREACH(kv, open->req->headers_in, next)
-	cb(arg, kv->key, kv->val);
+	{
+		// evhtp appends trailers, without their values.
+		if (kv->key != NULL && kv->val != NULL)
+			cb(arg, kv->key, kv->val);
+	}
 }
 
 /// Whether a request carries a token (`Authorization: Bearer TOKEN`).
--- a/test/unit/front/test_httpd.cc
+++ b/test/unit/front/test_httpd.cc
@@ -23,6 +23,7 @@
 	struct httpd *f;
 	uint16_t port = 0;
 	std::vector<std::string> seen;
+	std::string headers; ///< of the last requests
 
 	Server()
 	{
@@ -56,9 +57,16 @@
 		    req->path + " " + req->query + " " +
 		    std::string(
 			reinterpret_cast<const char *>(req->body), req->len));
+		httpd_foreach_header(s->f, handle, on_header, s);
 		httpd_reply(s->f, handle, 200, nullptr, "text/plain", "ok", 2);
 	}
 
+	static void on_header(void *arg, const char *name, const char *value)
+	{
+		static_cast<Server *>(arg)->headers +=
+		    std::string(name) + "=" + value + " ";
+	}
+
 	static void on_gone(void *, handle_t)
 	{
 	}
@@ -219,6 +227,34 @@
 	EXPECT_TRUE(s.seen.empty());
 }
 
+/// A trailer was listed as a header without a value, which ended the process
+/// that forwarded the request. Trailers are dropped.
+TEST(Httpd, TrailersAreDropped)
+{
+	const std::string head =
+	    "POST /a HTTP/1.1\r\nHost: a.example\r\nA: b\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n";
+	Server s;
+
+	for (const char *trailer : { "X-Checksum: 5d41402a\r\n", "X-Empty:\r\n",
+		 "A: c\r\nB: d\r\n", "" }) {
+		const int fd = s.Connect();
+
+		s.Run();
+		s.headers.clear();
+		s.Send(fd, head + trailer + "\r\n");
+		EXPECT_EQ(s.ReadLine(fd).substr(0, 12), "HTTP/1.1 200")
+		    << trailer;
+		EXPECT_EQ(
+		    s.headers, "Host=a.example A=b Transfer-Encoding=chunked ")
+		    << trailer;
+		close(fd);
+		s.Run();
+	}
+	EXPECT_EQ(s.seen.size(), 4U);
+	EXPECT_EQ(s.seen[0], "POST /a  hello");
+}
+
 /// Guards against a draining server that keeps idle connections, or drops a
 /// request whose head has arrived in part.
 TEST(Httpd, DrainingServerKeepsNoConnection)
