A stream without a length isn't complete when its server has crashed

Cause: the end of the connection counted as the stream's end unless it was within an event, also before the first one; the kernel ends a crashed process's connections alike.

Change: before its first event such a stream is broken off; between two events the server is checked first, with the check that follows lost connections. A server that refuses or drops it, or has another id, has crashed: the attempt failed, the crash is reported.

Ruled out: counting events against the tokens asked for (that is a maximum); a marker at the end (the protocol has none); taking every such end for a failure (sound servers end streams so).

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -237,6 +237,7 @@
 	type = evhttp_find_header(
 	    evhttp_request_get_input_headers(req), "Content-Type");
 	result.http_status = evhttp_request_get_response_code(req);
+	result.until_close = conn->scan.state == RESPSCAN_UNTIL_CLOSE;
 	result.content_type = type != NULL ? type : "";
 	result.len = evbuffer_get_length(in);
 	result.body = evbuffer_pullup(in, -1);
--- a/src/back/httpc.h
+++ b/src/back/httpc.h
@@ -35,7 +35,8 @@
 	const char *error;  ///< what is wrong with the response, a static
 			    ///< string; NULL: nothing, or not known
 	enum verdict verdict;
-	int http_status;          ///< 0 when no response head arrived
+	int http_status;  ///< 0 when no response head arrived
+	bool until_close; ///< the end of the connection was that of the body
 	const char *content_type; ///< "" when none; valid in on_end only
 	const uint8_t *body;      ///< valid in on_end only; empty with on_data
 	size_t len;               ///< of `body`, in bytes
--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -21,6 +21,7 @@
 	handle_t check; ///< call in flight
 	uint64_t at_us;
 	struct partmsg_crash report;
+	GArray *waiting; ///< requests that gateway_crashes_wait() was given
 };
 
 static void
@@ -29,6 +30,7 @@
 	struct crash *crash = p;
 
 	partmsg_crash_clear(&crash->report);
+	g_array_unref(crash->waiting);
 	g_free(crash);
 }
 
@@ -57,7 +59,7 @@
 	struct wire_msg msg = { .kind = WIRE_CRASH };
 	uint8_t *bytes;
 
-	if (leader == NULL)
+	if (leader == NULL || crash->report.in_flight->len == 0)
 		return;
 	crash->report.age_us = loop_now_us(g->loop) - crash->at_us;
 	partmsg_crash_encode(&crash->report, &bytes, &msg.payload.len);
@@ -80,27 +82,56 @@
 	}
 }
 
+/// Tells the requests that wait for a check how it ended.
 static void
-on_checked(void *arg, const struct httpc_result *result)
+end_waiting(struct crash *crash, bool crashed)
 {
-	struct crash *crash = arg;
 	struct gateway *g = crash->gateway;
 
-	if (result->http_status != 0) {
-		struct api_response response;
+	for (guint i = 0; i < crash->waiting->len; i++) {
+		struct gateway_request *q = slotmap_get(
+		    g->requests, g_array_index(crash->waiting, handle_t, i));
 
-		api_response_read(g->http, crash->check, &response);
-		gateway_signals_apply(g, crash->report.server, &response,
-		    result->http_status, crash->at_us);
+		if (q != NULL)
+			gateway_stream_checked(q, crashed);
 	}
+	g_array_set_size(crash->waiting, 0);
+}
+
+/// Whether a check shows that the server which lost connections is gone.
+static bool
+is_gone(struct crash *crash, const struct httpc_result *result)
+{
+	struct gateway *g = crash->gateway;
+	struct api_response response;
+
 	// A process that ends may still accept the connection, and drop it.
-	if (result->status != STATUS_UNAVAILABLE &&
-	    result->status != STATUS_IO) {
-		(void)g_hash_table_remove(
-		    g->crash_checks, crash->report.server);
+	if (result->http_status == 0)
+		return result->status == STATUS_UNAVAILABLE ||
+		    result->status == STATUS_IO;
+	api_response_read(g->http, crash->check, &response);
+	if (response.instance[0] != '\0' &&
+	    strcmp(response.instance, crash->report.server) != 0)
+		return true;
+	gateway_signals_apply(g, crash->report.server, &response,
+	    result->http_status, crash->at_us);
+	return result->status == STATUS_IO;
+}
+
+static void
+on_checked(void *arg, const struct httpc_result *result)
+{
+	struct crash *crash = arg;
+	struct gateway *g = crash->gateway;
+	const bool crashed = is_gone(crash, result);
+
+	// Requests that end now may need another check.
+	(void)g_hash_table_steal(g->crash_checks, crash->report.server);
+	end_waiting(crash, crashed);
+	if (!crashed) {
+		crash_free(crash);
 		return;
 	}
-	(void)g_hash_table_steal(g->crash_checks, crash->report.server);
 	g->n_server_crashes->value++;
 	logger_event(LOGGER_INFO, "server.crashed",
 	    "server=%s service=%s parts=%u", crash->report.server,
@@ -149,11 +180,13 @@
 	}
 }
 
-/// The connection of a request's attempt was lost before the response was
-/// complete: checks whether the server crashed. One that is draining may end
-/// with requests in flight; one that is paused or limited is left alone.
-void
-gateway_crashes_on_lost(const struct gateway_request *q)
+/// Starts to check whether the server of a request's attempt crashed, or joins
+/// the check in flight. A server that is draining may end with requests in
+/// flight; one that is paused or limited is left alone.
+///
+/// @return the check, or NULL if the server isn't checked
+static struct crash *
+check_server(const struct gateway_request *q)
 {
 	struct gateway *g = q->gateway;
 	const struct gateway_server *s =
@@ -161,16 +194,16 @@
 	struct crash *crash = g_hash_table_lookup(g->crash_checks, q->server);
 
 	if (s == NULL || s->instance.draining || s->signalled_leaving ||
-	    q->call.n_parts < 2 ||
 	    !balancer_is_open(
 		g->balancer, loop_now_us(g->loop), s->balancer_handle))
-		return;
+		return NULL;
 	if (crash != NULL) {
 		add_parts(crash, q);
-		return;
+		return crash;
 	}
 	crash = g_new0(struct crash, 1);
 	crash->gateway = g;
+	crash->waiting = g_array_new(FALSE, FALSE, sizeof(handle_t));
 	crash->at_us = loop_now_us(g->loop);
 	partmsg_crash_init(&crash->report);
 	(void)g_strlcpy(
@@ -179,6 +212,34 @@
 	    sizeof(crash->report.service));
 	add_parts(crash, q);
 	(void)g_hash_table_insert(g->crash_checks, crash->report.server, crash);
-	if (!start_check(crash, s, q->service))
-		(void)g_hash_table_remove(g->crash_checks, q->server);
+	if (start_check(crash, s, q->service))
+		return crash;
+	(void)g_hash_table_remove(g->crash_checks, q->server);
+	return NULL;
+}
+
+/// The connection of a request's attempt was lost before the response was
+/// complete: checks whether the server crashed.
+void
+gateway_crashes_on_lost(const struct gateway_request *q)
+{
+	if (q->call.n_parts >= 2)
+		(void)check_server(q);
+}
+
+/// The connection of a request's attempt ended where its response may be
+/// complete, or cut off by a crash of the server. Checks whether that crashed;
+/// gateway_stream_checked() is called with the result, unless the request has
+/// ended by then.
+///
+/// @return false if the server isn't checked
+bool
+gateway_crashes_wait(const struct gateway_request *q)
+{
+	struct crash *crash = check_server(q);
+
+	if (crash == NULL)
+		return false;
+	(void)g_array_append_val(crash->waiting, q->self);
+	return true;
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -306,6 +306,7 @@
 void gateway_crashes_clear(struct gateway *g);
 void gateway_crashes_on_leader(struct gateway *g);
 void gateway_crashes_on_lost(const struct gateway_request *q);
+bool gateway_crashes_wait(const struct gateway_request *q);
 
 /// Status of a server that isn't the one that the request names.
 #define GATEWAY_HTTP_MISDIRECTED 421
@@ -365,6 +366,7 @@
 
 /// gateway_send.c: attempts at backend servers
 void gateway_send(struct gateway_request *q);
+void gateway_stream_checked(struct gateway_request *q, bool crashed);
 bool gateway_try_send(struct gateway_request *q);
 void gateway_cancel_attempt(
     struct gateway_request *q, enum balancer_outcome how);
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -384,6 +384,52 @@
 	    loop_now_us(q->gateway->loop) < q->deadline_us;
 }
 
+static void
+stream_lost(struct gateway_request *q, const char *why)
+{
+	gateway_crashes_on_lost(q);
+	attempt_failed(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN, why);
+}
+
+static void
+stream_complete(struct gateway_request *q)
+{
+	end_attempt(q, BALANCER_DONE);
+	q->verdict = VERDICT_RAN;
+	if (evstream_n_events(q->events) > 0)
+		gateway_parts_answered(q);
+	gateway_rollout_on_response(q, false);
+	gateway_stream_end(q);
+}
+
+/// Decides whether a stream that has ended is complete. Where it ended with its
+/// connection, that of a server that has crashed looks the same, so the server
+/// is checked first.
+static void
+finish_stream(struct gateway_request *q, bool until_close)
+{
+	if (evstream_has_partial(q->events))
+		stream_lost(q, "the stream ended within an event");
+	else if (until_close && evstream_n_events(q->events) == 0 &&
+	    !q->call.resumes)
+		stream_lost(q, "the stream ended before its first event");
+	else if (!until_close || !gateway_crashes_wait(q))
+		stream_complete(q);
+	else
+		timerq_disarm(q->timer);
+}
+
+/// The server of a stream that ended with its connection was checked.
+void
+gateway_stream_checked(struct gateway_request *q, bool crashed)
+{
+	if (crashed)
+		attempt_failed(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN,
+		    "the server crashed during the stream");
+	else
+		stream_complete(q);
+}
+
 /// Decides what follows a response that has come in full.
 static void
 finish_response(struct gateway_request *q, const struct httpc_result *result)
@@ -407,18 +453,7 @@
 		return;
 	}
 	if (q->is_stream) {
-		if (evstream_has_partial(q->events)) {
-			gateway_crashes_on_lost(q);
-			attempt_failed(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN,
-			    "the stream ended within an event");
-			return;
-		}
-		end_attempt(q, BALANCER_DONE);
-		q->verdict = VERDICT_RAN;
-		if (evstream_n_events(q->events) > 0)
-			gateway_parts_answered(q);
-		gateway_rollout_on_response(q, false);
-		gateway_stream_end(q);
+		finish_stream(q, result->until_close);
 		return;
 	}
 	if (q->head_sent) {
--- /dev/null
+++ b/test/script/unframed_streams.sh
@@ -0,0 +1,38 @@
+# Guards against a stream without a length or chunks that was cut off by the crash of
+# its server reaching the caller as complete.
+. "$PWD/test/script/deployment.inc"
+
+raw() {
+	echo "{\"id\": \"i-$1\", \"service\": \"app\", \"address\": \"$net.$1:81\",
+	    \"zone\": \"csepel\", \"version\": \"v1\", \"slots\": 6, \"state\": \"ready\"}"
+}
+
+# Sends a request for a stream, and prints its status, how curl ended and the data.
+ask() {
+	set_standin 41 "{\"responses\": [$1]}"
+	got=$(call 21 /stream/a k1 -o body.out -w '%{http_code}') && ended=whole || ended=broken
+	echo "$(echo "$got" | sed 's/status .*//') $ended $(grep -s data: body.out | tr -d '\n')"
+	rm -f body.out
+}
+
+head='HTTP/1.1 200 OK\r\nX-Acaciahinge-Request-Id: $ID\r\nX-Acaciahinge-Server-Stamp: s\r\n'
+ok="\"${head}Content-Length: 3\r\n\r\nyes\""
+stream="${head}Content-Type: text/event-stream\r\n\r\n"
+events='id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+
+standin_at 31 "\"kind\": \"platform\", \"instances\": [$(raw 41)]"
+standin_at 41 "\"kind\": \"raw\", \"raw_address\": \"$net.41:81\", \"responses\": [$ok]"
+for i in 11 12 13; do hub $i true; done
+gateway 21
+first_manifest '"k1"'
+wait_for 200 ready 21
+wait_for 200 status_of 21 /plain/a k1
+
+echo "== the server lives"
+ask "\"$stream$events\$CLOSE\", $ok"
+echo "== it ends the connection before the first event; another attempt follows"
+ask "\"$stream\$CLOSE\", \"$stream$events\$CLOSE\", $ok"
+echo "== within an event"
+ask "\"${stream}id: 1\ndata: a\n\$CLOSE\", \"$stream$events\$CLOSE\", $ok"
+echo "== it crashes between two events"
+ask "\"$stream$events\$EXIT\""
--- a/test/standin/raw.c
+++ b/test/standin/raw.c
@@ -4,11 +4,14 @@
 #include <event2/listener.h>
 #include <glib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define ID_HEADER "X-Acaciahinge-Request-Id: "
 #define ID_BYTES 128
 /// A response that ends with this is followed by the end of the connection.
 #define CLOSE_MARK "$CLOSE"
+/// The program ends after a response that ends with this.
+#define EXIT_MARK "$EXIT"
 /// What stands after this is repeated until the client closes.
 #define FOREVER_MARK "$FOREVER"
 /// Bytes without an end are written in portions of about this size.
@@ -30,6 +33,7 @@
 	struct raw *r;
 	struct bufferevent *bev;
 	GString *sent;    ///< the last response, "": none
+	bool exits;       ///< the program ends when all is written
 	GString *forever; ///< written again and again; NULL: nothing
 };
 
@@ -79,8 +83,13 @@
 static void
 on_sent(struct bufferevent *bev, void *arg)
 {
-	if (evbuffer_get_length(bufferevent_get_output(bev)) == 0)
-		close_conn(arg);
+	const struct raw_conn *c = arg;
+
+	if (evbuffer_get_length(bufferevent_get_output(bev)) > 0)
+		return;
+	if (c->exits)
+		_exit(0);
+	close_conn(arg);
 }
 
 /// The next response of the setting.
@@ -106,10 +115,14 @@
 {
 	struct raw *r = c->r;
 	GString *text = g_string_new(next_response(c));
-	const bool closes = g_str_has_suffix(text->str, CLOSE_MARK);
+	bool closes = g_str_has_suffix(text->str, CLOSE_MARK);
 
+	c->exits = g_str_has_suffix(text->str, EXIT_MARK);
 	if (closes)
 		(void)g_string_truncate(text, text->len - strlen(CLOSE_MARK));
+	if (c->exits)
+		(void)g_string_truncate(text, text->len - strlen(EXIT_MARK));
+	closes |= c->exits;
 	(void)g_string_replace(text, "$ID", id, 0);
 	take_forever(c, text);
 	r->n_requests++;
