--- a/src/replog/raft.c
+++ b/src/replog/raft.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define DEFAULT_RETAINED_ENTRIES 1024
+#define DEFAULT_RETAINED_BYTES ((size_t)4 << 20)
 #define DEFAULT_BATCH_ENTRIES 1024
 #define DEFAULT_CHUNK_BYTES (128U << 10)
 
@@ -303,9 +304,7 @@
 		raft_transfer(c, ev->transfer.to);
 		break;
 	case RAFT_EVENT_SNAPSHOT_MADE:
-		if (ev->snapshot.index > c->limits.retained_entries)
-			raft_log_compact(
-			    c, ev->snapshot.index - c->limits.retained_entries);
+		raft_log_retain(c, ev->snapshot.index);
 		break;
 	case RAFT_EVENT_SNAPSHOT_INSTALLED:
 		raft_snapshot_installed(
@@ -394,6 +393,8 @@
 	c->limits = config->limits;
 	if (c->limits.retained_entries == 0)
 		c->limits.retained_entries = DEFAULT_RETAINED_ENTRIES;
+	if (c->limits.retained_bytes == 0)
+		c->limits.retained_bytes = DEFAULT_RETAINED_BYTES;
 	if (c->limits.batch_entries == 0)
 		c->limits.batch_entries = DEFAULT_BATCH_ENTRIES;
 	if (c->limits.chunk_bytes == 0)
--- a/src/replog/raft.h
+++ b/src/replog/raft.h
@@ -53,6 +53,7 @@
 struct raft_limits {
 	uint32_t retained_entries; ///< Kept in memory before a snapshot's
 				   ///< index, for members that lag.
+	size_t retained_bytes;     ///< The same, of their data together.
 	uint32_t batch_entries;    ///< At most in one message.
 	uint32_t chunk_bytes;      ///< Of a snapshot, at most in one message.
 };
--- a/src/replog/raft_internal.h
+++ b/src/replog/raft_internal.h
@@ -150,6 +150,7 @@
 void raft_log_append(struct raft_core *c, const struct raft_entry *e);
 void raft_log_truncate(struct raft_core *c, uint64_t from);
 void raft_log_compact(struct raft_core *c, uint64_t upto);
+void raft_log_retain(struct raft_core *c, uint64_t snapshot_index);
 void raft_log_reset(struct raft_core *c, uint64_t index, uint64_t term,
     const struct raft_members *members);
 void raft_log_init(struct raft_core *c, const struct raft_config *config);
--- a/src/replog/raft_log.c
+++ b/src/replog/raft_log.c
@@ -137,6 +137,28 @@
 		g_array_remove_index(c->member_sets, 0);
 }
 
+/// Drops the entries that a snapshot covers but for the newest ones, which
+/// members that lag may need: as many as the limits on their number and on
+/// their bytes allow. A member that needs older ones gets the snapshot.
+void
+raft_log_retain(struct raft_core *c, uint64_t snapshot_index)
+{
+	uint64_t upto = snapshot_index;
+	size_t bytes = 0;
+
+	inv_check(snapshot_index <= raft_last_index(c),
+	    "replog.snapshot_in_log", "snapshot=%" PRIu64 " last=%" PRIu64,
+	    snapshot_index, raft_last_index(c));
+	while (upto > c->base_index &&
+	    snapshot_index - upto < c->limits.retained_entries) {
+		bytes += raft_entry_at(c, upto)->len;
+		if (bytes > c->limits.retained_bytes)
+			break;
+		upto--;
+	}
+	raft_log_compact(c, upto);
+}
+
 /// Replaces the whole log by an empty one that starts after a snapshot.
 void
 raft_log_reset(struct raft_core *c, uint64_t index, uint64_t term,
--- a/test/unit/replog/test_raft.cc
+++ b/test/unit/replog/test_raft.cc
@@ -559,6 +559,40 @@
 	EXPECT_EQ(sent.back().index, 0U);
 }
 
+/// The log kept a number of entries in memory whatever their size, so that some
+/// hundred large ones were more than the machine has.
+TEST_F(Core, RetainedEntriesAreBoundedByTheirBytes)
+{
+	const size_t len = 100000;
+	std::vector<uint8_t> data(len, 'x');
+	std::vector<struct raft_entry> entries;
+	struct raft_config config = {};
+	struct raft_event made = {};
+
+	for (uint64_t i = 1; i <= 100; i++)
+		entries.push_back({ i, 1, RAFT_COMMAND, len, data.data() });
+	config.group = 1;
+	config.self = 1;
+	config.hard_state.term = 1;
+	config.members.n_voters = 3;
+	for (uint32_t i = 0; i < 3; i++)
+		config.members.voters[i] = i + 1;
+	config.entries = entries.data();
+	config.n_entries = entries.size();
+	config.election_us = ELECTION_US;
+	config.heartbeat_us = HEARTBEAT_US;
+	config.limits.retained_bytes = 5 * len;
+	core = raft_new(&config, rnd, now);
+	made.kind = RAFT_EVENT_SNAPSHOT_MADE;
+	made.snapshot.index = 90;
+	made.snapshot.term = 1;
+	raft_step(core, ++now, &made, &fx);
+	EXPECT_EQ(raft_entry_at(core, 85), nullptr);
+	EXPECT_NE(raft_entry_at(core, 86), nullptr);
+	EXPECT_NE(raft_entry_at(core, 100), nullptr);
+	EXPECT_EQ(raft_term_at(core, 85), 1U);
+}
+
 /// Changes one byte of a message of each kind at a time; the core must drop or
 /// handle each result.
 TEST_F(Core, CorruptedMessagesViolateNoInvariant)
