Requests are bounded while they come, and reach the library complete

Callers saw: their requests cut where another's connection took the gateway over its memory (chunks of one byte, short header fields, bodies that stop before their end); no answer to a chunk's extension, a field of 9,000 bytes or pipelined requests.

Cause: evhtp parses what the socket held before any limit; the manifest's limits were stored and read by nobody; nothing bounds all bodies together.

Change: httpd_input reads heads and bodies, checks them (reqhead, base/http1), refuses with a status while they come, and gives evhtp one whole request with a length at a time. All requests together have a tenth of the VM's memory; the largest unfinished one gets 503.

Several faults in one commit: they go with the one piece that reads requests, and none of them has a smaller mend in the library.

Ruled out: limits in evhtp's hooks (they run after it has parsed what the socket held).

--- a/src/front/httpd.c
+++ b/src/front/httpd.c
@@ -1,39 +1,21 @@
-#include "front/httpd.h"
+#include "front/httpd_internal.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/listener.h>
-#include <glib.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <openssl/crypto.h>
 #include <stdlib.h>
 #include <string.h>
 
-// evhtp's own headers need POSIX types declared before them.
-#include <evhtp.h>
-
-#include "base/metrics.h"
 #include "base/logger.h"
+#include "base/metrics.h"
 
 #define HTTPD_BACKLOG 1024
 #define HTTPD_MAX_KEEPALIVE_REQUESTS 0 ///< no limit
-/// A longer request head is passed to the parser before it is complete.
+/// Limits of a server until httpd_set_limits().
 #define HTTPD_MAX_HEAD_BYTES 65536
-
-/// The read callback that evhtp installs, the same on all connections.
-static bufferevent_data_cb evhtp_read_cb;
-
-struct httpd {
-	struct httpd_config config;
-	evhtp_t *http;
-	struct slotmap *open;    ///< struct httpd_open_request
-	GHashTable *connections; ///< evhtp_free() doesn't close them
-	size_t unsent;           ///< responses complete but not yet written
-	bool listening;
-	bool closing_keepalive; ///< draining: see httpd_drain()
-};
+#define HTTPD_HEAD_TIMEOUT_US 10000000
+#define HTTPD_MAX_HELD_BYTES ((size_t)64 << 20)
 
 /// One request whose response is not complete.
 struct httpd_open_request {
@@ -138,72 +120,30 @@
 {
 	struct httpd *f = arg;
 
+	struct httpd_conn *hc = g_hash_table_lookup(f->connections, conn);
+
 	(void)g_hash_table_remove(f->connections, conn);
+	if (hc != NULL)
+		httpd_input_free(hc);
 	return EVHTP_RES_OK;
 }
 
-/// Whether a request's body length is unambiguous. Two lengths, or a length
-/// together with chunked encoding, would allow request smuggling.
-static bool
-framing_is_unambiguous(const evhtp_request_t *req)
-{
-	const evhtp_kv_t *kv;
-	unsigned lengths = 0;
-	unsigned encodings = 0;
-
-	TAILQ_FOREACH(kv, req->headers_in, next)
-	{
-		if (g_ascii_strcasecmp(kv->key, "Content-Length") == 0) {
-			lengths++;
-			if (kv->val[0] == '\0' ||
-			    strspn(kv->val, "0123456789") != strlen(kv->val))
-				return false;
-		}
-		if (g_ascii_strcasecmp(kv->key, "Transfer-Encoding") == 0) {
-			encodings++;
-			if (g_ascii_strcasecmp(kv->val, "chunked") != 0)
-				return false;
-		}
-	}
-	return lengths + encodings <= 1;
-}
-
-/// Rejects a request with ambiguous framing before its body is read. The
-/// connection is closed, so that nothing after the head is parsed as a request.
+/// Adds the header fields that evhtp didn't parse.
 static evhtp_res
 on_headers(evhtp_request_t *req, evhtp_headers_t *headers, void *arg)
 {
-	static const char refusal[] =
-	    "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n"
-	    "Connection: close\r\n\r\n";
 	const struct httpd *f = arg;
+	const struct httpd_conn *hc =
+	    g_hash_table_lookup(f->connections, req->conn);
 
-	(void)headers;
-	// While draining, a request may arrive on a kept-alive connection just
-	// as it is closed for being idle: close it without a response.
-	if (f->closing_keepalive &&
-	    (req->conn->flags & EVHTP_CONN_FLAG_KEEPALIVE))
-		return EVHTP_RES_ERROR;
-	if (framing_is_unambiguous(req))
-		return EVHTP_RES_OK;
-	logger_event(LOGGER_WARN, "caller.bad_framing", "answer=400");
-	(void)send(req->conn->sock, refusal, sizeof(refusal) - 1, MSG_NOSIGNAL);
-	return EVHTP_RES_ERROR;
-}
+	for (guint i = 0; i < hc->head.long_fields->len; i++) {
+		const struct reqhead_field *field = &g_array_index(
+		    hc->head.long_fields, struct reqhead_field, i);
 
-/// Withholds received bytes from evhtp until a request's head is complete. Its
-/// parser rejects some heads that arrive in parts, or reads a wrong target.
-static void
-on_bytes(struct bufferevent *bev, void *arg)
-{
-	const evhtp_connection_t *conn = arg;
-	struct evbuffer *in = bufferevent_get_input(bev);
-
-	if (conn->request == NULL &&
-	    evbuffer_get_length(in) < HTTPD_MAX_HEAD_BYTES &&
-	    evbuffer_search(in, "\r\n\r\n", 4, NULL).pos < 0)
-		return;
-	evhtp_read_cb(bev, arg);
+		evhtp_headers_add_header(
+		    headers, evhtp_header_new(field->name, field->value, 1, 1));
+	}
+	return EVHTP_RES_OK;
 }
 
 /// Installs the callbacks of a new connection.
@@ -211,15 +151,8 @@
 on_accepted(evhtp_connection_t *conn, void *arg)
 {
 	struct httpd *f = arg;
-	bufferevent_data_cb write_cb;
-	bufferevent_event_cb event_cb;
-	void *cb_arg;
 
-	bufferevent_getcb(
-	    conn->bev, &evhtp_read_cb, &write_cb, &event_cb, &cb_arg);
-	bufferevent_setcb(conn->bev, on_bytes, write_cb, event_cb, cb_arg);
-
-	(void)g_hash_table_add(f->connections, conn);
+	httpd_input_accept(f, conn);
 	(void)evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
 	    (evhtp_hook)on_connection_fini, f);
 	(void)evhtp_connection_set_hook(
@@ -242,7 +175,14 @@
 
 	f->config = *config;
 	f->open = slotmap_new(sizeof(struct httpd_open_request));
-	f->http = evhtp_new(config->base, NULL);
+	f->limits = (struct httpd_limits){
+		.max_head_bytes = HTTPD_MAX_HEAD_BYTES,
+		.max_body_bytes = config->max_body_bytes,
+		.head_timeout_us = HTTPD_HEAD_TIMEOUT_US,
+		.body_idle_us = (uint64_t)config->idle_ms * 1000,
+		.max_held_bytes = HTTPD_MAX_HELD_BYTES,
+	};
+	f->http = evhtp_new(config->base, f);
 	if (config->tls != NULL) {
 		(void)SSL_CTX_up_ref(config->tls);
 		f->http->ssl_ctx = config->tls;
@@ -250,12 +190,25 @@
 	f->connections = g_hash_table_new(NULL, NULL);
 	evhtp_set_gencb(f->http, on_request, f);
 	evhtp_set_post_accept_cb(f->http, on_accepted, f);
-	evhtp_set_max_body_size(f->http, config->max_body_bytes);
 	evhtp_set_max_keepalive_requests(f->http, HTTPD_MAX_KEEPALIVE_REQUESTS);
 	evhtp_set_timeouts(f->http, &idle, &idle);
 	return f;
 }
 
+/// Sets what callers may send.
+void
+httpd_set_limits(struct httpd *f, const struct httpd_limits *limits)
+{
+	f->limits = *limits;
+}
+
+/// Bytes of requests that are read or served.
+size_t
+httpd_held_bytes(const struct httpd *f)
+{
+	return f->held;
+}
+
 static void
 close_connections(struct httpd *f)
 {
@@ -322,17 +275,16 @@
 void
 httpd_drain(struct httpd *f)
 {
-	GList *all = g_hash_table_get_keys(f->connections);
+	GList *all = g_hash_table_get_values(f->connections);
 
 	f->closing_keepalive = true;
 	for (const GList *l = all; l != NULL; l = l->next) {
-		evhtp_connection_t *conn = l->data;
+		const struct httpd_conn *hc = l->data;
 
-		if (conn->request != NULL)
-			evhtp_request_set_keepalive(conn->request, 0);
-		else if (evbuffer_get_length(
-			     bufferevent_get_input(conn->bev)) == 0)
-			evhtp_connection_free(conn);
+		if (hc->evhtp->request != NULL)
+			evhtp_request_set_keepalive(hc->evhtp->request, 0);
+		else if (httpd_input_is_idle(hc))
+			evhtp_connection_free(hc->evhtp);
 	}
 	g_list_free(all);
 }
@@ -440,6 +392,7 @@
 	req = open->req;
 	(void)evhtp_request_unset_hook(req, evhtp_hook_on_request_fini);
 	release_open_request(open);
+	httpd_input_stop(f, req->conn);
 	// evhtp frees the connection when it reads the end of file.
 	(void)shutdown(req->conn->sock, SHUT_RDWR);
 }
@@ -450,8 +403,8 @@
 {
 	struct httpd *f = arg;
 
-	(void)req;
 	f->unsent--;
+	httpd_input_on_response(f, req->conn);
 	return EVHTP_RES_OK;
 }
 
--- a/src/front/httpd.h
+++ b/src/front/httpd.h
@@ -58,9 +58,21 @@
 	void *arg;
 };
 
+/// What callers may send. A request over a limit is refused while it comes, and
+/// its connection closed.
+struct httpd_limits {
+	size_t max_head_bytes;
+	size_t max_body_bytes;
+	uint64_t head_timeout_us; ///< from a head's first byte to its last
+	uint64_t body_idle_us;    ///< until a body's next byte
+	size_t max_held_bytes;    ///< of all requests that are read or served
+};
+
 struct httpd *httpd_new(const struct httpd_config *config);
 void httpd_free(struct httpd *f);
 enum status httpd_listen(struct httpd *f, const char *host, uint16_t port);
+void httpd_set_limits(struct httpd *f, const struct httpd_limits *limits);
+size_t httpd_held_bytes(const struct httpd *f);
 void httpd_stop_listening(struct httpd *f);
 void httpd_drain(struct httpd *f);
 /// Called once for each header, in the order received.
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -12,6 +12,11 @@
 #define GATEWAY_IDLE_MS 75000
 #define GATEWAY_STATUS_PATH "/v1/status"
 #define GATEWAY_MAX_BODY_BYTES (16U << 20)
+/// Bytes of a request line, which come before the header.
+#define GATEWAY_TARGET_BYTES 4096
+/// Part of the memory that callers' requests may hold. A body is copied three
+/// times on its way to a backend server.
+#define GATEWAY_REQUESTS_SHARE 10
 /// Tokens of a prompt that one hash stands for.
 #define GATEWAY_BLOCK_TOKENS 128
 #define GATEWAY_MAX_BLOCKS 512
@@ -320,6 +325,8 @@
 	    gateway_signals_count(g, API_SIGNAL_LEAVING);
 	metrics_gauge(registry, "ac_servers_paused", "")->value =
 	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER);
+	metrics_gauge(registry, "ac_request_bytes", "")->value =
+	    httpd_held_bytes(g->callers);
 	metrics_gauge(registry, "ac_response_bytes", "")->value =
 	    httpc_held_bytes(g->http);
 	metrics_gauge(registry, "ac_requests_open", "")->value =
@@ -353,6 +360,24 @@
 	return httpd_new(&config);
 }
 
+/// Sets what callers may send to what the configuration in force allows.
+void
+gateway_accept_set_limits(struct gateway *g)
+{
+	const struct fleetcfg_limits *l = fleetcfg_limits(g->config);
+	const struct httpd_limits limits = {
+		.max_head_bytes = l->max_header_bytes + GATEWAY_TARGET_BYTES,
+		.max_body_bytes = l->max_body_bytes,
+		.head_timeout_us =
+		    (uint64_t)l->header_timeout_ms * USEC_PER_MSEC,
+		.body_idle_us = (uint64_t)l->idle_timeout_ms * USEC_PER_MSEC,
+		.max_held_bytes = bootstrap_memory_share(
+		    &g->settings, GATEWAY_REQUESTS_SHARE),
+	};
+
+	httpd_set_limits(g->callers, &limits);
+}
+
 /// Listens on the callers' address, on that of readiness, and on that of
 /// metrics and status if it is configured.
 ///
