What a server said of itself outlives a gap in the list

Callers saw nothing; servers did: one that asked for a pause of 30 s got a request after each of five readings of the list in which its entry couldn't be parsed; the same for servers that leave, and for limits.

Cause: the signals were kept with the list's entry, which is removed when it can't be read.

Ruled out: keeping the entry (it names no server, and the server may be gone).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -240,6 +240,7 @@
 	g->blocked_parts =
 	    g_array_new(FALSE, TRUE, sizeof(struct gateway_blocked_part));
 	gateway_crashes_start(g);
+	gateway_unlisted_start(g);
 	g->requests = slotmap_new(sizeof(struct gateway_request));
 	g->by_caller =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -321,6 +322,7 @@
 	g_hash_table_destroy(g->usage);
 	g_hash_table_destroy(g->by_caller);
 	gateway_crashes_clear(g);
+	g_hash_table_destroy(g->unlisted);
 	g_array_unref(g->blocked_parts);
 	partlog_free(g->answered_parts);
 	fleetcfg_unref(g->config);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -112,6 +112,7 @@
 	/// Backend servers (gateway_servers.c).
 	struct balancer *balancer;
 	GHashTable *servers;    ///< id -> struct gateway_server
+	GHashTable *unlisted;   ///< server's id -> its signals while not listed
 	uint64_t list_round;    ///< number of updates of the list
 	uint64_t list_fresh_us; ///< when the list was last known to be current;
 				///< 0: never
@@ -302,6 +303,11 @@
 void gateway_parts_on_state(
     struct gateway *g, handle_t link, const struct wire_bytes *bytes);
 
+/// gateway_unlisted.c: signals of servers that aren't listed
+void gateway_unlisted_start(struct gateway *g);
+void gateway_unlisted_keep(struct gateway *g, const struct gateway_server *s);
+void gateway_unlisted_restore(struct gateway *g, struct gateway_server *s);
+
 /// gateway_crashes.c: crashes of servers
 void gateway_crashes_start(struct gateway *g);
 void gateway_crashes_clear(struct gateway *g);
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -67,8 +67,9 @@
 {
 	struct gateway_server *s =
 	    g_hash_table_lookup(g->servers, instance->id);
+	const bool is_new = s == NULL;
 
-	if (s == NULL) {
+	if (is_new) {
 		s = g_new0(struct gateway_server, 1);
 		s->instance = *instance;
 		(void)g_hash_table_insert(g->servers, s->instance.id, s);
@@ -85,6 +86,10 @@
 	s->instance = *instance;
 	s->list_round = g->list_round;
 	update_balancer(g, s, now_us);
+	if (!is_new)
+		return;
+	gateway_unlisted_restore(g, s);
+	update_balancer(g, s, now_us);
 }
 
 /// Passes a server's changed state to the balancer.
@@ -98,6 +103,7 @@
 remove_from_balancer(struct gateway *g, const struct gateway_server *s)
 {
 	logger_event(LOGGER_INFO, "server.gone", "server=%s", s->instance.id);
+	gateway_unlisted_keep(g, s);
 	balancer_remove_server(g->balancer, s->balancer_handle);
 }
 
