--- a/Makefile
+++ b/Makefile
@@ -46,12 +46,16 @@
 
 ## fuzz-check: the fuzzer over its corpus, a fixed seed and count
 fuzz-check: $(FUZZ)/build.ninja
-	cmake --build $(FUZZ) --target fuzz
-	rm -rf $(FUZZ)/check
-	mkdir -p $(FUZZ)/check
+	cmake --build $(FUZZ) --target fuzz --target fuzz_http
+	rm -rf $(FUZZ)/check $(FUZZ)/check-http
+	mkdir -p $(FUZZ)/check $(FUZZ)/check-http
 	$(FUZZ)/fuzz -seed=1 -runs=100000 -max_len=4096 -verbosity=0 \
 	    $(FUZZ)/check test/fuzz/corpus
-	@echo "fuzz-check: 100000 inputs, no finding"
+	$(FUZZ)/fuzz_http -seed=1 -runs=20000 -max_len=16384 -verbosity=0 \
+	    -dict=test/fuzz/http.dict $(FUZZ)/check-http test/fuzz/corpus-http \
+	    >$(FUZZ)/check-http.log 2>&1 || \
+	    { tail -n 60 $(FUZZ)/check-http.log; exit 1; }
+	@echo "fuzz-check: 100000 inputs, and 20000 over HTTP, no finding"
 
 ## fuzz: the same without an end; what it finds is kept in build-fuzz/found
 fuzz: $(FUZZ)/build.ninja
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -68,4 +68,7 @@
 	target_link_libraries(fuzz hub platform fleet wire replog request rollout
 		state conf)
 	target_link_options(fuzz PRIVATE -fsanitize=fuzzer)
+	add_executable(fuzz_http test/fuzz/fuzz_http.c)
+	target_link_libraries(fuzz_http platform front back base)
+	target_link_options(fuzz_http PRIVATE -fsanitize=fuzzer)
 endif()
