A closed data centre is left out of the plan of servers

A data centre whose servers get no requests counted for the need, so that its loss was only made good after its servers had gone. Its servers don't count now, and none but the minimum is ordered there; the minimum stays, as the platform bounds orders by it. Two tests of the plan: one of three data centres closed with and without reclaimable servers to be had, and all but one.

--- a/src/fleet/autoscale.c
+++ b/src/fleet/autoscale.c
@@ -54,7 +54,8 @@
 	for (uint32_t i = 0; i < in->n_zones; i++) {
 		const struct autoscale_target *o = &plan->zones[i];
 
-		if (o->on_demand + o->spot >= in->max_servers)
+		if (in->zones[i].closed ||
+		    o->on_demand + o->spot >= in->max_servers)
 			continue;
 		if (in->zones[i].on_demand_unavailable &&
 		    o->on_demand >= in->zones[i].on_demand)
@@ -80,7 +81,7 @@
 		const struct autoscale_target *o = &plan->zones[i];
 		const uint32_t n = o->on_demand + o->spot;
 
-		if (n >= in->max_servers || n >= fewest)
+		if (in->zones[i].closed || n >= in->max_servers || n >= fewest)
 			continue;
 		if (in->zones[i].spot_unavailable &&
 		    o->spot >= in->zones[i].spot)
@@ -100,17 +101,20 @@
 	const struct autoscale_zone *z = &in->zones[i];
 	const uint32_t room = in->max_servers - plan->zones[i].on_demand;
 
-	return min_u32(z->spot + z->spot_starting, room);
+	return z->closed ? 0 : min_u32(z->spot + z->spot_starting, room);
 }
 
+/// Number of planned servers that take requests.
 static uint32_t
 count_servers(
     const struct autoscale_input *in, const struct autoscale_plan *plan)
 {
 	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < in->n_zones; i++)
-		n += plan->zones[i].on_demand + plan->zones[i].spot;
+	for (uint32_t i = 0; i < in->n_zones; i++) {
+		if (!in->zones[i].closed)
+			n += plan->zones[i].on_demand + plan->zones[i].spot;
+	}
 	return n;
 }
 
@@ -202,6 +206,8 @@
 	uint32_t largest = 0;
 
 	for (uint32_t i = 0; i < in->n_zones; i++) {
+		if (in->zones[i].closed)
+			continue;
 		n += plan->zones[i].on_demand + in->zones[i].spot;
 		if (in->zones[i].spot > largest)
 			largest = in->zones[i].spot;
@@ -242,8 +248,10 @@
 static void
 keep_on_demand(const struct autoscale_input *in, struct autoscale_plan *out)
 {
-	for (uint32_t i = 0; i < in->n_zones; i++)
-		keep_on_demand_in(in, out, i);
+	for (uint32_t i = 0; i < in->n_zones; i++) {
+		if (!in->zones[i].closed)
+			keep_on_demand_in(in, out, i);
+	}
 }
 
 /// Plans the servers of a service for each data centre.
--- a/src/fleet/autoscale.h
+++ b/src/fleet/autoscale.h
@@ -22,6 +22,9 @@
 	bool spot_unavailable;
 	/// An order for on-demand servers failed recently.
 	bool on_demand_unavailable;
+	/// Its servers get no requests: no more than the minimum is ordered
+	/// there, and none counts for the need.
+	bool closed;
 };
 
 struct autoscale_input {
--- a/test/unit/fleet/test_autoscale.cc
+++ b/test/unit/fleet/test_autoscale.cc
@@ -177,6 +177,41 @@
 	EXPECT_EQ(p.zones[0].on_demand, 6U);
 }
 
+/// A data centre is evacuated: its servers are replaced in the others, by
+/// on-demand ones at once if reclaimable ones are refused there.
+TEST(Plan, AClosedDataCentreIsReplacedInTheOthers)
+{
+	struct autoscale_input in = three_zones(9);
+	struct autoscale_plan p;
+
+	in.max_servers = 20;
+	for (unsigned i = 0; i < 3; i++) {
+		in.zones[i].on_demand = in.zones[i].on_demand_expected = 1;
+		in.zones[i].spot = 5;
+	}
+	in.zones[0].closed = true;
+	autoscale_plan(&in, &p);
+	EXPECT_EQ(p.zones[0].spot, 0U);
+	EXPECT_EQ(p.zones[0].on_demand, in.min_servers);
+	EXPECT_EQ(fixed(p) + spot(p), 18U + in.min_servers);
+	EXPECT_LE(p.zones[1].spot, p.zones[2].spot + 1);
+	in.zones[1].spot_unavailable = in.zones[2].spot_unavailable = true;
+	in.zones[1].spot = in.zones[2].spot = 2;
+	autoscale_plan(&in, &p);
+	EXPECT_GE(p.zones[1].on_demand + p.zones[2].on_demand + 4, 9U);
+}
+
+TEST(Plan, AllDataCentresButOneClosed)
+{
+	struct autoscale_input in = three_zones(5);
+	struct autoscale_plan p;
+
+	in.zones[0].closed = in.zones[2].closed = true;
+	autoscale_plan(&in, &p);
+	EXPECT_EQ(p.zones[1].on_demand + p.zones[1].spot, in.max_servers);
+	EXPECT_EQ(p.zones[0].spot + p.zones[2].spot, 0U);
+}
+
 struct sizing_sample
 prompts(double tokens)
 {
