--- a/src/fleet/autoscale.c
+++ b/src/fleet/autoscale.c
@@ -3,12 +3,20 @@
 #include <assert.h>
 #include <math.h>
 
-/// With reclaimable servers the plan has this many times the needed servers, so
-/// that enough are left when those of one data centre are reclaimed.
-#define SPOT_FACTOR 2.0
+/// Servers that should be left when the reclaimable ones of a data centre are
+/// reclaimed, as a multiple of the needed ones: others crash or turn slow at
+/// the same time.
+#define LEFT_FACTOR 1.2
+/// With all reclaimable servers the plan has at most this many times the needed
+/// ones.
+#define MAX_FACTOR 2.0
+/// Reclaimable servers are given up once there are more than this many times
+/// those that it takes: the need changes with each sample, and a server that is
+/// ordered again has to start, with an empty cache.
+#define SURPLUS_FACTOR 1.1
 /// Share of the needed servers that are on-demand: all that is left when every
 /// reclaimable server is reclaimed.
-#define ON_DEMAND_SHARE 0.33
+#define ON_DEMAND_SHARE 0.2
 /// The loss of this share of the reclaimable servers at once counts as a
 /// reclaim of the data centre; the loss of fewer than RECLAIM_MIN_SERVERS never
 /// does.
@@ -67,7 +75,7 @@
 }
 
 /// The data centre for another reclaimable server: the one with the fewest
-/// servers.
+/// reclaimable ones, as those of one are reclaimed together.
 ///
 /// @return its index; n_zones when none can have one
 static uint32_t
@@ -79,15 +87,15 @@
 
 	for (uint32_t i = 0; i < in->n_zones; i++) {
 		const struct autoscale_target *o = &plan->zones[i];
-		const uint32_t n = o->on_demand + o->spot;
 
-		if (in->zones[i].closed || n >= in->max_servers || n >= fewest)
+		if (in->zones[i].closed || o->spot >= fewest ||
+		    o->on_demand + o->spot >= in->max_servers)
 			continue;
 		if (in->zones[i].spot_unavailable &&
 		    o->spot >= in->zones[i].spot)
 			continue;
 		best = i;
-		fewest = n;
+		fewest = o->spot;
 	}
 	return best;
 }
@@ -118,6 +126,19 @@
 	return n;
 }
 
+/// Number of planned reclaimable servers that take requests.
+static uint32_t
+count_spot(const struct autoscale_input *in, const struct autoscale_plan *plan)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < in->n_zones; i++) {
+		if (!in->zones[i].closed)
+			n += plan->zones[i].spot;
+	}
+	return n;
+}
+
 /// Plans on-demand servers: the minimum in each data centre, and more until all
 /// data centres together have the ON_DEMAND_SHARE of the need that must remain
 /// when all reclaimable servers are reclaimed.
@@ -172,22 +193,54 @@
 	return best;
 }
 
-/// Adds or removes reclaimable servers until the plan has SPOT_FACTOR times the
-/// needed servers.
+/// Number of data centres that can have reclaimable servers.
+static uint32_t
+count_spot_zones(const struct autoscale_input *in)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < in->n_zones; i++)
+		n += !in->zones[i].closed && in->max_servers > in->min_servers;
+	return n;
+}
+
+/// Number of reclaimable servers that the plan should have. Spread evenly over
+/// the data centres, those that are left when one data centre's are reclaimed
+/// make the needed ones together with the on-demand servers.
+///
+/// @param on_demand  servers that stay when all reclaimable ones run
+static double
+wanted_spot(const struct autoscale_input *in, uint32_t on_demand)
+{
+	const uint32_t n = count_spot_zones(in);
+	const double left = in->needed_servers * LEFT_FACTOR;
+	const double rest = fmax(left - on_demand, 0);
+	const double most = in->needed_servers * MAX_FACTOR - on_demand;
+
+	return n > 1 ? fmin(rest * n / (n - 1), most) : fmax(most, 0);
+}
+
+/// Adds or removes reclaimable servers until the plan has the number that it
+/// should have.
+///
+/// @param on_demand  as for wanted_spot()
 static void
-plan_spot(const struct autoscale_input *in, struct autoscale_plan *out)
+plan_spot(const struct autoscale_input *in, uint32_t on_demand,
+    struct autoscale_plan *out)
 {
-	const uint32_t wanted =
-	    (uint32_t)ceil(in->needed_servers * SPOT_FACTOR);
+	const double wanted = wanted_spot(in, on_demand);
 
-	while (count_servers(in, out) < wanted) {
+	while (count_spot(in, out) < wanted) {
 		const uint32_t zone = zone_for_spot(in, out);
 
 		if (zone == in->n_zones)
 			return;
 		out->zones[zone].spot++;
 	}
-	while (count_servers(in, out) > wanted) {
+	if (in->need_is_guess ||
+	    count_spot(in, out) <= ceil(wanted * SURPLUS_FACTOR))
+		return;
+	while (count_spot(in, out) > ceil(wanted)) {
 		const uint32_t zone = zone_with_most_spot(in, out);
 
 		if (zone == in->n_zones)
@@ -215,42 +268,80 @@
 	return n - largest;
 }
 
-/// Keeps the on-demand servers of a data centre, running or ordered, as far as
-/// they fit beside the planned reclaimable ones. Reclaimable servers that are
-/// only planned are dropped for more on-demand ones as long as the next reclaim
-/// would leave fewer servers than needed.
-static void
-keep_on_demand_in(
-    const struct autoscale_input *in, struct autoscale_plan *out, uint32_t i)
-{
-	const uint32_t need = (uint32_t)ceil(in->needed_servers);
-	const struct autoscale_zone *z = &in->zones[i];
-	struct autoscale_target *o = &out->zones[i];
-	const uint32_t existing_spot =
-	    min_u32(z->spot + z->spot_starting, o->spot);
-	const uint32_t fits_planned =
-	    min_u32(z->on_demand_expected, in->max_servers - o->spot);
-	const uint32_t fits_existing =
-	    min_u32(z->on_demand_expected, in->max_servers - existing_spot);
-	uint32_t left;
-
-	if (fits_planned > o->on_demand)
-		o->on_demand = fits_planned;
-	left = count_left(in, out);
-	if (fits_existing <= o->on_demand || left >= need)
-		return;
-	o->on_demand = min_u32(fits_existing, o->on_demand + need - left);
-	o->spot = min_u32(o->spot, in->max_servers - o->on_demand);
-}
-
 /// Keeps on-demand servers that run or are ordered for a while after a reclaim,
 /// because reclaims come in waves and a server takes seconds to start.
+/// Reclaimable servers that are only planned give way to them.
 static void
 keep_on_demand(const struct autoscale_input *in, struct autoscale_plan *out)
 {
 	for (uint32_t i = 0; i < in->n_zones; i++) {
-		if (!in->zones[i].closed)
-			keep_on_demand_in(in, out, i);
+		const struct autoscale_zone *z = &in->zones[i];
+		struct autoscale_target *o = &out->zones[i];
+		const uint32_t spot =
+		    min_u32(z->spot + z->spot_starting, o->spot);
+		const uint32_t fits =
+		    min_u32(z->on_demand_expected, in->max_servers - spot);
+
+		if (z->closed || fits <= o->on_demand)
+			continue;
+		o->on_demand = fits;
+		o->spot = min_u32(o->spot, in->max_servers - fits);
+	}
+}
+
+/// The cheapest data centre that has more on-demand servers than planned, and
+/// room for them beside the reclaimable ones that exist; n_zones when none has.
+static uint32_t
+zone_to_keep(
+    const struct autoscale_input *in, const struct autoscale_plan *plan)
+{
+	uint32_t best = in->n_zones;
+
+	for (uint32_t i = 0; i < in->n_zones; i++) {
+		const struct autoscale_zone *z = &in->zones[i];
+		const struct autoscale_target *o = &plan->zones[i];
+		const uint32_t spot =
+		    min_u32(z->spot + z->spot_starting, o->spot);
+
+		if (!z->closed && o->on_demand < z->on_demand &&
+		    o->on_demand + spot < in->max_servers &&
+		    (best == in->n_zones || z->price < in->zones[best].price))
+			best = i;
+	}
+	return best;
+}
+
+/// Keeps on-demand servers that run, the cheapest first, until those that are
+/// left after a reclaim are `enough`.
+static void
+keep_running(
+    const struct autoscale_input *in, struct autoscale_plan *out, double enough)
+{
+	while (count_left(in, out) < enough) {
+		const uint32_t zone = zone_to_keep(in, out);
+		struct autoscale_target *o;
+
+		if (zone == in->n_zones)
+			return;
+		o = &out->zones[zone];
+		o->on_demand++;
+		o->spot = min_u32(o->spot, in->max_servers - o->on_demand);
+	}
+}
+
+/// Adds on-demand servers until those that are left after another reclaim are
+/// enough: reclaims come in waves, and a server takes seconds to start.
+static void
+cover_next_reclaim(const struct autoscale_input *in, struct autoscale_plan *out)
+{
+	const double need = ceil(in->needed_servers);
+
+	while (count_left(in, out) < need) {
+		const uint32_t zone = zone_for_on_demand(in, out);
+
+		if (zone == in->n_zones)
+			return;
+		out->zones[zone].on_demand++;
 	}
 }
 
@@ -260,16 +351,23 @@
 void
 autoscale_plan(const struct autoscale_input *in, struct autoscale_plan *out)
 {
+	uint32_t on_demand;
+
 	assert(in->n_zones <= AUTOSCALE_MAX_ZONES);
 	*out = (struct autoscale_plan){ 0 };
 	plan_on_demand(in, out);
+	on_demand = count_servers(in, out);
 	for (uint32_t i = 0; i < in->n_zones && in->spot_price > 0; i++)
 		out->zones[i].spot = retained_spot(in, out, i);
 	cover_need(in, out);
 	if (in->spot_price > 0)
-		plan_spot(in, out);
-	if (in->spot_reclaimed)
+		plan_spot(in, on_demand, out);
+	keep_running(
+	    in, out, in->need_is_guess ? INFINITY : ceil(in->needed_servers));
+	if (in->spot_reclaimed) {
 		keep_on_demand(in, out);
+		cover_next_reclaim(in, out);
+	}
 }
 
 /// Records the number of reclaimable servers and detects a reclaim.
--- a/src/fleet/autoscale.h
+++ b/src/fleet/autoscale.h
@@ -35,6 +35,7 @@
 	double spot_price; ///< as a share of `price`; 0: no reclaimable servers
 	double needed_servers; ///< servers that the load requires
 	bool spot_reclaimed;   ///< reclaimable servers were reclaimed recently
+	bool need_is_guess;    ///< no load was measured yet: what runs is kept
 };
 
 struct autoscale_target {
--- a/src/fleet/sizing.c
+++ b/src/fleet/sizing.c
@@ -30,6 +30,13 @@
 	return s->start_us != 0;
 }
 
+/// Whether load was seen for long enough to set the need.
+bool
+sizing_is_measured(const struct sizing *s, uint64_t now_us)
+{
+	return s->start_us != 0 && now_us >= s->start_us + MIN_SAMPLING_US;
+}
+
 /// Updates an exponential moving average with time constant `over_s`.
 static void
 update_average(double *value, double sample, double age_s, double over_s)
@@ -37,6 +44,13 @@
 	*value += (1 - exp(-age_s / over_s)) * (sample - *value);
 }
 
+/// An average that began at 0, as if it had begun at the mean of its samples.
+static double
+without_start(double average, double elapsed_s, double over_s)
+{
+	return average / (1 - exp(-elapsed_s / over_s));
+}
+
 /// Number of servers that the load of a sample keeps busy.
 static double
 busy_servers(const struct sizing_sample *sample, double age_s)
@@ -54,6 +68,7 @@
     struct sizing *s, uint64_t now_us, const struct sizing_sample *sample)
 {
 	double age_s;
+	double elapsed_s;
 	double wanted;
 
 	if (s->start_us == 0) {
@@ -71,9 +86,13 @@
 	    FAST_AVERAGE_S);
 	update_average(&s->slow_average, busy_servers(sample, age_s), age_s,
 	    SLOW_AVERAGE_S);
-	if (now_us < s->start_us + MIN_SAMPLING_US)
+	if (!sizing_is_measured(s, now_us))
 		return;
-	wanted = fmax(s->fast_average, s->slow_average) / TARGET_UTILIZATION;
+	elapsed_s = (double)(now_us - s->start_us) / US_PER_S;
+	wanted =
+	    fmax(without_start(s->fast_average, elapsed_s, FAST_AVERAGE_S),
+		without_start(s->slow_average, elapsed_s, SLOW_AVERAGE_S)) /
+	    TARGET_UTILIZATION;
 	if (wanted >= s->servers)
 		s->servers = wanted;
 	else
--- a/src/fleet/sizing.h
+++ b/src/fleet/sizing.h
@@ -25,6 +25,7 @@
 
 void sizing_init(struct sizing *s, double need);
 bool sizing_has_samples(const struct sizing *s);
+bool sizing_is_measured(const struct sizing *s, uint64_t now_us);
 void sizing_update(
     struct sizing *s, uint64_t now_us, const struct sizing_sample *sample);
 
--- a/src/hub/hub_duty.c
+++ b/src/hub/hub_duty.c
@@ -133,6 +133,6 @@
 	}
 	if (hub_duty_is_held(h) && h->settings.reports_usage)
 		hub_usage_tick(h, now_us);
-	if (hub_duty_is_held(h) && h->settings.scales)
-		hub_scale_tick(h);
+	if (hub_is_leader(h) && h->settings.scales)
+		hub_scale_tick(h, hub_duty_is_held(h));
 }
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -251,6 +251,6 @@
 /// hub_scale.c: orders of servers from the cloud (leader)
 void hub_scale_reset(struct hub *h);
 void hub_scale_on_loads(struct hub *h, const GArray *loads);
-void hub_scale_tick(struct hub *h);
+void hub_scale_tick(struct hub *h, bool may_order);
 
 #endif
--- a/src/hub/hub_scale.c
+++ b/src/hub/hub_scale.c
@@ -17,12 +17,15 @@
 #define HUB_UNAVAILABLE_US (3 * USEC_PER_SEC)
 /// HTTP status with which the cloud refuses such an order.
 #define HUB_CONFLICT 409
-/// First estimate of the servers that a service needs, as a share of those that
-/// it has.
+/// First estimate of the servers that a service needs, as a share of the
+/// on-demand ones that it has. Reclaimable ones don't count: they were ordered
+/// by this estimate, which would grow with each order.
 #define HUB_INITIAL_NEED_RATIO (2.0 / 3)
 /// With no recorded size, a holder watches the list for this long before it
 /// acts on the first estimate.
 #define HUB_INITIAL_WATCH_US (3 * USEC_PER_SEC)
+/// A service without any load for this long gets the servers of the estimate.
+#define HUB_IDLE_US (20 * USEC_PER_SEC)
 /// The number of needed servers is logged and recorded once it differs by this
 /// share from the recorded one.
 #define HUB_NEED_CHANGE_RATIO 0.05
@@ -227,8 +230,10 @@
 }
 
 /// Listed servers of a service, without the draining ones.
+///
+/// @param with_spot  reclaimable ones count
 static uint32_t
-count_servers(const struct hub *h, const char *service)
+count_servers(const struct hub *h, const char *service, bool with_spot)
 {
 	uint32_t n = 0;
 
@@ -236,7 +241,8 @@
 		const struct instance *s = &g_array_index(
 		    listdiff_servers(h->list), struct instance, i);
 
-		n += !s->draining && strcmp(s->service, service) == 0;
+		n += !s->draining && (with_spot || !s->spot) &&
+		    strcmp(s->service, service) == 0;
 	}
 	return n;
 }
@@ -267,7 +273,7 @@
 	    (double)hubstate_needed_milliservers(h->state, service->name) /
 	    MILLI;
 	const double guess =
-	    count_servers(h, service->name) * HUB_INITIAL_NEED_RATIO;
+	    count_servers(h, service->name, false) * HUB_INITIAL_NEED_RATIO;
 	struct sizing *s =
 	    g_hash_table_lookup(h->sizing_by_service, service->name);
 	struct hubstate_command c = { .kind = HUBSTATE_NEEDED_SERVERS };
@@ -290,16 +296,30 @@
 	logger_event(LOGGER_INFO, "servers.need",
 	    "service=%s need=%.2f busy=%.2f tokens_per_s=%.0f servers=%u",
 	    service->name, s->servers, s->fast_average, sample.tokens_per_s,
-	    count_servers(h, service->name));
+	    count_servers(h, service->name, true));
 	(void)g_strlcpy(c.service, service->name, sizeof(c.service));
 	c.needed_milliservers = (uint32_t)(s->servers * MILLI);
 	hub_propose(h, &c, on_need_committed, h);
 	return s->servers;
 }
 
+/// Whether the number of needed servers is an estimate without load.
+static bool
+need_is_guess(const struct hub *h, const struct fleetcfg_service *service)
+{
+	const uint64_t now = loop_now_us(h->loop);
+	const struct sizing *s =
+	    g_hash_table_lookup(h->sizing_by_service, service->name);
+
+	return (s == NULL || !sizing_is_measured(s, now)) &&
+	    now < h->duty.valid_from_us + HUB_IDLE_US;
+}
+
 /// Plans a service's servers in its data centres, and sends the orders.
+///
+/// @param needed  servers
 static void
-scale_service(struct hub *h, const struct fleetcfg_service *s)
+scale_service(struct hub *h, const struct fleetcfg_service *s, double needed)
 {
 	const struct fleetcfg_scaling *c = &s->scaling;
 	struct autoscale_input in = {
@@ -307,12 +327,11 @@
 		.min_servers = c->min_servers,
 		.max_servers = c->max_servers,
 		.spot_price = c->spot_price,
-		.needed_servers = needed_servers(h, s),
+		.needed_servers = needed,
+		.need_is_guess = need_is_guess(h, s),
 	};
 	struct autoscale_plan plan;
 
-	if (in.needed_servers <= 0)
-		return;
 	for (uint32_t i = 0; i < in.n_zones; i++)
 		in.spot_reclaimed |=
 		    fill_zone(h, s, &c->zones[i], &in.zones[i]);
@@ -320,12 +339,8 @@
 	for (uint32_t i = 0; i < in.n_zones; i++) {
 		order_servers(
 		    h, s->name, c->zones[i].zone, true, plan.zones[i].spot);
-		// On-demand servers are given up only once the spot servers
-		// that replace them are listed.
-		if (plan.zones[i].on_demand >= in.zones[i].on_demand ||
-		    in.zones[i].spot >= plan.zones[i].spot)
-			order_servers(h, s->name, c->zones[i].zone, false,
-			    plan.zones[i].on_demand);
+		order_servers(h, s->name, c->zones[i].zone, false,
+		    plan.zones[i].on_demand);
 	}
 }
 
@@ -349,16 +364,27 @@
 	}
 }
 
-/// Orders servers for all services that scale, once after each new list. Only
-/// the holder of the duties may call it.
+/// Measures the load of all services that scale, once after each new list, and
+/// orders their servers. A leader measures while it waits for the lease of the
+/// one before, so that its first orders follow the load.
+///
+/// @param may_order  this process may make the calls of the duties now
 void
-hub_scale_tick(struct hub *h)
+hub_scale_tick(struct hub *h, bool may_order)
 {
-	if (h->scaled_list_us == h->list_fresh_us || h->config == NULL)
+	if (h->scaled_list_us == h->list_fresh_us || h->config == NULL ||
+	    h->duty.valid_from_us == 0)
 		return;
 	h->scaled_list_us = h->list_fresh_us;
 	for (size_t i = 0; i < fleetcfg_n_services(h->config); i++) {
-		if (fleetcfg_service(h->config, i)->scaling.enabled)
-			scale_service(h, fleetcfg_service(h->config, i));
+		const struct fleetcfg_service *s =
+		    fleetcfg_service(h->config, i);
+		double needed;
+
+		if (!s->scaling.enabled)
+			continue;
+		needed = needed_servers(h, s);
+		if (may_order && needed > 0)
+			scale_service(h, s, needed);
 	}
 }
