Evacuation of a data centre

No part knew evacuations: operators' orders got 404, and servers of the data centre went on to get requests. Evacuations are commands of the replicated log, acknowledged once applied; the leader's state carries the whole set with the lease, so that whoever takes requests has it, and a set with a lower revision neither replaces it nor renews the lease. The balancer treats the data centre as closed; requests for health ask the set; the planner orders elsewhere at once. A field of the configuration and the feed of the list were ruled out (see the design note).

--- a/src/cli/cli_status.c
+++ b/src/cli/cli_status.c
@@ -6,6 +6,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#define MSEC_PER_SEC 1000
+
 static const struct opt_spec spec = {
 	.name = "status",
 	.summary =
@@ -148,6 +150,28 @@
 	}
 }
 
+/// Prints the evacuated data centres; those of the leader with the number of
+/// gateways where the newest set of them is in force.
+static void
+print_evacuations(const json_t *status)
+{
+	size_t i;
+	const json_t *e;
+
+	json_array_foreach(json_object_get(status, "evacuations"), i, e)
+	{
+		const long long n = response_integer(e, "gateways");
+
+		(void)printf("evacuated %s for %lld s",
+		    response_string(e, "zone"),
+		    response_integer(e, "for_ms") / MSEC_PER_SEC);
+		if (n > 0)
+			(void)printf(", in force at %lld of %lld gateways",
+			    response_integer(e, "confirmed"), n);
+		(void)putchar('\n');
+	}
+}
+
 /// Prints the status of a hub, with its group, the gateways and the rollouts.
 static void
 print_hub(const json_t *status)
@@ -169,6 +193,7 @@
 	print_hub_members(status);
 	print_gateways(status);
 	print_rollouts(status);
+	print_evacuations(status);
 }
 
 static void
@@ -200,6 +225,7 @@
 		response_integer(s, "own"), response_integer(s, "failures"),
 		text_if(s, "leaving", ", draining"),
 		text_if(s, "set_aside", ", ejected"));
+	print_evacuations(status);
 }
 
 static void
--- a/src/conf/bootstrap.c
+++ b/src/conf/bootstrap.c
@@ -46,6 +46,7 @@
 	REAL("stop_s", bounds.stop_s, 0.5, 600, 8),
 	REAL("apply_ms", bounds.apply_ms, 100, 60000, 2000),
 	REAL("revoke_ms", bounds.revoke_ms, 200, 600000, 5000),
+	REAL("evacuate_ms", bounds.evacuate_ms, 200, 600000, 5000),
 	REAL("retry_ratio", bounds.retry_ratio, 0, 1, 0.1),
 	REAL("retry_window_s", bounds.retry_window_s, 0.1, 600, 10),
 	REAL("retry_slack", bounds.retry_slack, 0, 1e9, 10),
--- a/src/conf/bootstrap.h
+++ b/src/conf/bootstrap.h
@@ -31,6 +31,7 @@
 	double stop_s;      ///< from SIGTERM to SIGKILL
 	double apply_ms;    ///< until a configuration is in use everywhere
 	double revoke_ms;   ///< until a revoked key is rejected everywhere
+	double evacuate_ms; ///< until an evacuation is in force everywhere
 	double retry_ratio; ///< retries over a service's requests
 	double retry_window_s;
 	double retry_slack; ///< retries allowed beyond that in a window
--- a/src/fleet/hubmsg.c
+++ b/src/fleet/hubmsg.c
@@ -79,6 +79,10 @@
 	code_length(m, r->loads);
 	for (guint i = 0; i < r->loads->len; i++)
 		code_load(m, &g_array_index(r->loads, struct hubmsg_load, i));
+	// Gateways of older versions end here.
+	if (!codec_is_writer(m) && codec_at_end(m))
+		return;
+	codec_u64(m, &r->evac_revision);
 }
 
 static void
@@ -113,6 +117,11 @@
 	for (guint i = 0; i < s->rollouts->len; i++)
 		code_rollout(
 		    m, &g_array_index(s->rollouts, struct hubmsg_rollout, i));
+	// Left out while nothing was ever evacuated: older gateways refuse a
+	// state with more.
+	if (codec_is_writer(m) ? s->evacuations.revision == 0 : codec_at_end(m))
+		return;
+	evacset_code(m, &s->evacuations);
 }
 
 /// Makes an empty report, to be released with hubmsg_report_clear().
--- a/src/fleet/hubmsg.h
+++ b/src/fleet/hubmsg.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "fleet/evacset.h"
 #include "fleet/fleetcfg.h"
 #include "fleet/instance.h"
 
@@ -99,6 +100,9 @@
 	GArray *usage;  ///< struct hubmsg_usage
 	GArray *quotas; ///< struct hubmsg_quota
 	GArray *loads;  ///< struct hubmsg_load
+	/// Of the evacuated data centres in force there; 0: none known, or a
+	/// gateway of an older version.
+	uint64_t evac_revision;
 };
 
 /// Message of a control process to a gateway.
@@ -121,6 +125,9 @@
 	GArray *members;  ///< uint32_t: slots of the control processes
 	GArray *quotas;   ///< struct hubmsg_quota
 	GArray *rollouts; ///< struct hubmsg_rollout
+	/// The evacuated data centres. Revision 0: there never were any, or the
+	/// sender is of an older version.
+	struct evacset evacuations;
 };
 
 void hubmsg_report_init(struct hubmsg_report *r);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -239,6 +239,7 @@
 	g->answered_parts = partlog_new(GATEWAY_ANSWERED_PARTS);
 	g->blocked_parts =
 	    g_array_new(FALSE, TRUE, sizeof(struct gateway_blocked_part));
+	gateway_evac_start(g);
 	gateway_crashes_start(g);
 	gateway_unlisted_start(g);
 	g->requests = slotmap_new(sizeof(struct gateway_request));
@@ -322,6 +323,7 @@
 	g_hash_table_destroy(g->usage);
 	g_hash_table_destroy(g->by_caller);
 	gateway_crashes_clear(g);
+	gateway_evac_stop(g);
 	g_hash_table_destroy(g->unlisted);
 	g_array_unref(g->blocked_parts);
 	partlog_free(g->answered_parts);
--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -182,7 +182,7 @@
 
 /// Starts to check whether the server of a request's attempt crashed, or joins
 /// the check in flight. A server that is draining may end with requests in
-/// flight; one that is paused or limited is left alone.
+/// flight; one that is paused, limited or evacuated is left alone.
 ///
 /// @return the check, or NULL if the server isn't checked
 static struct crash *
@@ -194,6 +194,7 @@
 	struct crash *crash = g_hash_table_lookup(g->crash_checks, q->server);
 
 	if (s == NULL || s->instance.draining || s->signalled_leaving ||
+	    gateway_evac_covers(g, s->instance.zone) ||
 	    !balancer_is_open(
 		g->balancer, loop_now_us(g->loop), s->balancer_handle))
 		return NULL;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -130,6 +130,8 @@
 	struct turns_position position; ///< for the limits of servers
 	uint64_t next_leaving_us; ///< when leaving servers are looked at again
 
+	struct gateway_evac *evac; ///< evacuated data centres (gateway_evac.c)
+
 	/// Customers and services.
 	GHashTable *quotas; ///< customer -> struct quota_view
 	GHashTable *loads;  ///< service -> struct gateway_service_load
@@ -261,6 +263,15 @@
 void gateway_servers_update(
     struct gateway *g, uint64_t source, const struct feedmsg_update *u);
 
+/// gateway_evac.c: evacuated data centres
+void gateway_evac_start(struct gateway *g);
+void gateway_evac_stop(struct gateway *g);
+bool gateway_evac_update(struct gateway *g, const struct hubmsg_state *s);
+bool gateway_evac_covers(const struct gateway *g, const char *zone);
+bool gateway_evac_covers_attempt(const struct gateway_request *q);
+uint64_t gateway_evac_revision(const struct gateway *g);
+json_t *gateway_evac_json(const struct gateway *g);
+
 /// gateway_rollout.c: rollouts of services' versions
 void gateway_rollout_update(struct gateway *g, const GArray *rollouts);
 void gateway_rollout_choose(
--- a/src/gateway/gateway_leaving.c
+++ b/src/gateway/gateway_leaving.c
@@ -97,6 +97,7 @@
 		struct gateway_server *s = value;
 
 		if (s->instance.draining ||
+		    gateway_evac_covers(g, s->instance.zone) ||
 		    !balancer_is_draining(
 			g->balancer, s->balancer_handle, NULL))
 			continue;
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -20,7 +20,8 @@
 /// precision.
 #define GATEWAY_CLOCK_RTT_US (60 * USEC_PER_MSEC)
 /// Length of the lease as a share of the time in which a revoked API key must
-/// stop working at all gateways.
+/// stop working at all gateways, and an evacuated data centre's servers get
+/// nothing more.
 #define GATEWAY_LEASE_FACTOR 0.8
 /// Windows that usage is reported for, beyond those that may still be reported
 /// to the cloud.
@@ -185,6 +186,7 @@
 	r.time_us = loop_wall_us();
 	r.stopping = g->stopping;
 	r.list_revision = HUBMSG_SUBSCRIBED;
+	r.evac_revision = gateway_evac_revision(g);
 	report_usage(g, &r);
 	report_quotas(g, &r);
 	report_loads(g, &r);
@@ -310,6 +312,17 @@
 		gateway_servers_update(g, 0, &u);
 }
 
+/// Length of the lease. What is in force without contact with control may be
+/// that old.
+static uint64_t
+lease_us(const struct gateway *g)
+{
+	const struct bootstrap_bounds *b = &g->settings.bounds;
+
+	return (uint64_t)(GATEWAY_LEASE_FACTOR *
+	    MIN(b->revoke_ms, b->evacuate_ms) * USEC_PER_MSEC);
+}
+
 /// Applies a state from the control process with slot `sender_slot`. Only the
 /// leader's renews the lease.
 static void
@@ -317,8 +330,6 @@
     struct gateway *g, uint32_t sender_slot, const struct hubmsg_state *s)
 {
 	const uint64_t now = loop_now_us(g->loop);
-	const uint64_t revoke_us =
-	    (uint64_t)(g->settings.bounds.revoke_ms * USEC_PER_MSEC);
 	struct gateway_hub *h = find_or_dial_hub(g, sender_slot);
 	uint64_t until_us;
 
@@ -355,6 +366,8 @@
 		h->sent_limits = true;
 		gateway_limits_on_leader(g, h->link);
 	}
+	if (!gateway_evac_update(g, s))
+		return;
 	g->n_gateways = s->n_gateways;
 	balancer_set_entries(g->balancer, s->n_gateways);
 	gateway_apply_config(g, s->version, s->manifest, s->manifest_len);
@@ -367,8 +380,7 @@
 	apply_list(g, s, now);
 	gateway_rollout_update(g, s->rollouts);
 	correct_clock(g, s, now);
-	until_us =
-	    s->echo_us + (uint64_t)(GATEWAY_LEASE_FACTOR * (double)revoke_us);
+	until_us = s->echo_us + lease_us(g);
 	if (g->lease_until_us < now)
 		logger_event(LOGGER_INFO, "lease.gained",
 		    "version=%" PRIu64 " until_ms=%" PRIu64, s->version,
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -413,6 +413,8 @@
 	else if (until_close && evstream_n_events(q->events) == 0 &&
 	    !q->call.resumes)
 		stream_lost(q, "the stream ended before its first event");
+	else if (until_close && gateway_evac_covers_attempt(q))
+		stream_lost(q, "it may be cut off, by an evacuated server");
 	else if (!until_close || !gateway_crashes_wait(q))
 		stream_complete(q);
 	else
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -48,7 +48,7 @@
 	    strcmp(s->instance.zone, g->settings.data_centre) == 0
 		? 0
 		: GATEWAY_ONE_WAY_US,
-	    false);
+	    gateway_evac_covers(g, s->instance.zone));
 	handle = balancer_set_server(g->balancer, now_us, &conf);
 	if (handle != s->balancer_handle && s->limit_per_s > 0)
 		balancer_set_limit(g->balancer, now_us, handle, s->limit_per_s);
--- a/src/gateway/gateway_status.c
+++ b/src/gateway/gateway_status.c
@@ -60,7 +60,7 @@
 		slotaddr_to_host(
 		    g->settings.host, g->leader, leader, sizeof(leader));
 	return json_pack(
-	    "{s:s, s:s, s:s, s:b, s:s, s:I, s:s, s:I, s:I, s:I, s:I, s:o}",
+	    "{s:s, s:s, s:s, s:b, s:s, s:I, s:s, s:I, s:I, s:I, s:I, s:o, s:o}",
 	    "role", "gateway", "name", g->settings.node, "data_centre",
 	    g->settings.data_centre, "in_service", in_service, "reason",
 	    in_service ? "" : why, "version",
@@ -71,5 +71,5 @@
 	    (json_int_t)timerq_ms_since(g->lease_until_us, now), "list_age_ms",
 	    (json_int_t)timerq_ms_since(now, g->list_fresh_us), "requests",
 	    (json_int_t)slotmap_count(g->requests), "servers",
-	    servers_json(g, now));
+	    servers_json(g, now), "evacuations", gateway_evac_json(g));
 }
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -35,6 +35,7 @@
 	hub_rollout_tick(h, now_us);
 	hub_crashes_tick(h, now_us);
 	hub_limits_tick(h, now_us);
+	hub_evac_tick(h, now_us);
 	hub_duty_tick(h, now_us);
 }
 
@@ -43,6 +44,7 @@
 {
 	(void)now_us;
 	hub_load_config(arg);
+	hub_evac_on_applied(arg);
 	hub_feed_push_config(arg);
 	hub_push_begin(arg);
 }
@@ -115,6 +117,7 @@
 	h->n_invalid_requests =
 	    metrics_counter(registry, "ac_orders_invalid_total", "");
 	h->ack_latency = metrics_hist(registry, "ac_order_ack_seconds", "");
+	hub_evac_start(h);
 	hub_fleet_start(h);
 	hub_servers_start(h);
 	hub_feed_start(h);
@@ -187,6 +190,7 @@
 	listdiff_free(h->list);
 	hub_feed_stop(h);
 	hub_fleet_stop(h);
+	hub_evac_stop(h);
 	crashlog_free(h->crashlog);
 	g_array_unref(h->asked_parts);
 	rollout_control_free(h->rollout_control);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -59,6 +59,7 @@
 	bool knows_parts; ///< has sent a message about parts of prompts
 	uint64_t blocked_revision; ///< of the blocked parts in force there
 	uint64_t parts_question;   ///< that it answered last
+	uint64_t evac_revision;    ///< of the evacuations in force there
 	bool knows_limits;         ///< has sent a message about limits
 	uint32_t number;           ///< for the turns of limited servers
 	uint32_t n_numbered; ///< gateways with numbers then; 0: it has none
@@ -141,6 +142,8 @@
 	bool has_suspects;         ///< there were some when it was asked
 	bool blocking_part;        ///< a block is being committed
 
+	struct hub_evac *evac; ///< evacuated data centres (hub_evac.c)
+
 	/// Limits that servers advertise (hub_limits.c).
 	GHashTable *limits; ///< server's id -> double, requests per second
 	uint64_t next_numbers_us;
@@ -210,6 +213,18 @@
 void hub_limits_prune(struct hub *h, const GArray *servers);
 void hub_limits_tick(struct hub *h, uint64_t now_us);
 
+/// hub_evac.c: evacuated data centres
+void hub_evac_start(struct hub *h);
+void hub_evac_stop(struct hub *h);
+void hub_evac_reset(struct hub *h);
+void hub_evac_on_applied(struct hub *h);
+bool hub_evac_covers(const struct hub *h, const char *zone);
+bool hub_evac_knows(const struct hub *h, const char *zone);
+void hub_evac_propose(struct hub *h, const char *zone, bool evacuate,
+    replica_done_cb done, void *arg);
+void hub_evac_tick(struct hub *h, uint64_t now_us);
+json_t *hub_evac_json(const struct hub *h);
+
 /// hub_servers.c: the list of servers
 void hub_servers_start(struct hub *h);
 void hub_servers_tick(struct hub *h, uint64_t now_us);
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -126,6 +126,7 @@
 	fill_members(&st, &s);
 	fill_config(h, g, &s);
 	if (s.is_leader) {
+		s.evacuations = *hubstate_evacuations(h->state);
 		s.time_us = hub_wall_clock_us(h);
 		s.n_gateways = hub_fleet_live(h);
 		hub_servers_fill(h, g->list_revision, &s);
@@ -210,6 +211,7 @@
 	g->version = r.version;
 	g->list_revision = r.list_revision;
 	g->stopping = r.stopping;
+	g->evac_revision = r.evac_revision;
 	g->clock_offset_us = (int64_t)r.time_us - (int64_t)g->last_report_us;
 	hub_quota_on_report(h, g, r.quotas);
 	swap_arrays(&g->usage, &r.usage);
--- a/src/hub/hub_operators.c
+++ b/src/hub/hub_operators.c
@@ -19,7 +19,9 @@
 	struct hub *hub;
 	handle_t handle;
 	uint64_t received_us;
-	uint64_t version; ///< of the configuration
+	uint64_t version;               ///< of the configuration
+	char zone[FLEETCFG_NAME_BYTES]; ///< of the evacuation
+	bool evacuate;                  ///< not to end it
 };
 
 static void
@@ -198,14 +200,73 @@
 	free(body);
 }
 
+static void
+on_evacuation_done(
+    void *arg, enum status status, const uint8_t *result, size_t len)
+{
+	struct pending_request *p = arg;
+	struct hub *h = p->hub;
+	const uint64_t took_us = loop_now_us(h->loop) - p->received_us;
+
+	(void)result;
+	(void)len;
+	logger_event(LOGGER_INFO, "order.evacuation",
+	    "zone=%s evacuate=%d status=%s ms=%" PRIu64, p->zone, p->evacuate,
+	    status_name(status), took_us / USEC_PER_MSEC);
+	metrics_observe(h->ack_latency, took_us);
+	if (status == STATUS_OK)
+		reply(h, p->handle, 200, "accepted");
+	else
+		reply(h, p->handle, 503,
+		    status == STATUS_UNAVAILABLE ? "not accepted: no leader"
+						 : "outcome unknown");
+	g_free(p);
+}
+
+/// Begins (POST) or ends (DELETE) an evacuation. Each request becomes a command
+/// of the log, also one that the state has in force: an opposite one may be
+/// under way, and the last to be sent must win.
+static void
+order_evacuation(struct hub *h, handle_t handle,
+    const struct httpd_request *req, const char *zone)
+{
+	const bool evacuate = req->method == HTTPD_METHOD_POST;
+	struct pending_request *p;
+
+	if (!hub_evac_knows(h, zone)) {
+		h->n_invalid_requests->value++;
+		logger_event(LOGGER_INFO, "order.invalid",
+		    "reason=\"no such data centre\"");
+		reply(h, handle, 404, "no such data centre");
+		return;
+	}
+	if (evacuate && !hub_evac_covers(h, zone) &&
+	    evacset_is_full(hubstate_evacuations(h->state))) {
+		h->n_invalid_requests->value++;
+		reply(h, handle, 409, "too many evacuated data centres");
+		return;
+	}
+	p = g_new0(struct pending_request, 1);
+	p->hub = h;
+	p->handle = handle;
+	p->received_us = loop_now_us(h->loop);
+	p->evacuate = evacuate;
+	(void)g_strlcpy(p->zone, zone, sizeof(p->zone));
+	hub_evac_propose(h, zone, evacuate, on_evacuation_done, p);
+}
+
 /// Handles a request as the leader: other processes redirect it.
 static void
 handle_as_leader(
     struct hub *h, handle_t handle, const struct httpd_request *req)
 {
 	static const char one_rollout[] = API_PATH_ROLLOUTS "/";
+	static const char evacuation[] = API_PATH_EVACUATIONS "/";
 
-	if (strcmp(req->path, API_PATH_CONFIG) == 0 &&
+	if (g_str_has_prefix(req->path, evacuation))
+		order_evacuation(
+		    h, handle, req, req->path + strlen(evacuation));
+	else if (strcmp(req->path, API_PATH_CONFIG) == 0 &&
 	    req->method == HTTPD_METHOD_PUT)
 		put_config(h, handle, req);
 	else if (strcmp(req->path, API_PATH_CONFIG) == 0)
@@ -223,6 +284,7 @@
 check_call(const struct httpd_request *req)
 {
 	static const char one_rollout[] = API_PATH_ROLLOUTS "/";
+	static const char evacuation[] = API_PATH_EVACUATIONS "/";
 	const bool get = req->method == HTTPD_METHOD_GET;
 
 	if (strcmp(req->path, API_PATH_CONFIG) == 0)
@@ -231,6 +293,11 @@
 		return req->method == HTTPD_METHOD_POST ? 0 : 405;
 	if (g_str_has_prefix(req->path, one_rollout))
 		return get ? 0 : 405;
+	if (g_str_has_prefix(req->path, evacuation))
+		return req->method == HTTPD_METHOD_POST ||
+			req->method == HTTPD_METHOD_DELETE
+		    ? 0
+		    : 405;
 	return 404;
 }
 
--- a/src/hub/hub_scale.c
+++ b/src/hub/hub_scale.c
@@ -159,6 +159,7 @@
 	    find_or_add_order(h, s->name, price->zone, true);
 
 	out->price = price->price;
+	out->closed = hub_evac_covers(h, price->zone);
 	out->on_demand = count_in_zone(h, s->name, price->zone, false);
 	out->spot = count_in_zone(h, s->name, price->zone, true);
 	out->on_demand_expected =
--- a/src/hub/hub_status.c
+++ b/src/hub/hub_status.c
@@ -111,7 +111,8 @@
 }
 
 /// What this process knows of its deployment: the leader, the members, the
-/// holder of the duties, the configuration's version, gateways and rollouts.
+/// holder of the duties, the configuration's version, gateways, rollouts and
+/// evacuated data centres.
 ///
 /// @return to be released with json_decref()
 json_t *
@@ -124,7 +125,7 @@
 	replica_status(h->group, &st);
 	return json_pack(
 	    "{s:s, s:s, s:s, s:o, s:b, s:b, s:I, s:I, s:o, s:I, s:I, s:I, s:o, "
-	    "s:o, s:o}",
+	    "s:o, s:o, s:o}",
 	    "role", "hub", "name", h->settings.node, "data_centre",
 	    h->settings.data_centre, "leader",
 	    host_json(h, st.leader & RAFT_SLOT_MASK), "leads", hub_is_leader(h),
@@ -134,5 +135,5 @@
 	    (json_int_t)hubstate_version(h->state), "list_age_ms",
 	    (json_int_t)timerq_ms_since(now, h->list_fresh_us), "members",
 	    members_json(h, &st), "gateways", gateways_json(h, now), "moves",
-	    rollouts_json(h));
+	    rollouts_json(h), "evacuations", hub_evac_json(h));
 }
--- a/src/hub/hubstate.c
+++ b/src/hub/hubstate.c
@@ -10,10 +10,12 @@
 /// Parts of prompts that are known to crash servers; the one whose block ends
 /// first makes room for another.
 #define HUBSTATE_MAX_BLOCKS 256
-/// Formats of a snapshot. One without blocked parts is written in the first, so
-/// that older processes can read it.
+/// Formats of a snapshot. It is written in the first one that holds what it
+/// has, so that older processes can read it as long as possible.
 #define HUBSTATE_FORMAT 1
 #define HUBSTATE_FORMAT_BLOCKS 2
+/// Has blocked parts, and evacuations after them.
+#define HUBSTATE_FORMAT_EVACUATIONS 3
 
 struct hubstate {
 	uint64_t version;
@@ -25,7 +27,8 @@
 	GArray *rollouts;         ///< struct hubstate_rollout
 	GArray *blocks;           ///< struct hubstate_block
 	uint64_t blocks_revision; ///< log index of their last change; 0: none
-	uint64_t gateways_index;  ///< see hubstate_gateways_index(); not saved
+	struct evacset evacuations;
+	uint64_t gateways_index; ///< see hubstate_gateways_index(); not saved
 };
 
 /// Servers that a service needs, as last recorded.
@@ -147,6 +150,11 @@
 	case HUBSTATE_BLOCK:
 		code_block(m, &c->block);
 		break;
+	case HUBSTATE_EVACUATE:
+	case HUBSTATE_RESTORE:
+		codec_str(m, c->evacuation.zone, sizeof(c->evacuation.zone));
+		codec_u64(m, &c->evacuation.since_us);
+		break;
 	case HUBSTATE_N_KINDS:
 		codec_fail(m);
 		break;
@@ -356,7 +364,7 @@
 	return n == NULL ? 0 : n->milliservers;
 }
 
-/// Whether a command changes what gateways are sent.
+/// Whether every command of a kind changes what gateways are sent.
 static bool
 concerns_gateways(enum hubstate_command_kind kind)
 {
@@ -365,6 +373,8 @@
 	case HUBSTATE_ROLLOUT:
 	case HUBSTATE_BLOCK:
 		return true;
+	case HUBSTATE_EVACUATE: // Only if it changes the set.
+	case HUBSTATE_RESTORE:
 	case HUBSTATE_DUTY:
 	case HUBSTATE_USAGE:
 	case HUBSTATE_NEEDED_SERVERS:
@@ -422,6 +432,16 @@
 		case HUBSTATE_BLOCK:
 			set_block(s, index, &c.block);
 			break;
+		case HUBSTATE_EVACUATE:
+			if (evacset_add(&s->evacuations, index,
+				c.evacuation.zone, c.evacuation.since_us))
+				s->gateways_index = index;
+			break;
+		case HUBSTATE_RESTORE:
+			if (evacset_remove(
+				&s->evacuations, index, c.evacuation.zone))
+				s->gateways_index = index;
+			break;
 		case HUBSTATE_N_KINDS:
 			break;
 		}
@@ -449,15 +469,22 @@
 		    m, &g_array_index(s->blocks, struct hubstate_block, i));
 }
 
+static uint32_t
+format_for(const struct hubstate *s)
+{
+	if (s->evacuations.revision > 0)
+		return HUBSTATE_FORMAT_EVACUATIONS;
+	return s->blocks->len > 0 ? HUBSTATE_FORMAT_BLOCKS : HUBSTATE_FORMAT;
+}
+
 static void
 code_state(struct codec *m, struct hubstate *s, const uint8_t **manifest)
 {
-	uint32_t format =
-	    s->blocks->len > 0 ? HUBSTATE_FORMAT_BLOCKS : HUBSTATE_FORMAT;
+	uint32_t format = format_for(s);
 	uint32_t n = g_queue_get_length(s->usage);
 
 	codec_u32(m, &format);
-	if (format != HUBSTATE_FORMAT && format != HUBSTATE_FORMAT_BLOCKS)
+	if (format < HUBSTATE_FORMAT || format > HUBSTATE_FORMAT_EVACUATIONS)
 		codec_fail(m);
 	codec_u64(m, &s->version);
 	codec_bytes(m, manifest, &s->manifest_len);
@@ -501,8 +528,10 @@
 	for (guint i = 0; i < s->rollouts->len; i++)
 		code_rollout(
 		    m, &g_array_index(s->rollouts, struct hubstate_rollout, i));
-	if (format == HUBSTATE_FORMAT_BLOCKS)
+	if (format >= HUBSTATE_FORMAT_BLOCKS)
 		code_blocks(m, s);
+	if (format >= HUBSTATE_FORMAT_EVACUATIONS)
+		evacset_code(m, &s->evacuations);
 }
 
 /// Encodes the whole state for a snapshot.
@@ -544,6 +573,13 @@
 	return STATUS_OK;
 }
 
+/// The evacuated data centres; valid until the next change of `s`.
+const struct evacset *
+hubstate_evacuations(const struct hubstate *s)
+{
+	return &s->evacuations;
+}
+
 /// Version of the configuration; 0 while there is none.
 uint64_t
 hubstate_version(const struct hubstate *s)
--- a/src/hub/hubstate.h
+++ b/src/hub/hubstate.h
@@ -4,13 +4,14 @@
 #include <glib.h>
 
 #include "fleet/crashlog.h"
+#include "fleet/evacset.h"
 #include "fleet/hubmsg.h"
 #include "rollout/rollout.h"
 
 /// Replicated state of a deployment: the configuration in force, the holder of
 /// the duties, final usage, the size of services, their rollouts and blocked
-/// parts of prompts. Has no I/O; the same commands applied in the same order
-/// give the same state.
+/// parts of prompts, and evacuated data centres. Has no I/O; the same commands
+/// applied in the same order give the same state.
 
 struct hubstate;
 
@@ -19,8 +20,10 @@
 	HUBSTATE_DUTY,   ///< A process becomes the holder of the duties.
 	HUBSTATE_USAGE,  ///< Usage of a window; the first command is final.
 	HUBSTATE_NEEDED_SERVERS, ///< Number of servers that a service needs.
-	HUBSTATE_ROLLOUT, ///< A rollout was started, or its state changed.
-	HUBSTATE_BLOCK,   ///< Prompts with a part crash servers.
+	HUBSTATE_ROLLOUT,  ///< A rollout was started, or its state changed.
+	HUBSTATE_BLOCK,    ///< Prompts with a part crash servers.
+	HUBSTATE_EVACUATE, ///< A data centre's servers get no requests.
+	HUBSTATE_RESTORE,  ///< They get requests again.
 	HUBSTATE_N_KINDS,
 };
 
@@ -62,6 +65,7 @@
 	uint32_t needed_milliservers; ///< thousandths of a server
 	struct hubstate_rollout rollout;
 	struct hubstate_block block;
+	struct evacset_entry evacuation; ///< HUBSTATE_RESTORE: only the zone
 };
 
 /// The process that may make the calls of the duties, and their fencing number.
@@ -97,6 +101,7 @@
 const struct hubstate_block *hubstate_block_at(
     const struct hubstate *s, size_t i);
 uint64_t hubstate_blocks_revision(const struct hubstate *s);
+const struct evacset *hubstate_evacuations(const struct hubstate *s);
 const struct hubstate_usage *hubstate_usage(
     const struct hubstate *s, uint64_t window);
 
--- a/src/platform/api_names.h
+++ b/src/platform/api_names.h
@@ -44,6 +44,7 @@
 #define API_PATH_READY "/api/readiness"
 #define API_PATH_CONFIG "/api/config"
 #define API_PATH_ROLLOUTS "/api/rollouts"
+#define API_PATH_EVACUATIONS "/api/evacuations"
 #define API_PATH_REPORT "/api/report"
 #define API_PATH_INSTANCES "/instances"
 #define API_PATH_USAGE "/usage"
--- a/test/unit/hub/test_hubstate.cc
+++ b/test/unit/hub/test_hubstate.cc
@@ -61,6 +61,35 @@
 		g_array_unref(c.usage.counts);
 	}
 
+	void Evacuation(const char *zone, bool evacuate)
+	{
+		struct hubstate_command c = {};
+
+		c.kind = evacuate ? HUBSTATE_EVACUATE : HUBSTATE_RESTORE;
+		strcpy(c.evacuation.zone, zone);
+		c.evacuation.since_us = 1000 * (index + 1);
+		Apply(c);
+	}
+
+	bool IsEvacuated(const char *zone)
+	{
+		return evacset_covers(hubstate_evacuations(s), zone);
+	}
+
+	/// Goes on with what a snapshot holds.
+	void Reload()
+	{
+		struct hubstate *loaded;
+		uint8_t *bytes;
+		size_t len;
+
+		hubstate_save(s, &bytes, &len);
+		ASSERT_EQ(hubstate_load(bytes, len, &loaded), STATUS_OK);
+		free(bytes);
+		hubstate_free(s);
+		s = loaded;
+	}
+
 	std::string Text()
 	{
 		size_t len;
@@ -231,4 +260,69 @@
 	EXPECT_EQ(Text(), "seven");
 }
 
+// Operators order, withdraw and order again in quick succession.
+TEST_F(State, TheLastCommandOfTheLogDecidesOnAnEvacuation)
+{
+	Evacuation("csepel", true);
+	Evacuation("csepel", false);
+	Evacuation("csepel", true);
+	EXPECT_TRUE(IsEvacuated("csepel"));
+	Evacuation("kelenfold", true);
+	Evacuation("csepel", false);
+	EXPECT_FALSE(IsEvacuated("csepel"));
+	EXPECT_TRUE(IsEvacuated("kelenfold"));
+	EXPECT_EQ(hubstate_evacuations(s)->revision, 5U);
+}
+
+// An operator resends an order whose ack was lost: gateways must not be sent
+// the state again, and the time of the evacuation must stay.
+TEST_F(State, AResentEvacuationChangesNothing)
+{
+	Evacuation("csepel", true);
+	Evacuation("csepel", true);
+	EXPECT_EQ(hubstate_gateways_index(s), 1U);
+	EXPECT_EQ(hubstate_evacuations(s)->revision, 1U);
+	EXPECT_EQ(hubstate_evacuations(s)->entries[0].since_us, 1000U);
+	Evacuation("csepel", false);
+	Evacuation("csepel", false);
+	EXPECT_EQ(hubstate_gateways_index(s), 3U);
+	EXPECT_EQ(hubstate_evacuations(s)->revision, 3U);
+}
+
+// A process that starts from a snapshot, after compaction or with an empty
+// disk, must know the evacuations, and the revision of the last one to end:
+// gateways ignore a set with a lower revision.
+TEST_F(State, ASnapshotHoldsTheEvacuations)
+{
+	Evacuation("csepel", true);
+	Evacuation("kelenfold", true);
+	Reload();
+	EXPECT_TRUE(IsEvacuated("csepel"));
+	EXPECT_TRUE(IsEvacuated("kelenfold"));
+	Evacuation("csepel", false);
+	Evacuation("kelenfold", false);
+	Reload();
+	EXPECT_FALSE(IsEvacuated("csepel"));
+	EXPECT_EQ(hubstate_evacuations(s)->revision, 4U);
+	Evacuation("csepel", true);
+	EXPECT_EQ(hubstate_evacuations(s)->revision, 5U);
+}
+
+// Processes of an older version read a snapshot as long as no data centre was
+// ever evacuated.
+TEST_F(State, ASnapshotWithoutEvacuationsHasTheOldFormat)
+{
+	uint8_t *bytes;
+	size_t len;
+
+	Config(5, "five");
+	hubstate_save(s, &bytes, &len);
+	EXPECT_EQ(bytes[0], 1);
+	free(bytes);
+	Evacuation("csepel", true);
+	hubstate_save(s, &bytes, &len);
+	EXPECT_EQ(bytes[0], 3);
+	free(bytes);
+}
+
 } // namespace
