explain shows which data centres were evacuated

An operator who asks why a request was refused or went elsewhere couldn't see that a data centre was closed. explain prints the set in force at the gateway when the request ended; a field in every request line was ruled out for its bytes. script_logs checks that the gateway's own line before the end counts.

--- a/src/cli/cli_explain.c
+++ b/src/cli/cli_explain.c
@@ -50,24 +50,42 @@
 	return end == NULL ? g_strdup(at) : g_strndup(at, (gsize)(end - at));
 }
 
-/// Adds a line if it is of the request `id`.
+/// Lines that explain one request.
+struct account {
+	GArray *lines;       ///< struct line: of the request
+	GArray *evacuations; ///< struct line: changes of the evacuated data
+			     ///< centres at gateways
+};
+
+static void
+add_line(GArray *lines, const char *start)
+{
+	const struct line l = {
+		.time = get_value(start, "t"),
+		.text = g_strdup(start),
+	};
+
+	g_array_append_val(lines, l);
+}
+
+/// Adds a line if it is of the request `id`, or tells which data centres are
+/// evacuated.
 static void
-add_line(GArray *lines, const char *text, const char *id)
+sort_line(const struct account *a, const char *text, const char *id)
 {
 	const char *start = strstr(text, "t=");
 	char *request = get_value(text, "request");
-	struct line l;
 
-	if (start != NULL && request != NULL && strcmp(request, id) == 0) {
-		l.time = get_value(start, "t");
-		l.text = g_strdup(start);
-		g_array_append_val(lines, l);
-	}
+	if (start != NULL && request != NULL && strcmp(request, id) == 0)
+		add_line(a->lines, start);
+	else if (start != NULL &&
+	    strstr(start, " event=evacuation.in_force ") != NULL)
+		add_line(a->evacuations, start);
 	g_free(request);
 }
 
 static bool
-read_file(const char *file, const char *id, GArray *lines)
+read_file(const char *file, const char *id, const struct account *a)
 {
 	char *text;
 	gchar **log_lines;
@@ -78,7 +96,7 @@
 	}
 	log_lines = g_strsplit(text, "\n", -1);
 	for (gchar **l = log_lines; *l != NULL; l++)
-		add_line(lines, *l, id);
+		sort_line(a, *l, id);
 	g_strfreev(log_lines);
 	g_free(text);
 	return true;
@@ -91,12 +109,42 @@
 	    ((const struct line *)a)->time, ((const struct line *)b)->time);
 }
 
+/// Prints the data centres that were evacuated at the gateway of a line at its
+/// time, if there were any.
+static void
+print_evacuations(const GArray *evacuations, const struct line *end)
+{
+	char *node = get_value(end->text, "node");
+	char *zones = NULL;
+	const char *since = NULL;
+
+	for (guint i = 0; i < evacuations->len; i++) {
+		const struct line *l =
+		    &g_array_index(evacuations, struct line, i);
+		char *other = get_value(l->text, "node");
+
+		if (g_strcmp0(l->time, end->time) <= 0 &&
+		    g_strcmp0(other, node) == 0) {
+			g_free(zones);
+			zones = get_value(l->text, "zones");
+			since = l->time;
+		}
+		g_free(other);
+	}
+	if (zones != NULL && strcmp(zones, "-") != 0)
+		(void)printf(
+		    "%-9s %s, here since %s\n", "evacuated", zones, since);
+	g_free(zones);
+	g_free(node);
+}
+
 /// Prints how the request ended: the values of its last line of an event
 /// "request.*" with a verdict; failing that, of its first such line; failing
 /// that, of its last line.
 static void
-print_outcome(const GArray *lines)
+print_outcome(const struct account *a)
 {
+	const GArray *lines = a->lines;
 	static const char *const keys[] = { "event", "status", "verdict",
 		"reason", "attempts", "server", "config", "ms" };
 	const struct line *last =
@@ -120,29 +168,44 @@
 			(void)printf("%-9s %s\n", keys[i], value);
 		g_free(value);
 	}
+	print_evacuations(a->evacuations, last);
+}
+
+static GArray *
+lines_new(void)
+{
+	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct line));
+
+	g_array_set_clear_func(lines, line_clear);
+	return lines;
 }
 
 static int
 explain(const char *id, const char *const *files, int n)
 {
-	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct line));
+	const struct account a = {
+		.lines = lines_new(),
+		.evacuations = lines_new(),
+	};
+	GArray *lines = a.lines;
 	int code = CLI_OK;
 
-	g_array_set_clear_func(lines, line_clear);
 	for (int i = 0; i < n; i++) {
-		if (!read_file(files[i], id, lines))
+		if (!read_file(files[i], id, &a))
 			code = CLI_USAGE;
 	}
 	g_array_sort(lines, by_time);
+	g_array_sort(a.evacuations, by_time);
 	for (guint i = 0; i < lines->len; i++)
 		(void)puts(g_array_index(lines, struct line, i).text);
 	if (lines->len > 0) {
-		print_outcome(lines);
+		print_outcome(&a);
 	} else {
 		(void)printf("no line names request %s\n", id);
 		code = CLI_REFUSED;
 	}
 	g_array_unref(lines);
+	g_array_unref(a.evacuations);
 	return code;
 }
 
--- a/test/script/logs.sh
+++ b/test/script/logs.sh
@@ -21,6 +21,9 @@
 t=2026-05-26T13:26:38.001Z level=info node=front-1 event=request.failed request=r1 status=502 verdict="may have run" attempts=1 server=i-1 reason="the answer broke off" ms=636
 END
 cat >two.log <<'END'
+t=2026-05-26T13:26:36.100Z level=info node=front-1 event=evacuation.in_force zones=csepel revision=40
+t=2026-05-26T13:26:38.000Z level=info node=front-2 event=evacuation.in_force zones=kelenfold revision=41
+t=2026-05-26T13:26:39.000Z level=info node=front-1 event=evacuation.in_force zones=- revision=42
 t=2026-05-26T13:26:37.900Z level=info node=front-2 event=attempt.failed request=r1 attempt=1 server=i-1 verdict="may have run"
 t=2026-05-26T13:26:37.100Z level=info node=front-2 event=attempt.sent request=r11 attempt=1 server=i-1
 END
