Regions where requests of a route or a customer may run

allowed_regions of the configuration was ignored: any server got any body. It is validated, kept with the configuration, and both lists bind. The query to the balancer leaves out data centres outside, for every attempt; without a listed server inside, the request is refused at once as not run. A filter in the balancer was ruled out: it would be a second place that leaves servers out. Its room for excluded data centres grew from 8 to 32.

--- a/src/fleet/fleetcfg.c
+++ b/src/fleet/fleetcfg.c
@@ -28,6 +28,7 @@
 
 	g_free(r->host);
 	g_free(r->prefix);
+	g_free(r->regions);
 	g_free(r->splits);
 	g_free(r);
 }
@@ -40,6 +41,7 @@
 	for (uint32_t i = 0; i < u->n_keys; i++)
 		g_free(u->keys[i]);
 	g_free(u->keys);
+	g_free(u->regions);
 	g_free(u);
 }
 
@@ -225,6 +227,56 @@
 	return STATUS_OK;
 }
 
+/// Adds a region to those that a route or a customer allows; a repeated one
+/// changes nothing.
+///
+/// @param regions  of the route or customer; the first call makes them
+/// @return STATUS_OK, or STATUS_INVALID when the name is empty or too long, or
+///         there are too many
+enum status
+fleetcfg_add_region(struct fleetcfg_regions **regions, const char *name)
+{
+	struct fleetcfg_regions *r = *regions;
+
+	if (name[0] == '\0' || strlen(name) >= FLEETCFG_NAME_BYTES)
+		return status_fail(
+		    STATUS_INVALID, "region name '%.80s' is unfit", name);
+	if (r == NULL)
+		r = *regions = g_new0(struct fleetcfg_regions, 1);
+	for (uint32_t i = 0; i < r->n; i++) {
+		if (strcmp(r->names[i], name) == 0)
+			return STATUS_OK;
+	}
+	if (r->n == FLEETCFG_MAX_REGIONS)
+		return status_fail(STATUS_INVALID, "too many regions");
+	(void)g_strlcpy(r->names[r->n++], name, FLEETCFG_NAME_BYTES);
+	return STATUS_OK;
+}
+
+static bool
+names_region(const struct fleetcfg_regions *r, const char *region)
+{
+	if (r == NULL || r->n == 0)
+		return true;
+	for (uint32_t i = 0; i < r->n; i++) {
+		if (strcmp(r->names[i], region) == 0)
+			return true;
+	}
+	return false;
+}
+
+/// Whether a request may run in a region: both its route and its customer must
+/// allow it.
+///
+/// @param u  NULL: the request has no customer
+bool
+fleetcfg_allows_region(const struct fleetcfg_route *r,
+    const struct fleetcfg_customer *u, const char *region)
+{
+	return names_region(r->regions, region) &&
+	    (u == NULL || names_region(u->regions, region));
+}
+
 /// Limits on what callers may send, to be filled in.
 struct fleetcfg_limits *
 fleetcfg_limits(struct fleetcfg *c)
--- a/src/fleet/fleetcfg.h
+++ b/src/fleet/fleetcfg.h
@@ -16,6 +16,7 @@
 
 #define FLEETCFG_NAME_BYTES 64
 #define FLEETCFG_MAX_ZONES 16
+#define FLEETCFG_MAX_REGIONS 16
 
 /// Decides whether a request whose outcome is unknown may be retried, see
 /// fleetcfg_is_retryable().
@@ -64,6 +65,12 @@
 	struct fleetcfg_scaling scaling;
 };
 
+/// Regions whose servers may get a request.
+struct fleetcfg_regions {
+	uint32_t n; ///< 0: all
+	char names[FLEETCFG_MAX_REGIONS][FLEETCFG_NAME_BYTES];
+};
+
 struct fleetcfg_split {
 	uint32_t service; ///< index
 	uint32_t weight;  ///< relative to the other splits of the route
@@ -82,6 +89,7 @@
 	uint32_t gap_ms;    ///< target for the time between events
 	uint32_t priority;  ///< 0 is served first
 	uint32_t max_attempts;
+	struct fleetcfg_regions *regions; ///< NULL: all
 	uint32_t n_splits;
 	struct fleetcfg_split *splits;
 };
@@ -94,6 +102,7 @@
 	uint32_t default_tokens; ///< of a request that doesn't say its tokens
 	double rate_per_s;       ///< tokens or requests; 0: no limit
 	double burst;            ///< tokens or requests
+	struct fleetcfg_regions *regions; ///< NULL: all
 	uint32_t n_keys;
 	char **keys;
 };
@@ -123,6 +132,8 @@
     struct fleetcfg *c, const char *name);
 enum status fleetcfg_add_key(
     struct fleetcfg *c, struct fleetcfg_customer *u, const char *key);
+enum status fleetcfg_add_region(
+    struct fleetcfg_regions **regions, const char *name);
 struct fleetcfg_limits *fleetcfg_limits(struct fleetcfg *c);
 enum status fleetcfg_validate(struct fleetcfg *c);
 
@@ -145,6 +156,8 @@
     const struct fleetcfg *c, const char *name);
 uint32_t fleetcfg_pick_service(const struct fleetcfg_route *r, uint64_t hash);
 bool fleetcfg_is_retryable(const struct fleetcfg_route *r);
+bool fleetcfg_allows_region(const struct fleetcfg_route *r,
+    const struct fleetcfg_customer *u, const char *region);
 struct quota_limit fleetcfg_quota_limit(
     const struct fleetcfg_customer *c, const struct bootstrap_bounds *bounds);
 
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -272,6 +272,11 @@
 uint64_t gateway_evac_revision(const struct gateway *g);
 json_t *gateway_evac_json(const struct gateway *g);
 
+/// gateway_regions.c: regions where a request may run
+bool gateway_regions_exclude(
+    const struct gateway_request *q, struct balancer_request *query);
+bool gateway_regions_have_server(const struct gateway_request *q);
+
 /// gateway_rollout.c: rollouts of services' versions
 void gateway_rollout_update(struct gateway *g, const GArray *rollouts);
 void gateway_rollout_choose(
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -106,6 +106,8 @@
 	enum status st;
 
 	make_query(q, query);
+	if (!gateway_regions_exclude(q, query))
+		return STATUS_UNAVAILABLE;
 	gateway_rollout_choose(q, query);
 	retry_exclude_tried(&q->attempts, query);
 	st = balancer_choose(
@@ -701,6 +703,8 @@
 {
 	if (q->call_handle != HANDLE_NONE)
 		abandon_attempt(q);
+	else if (!gateway_regions_have_server(q))
+		gateway_give_up(q, "no server in an allowed region");
 	else if ((gateway_openq_is_waiting(q) || !gateway_try_send(q)) &&
 	    !gateway_openq_add(q))
 		gateway_give_up(q, "no backend server to be had");
--- a/src/hub/hub_evac.c
+++ b/src/hub/hub_evac.c
@@ -6,10 +6,12 @@
 /// Evacuated data centres, as this control process has applied them. See
 /// docs/design/evacuation.md.
 struct hub_evac {
-	struct evacset seen; ///< set that the last log lines were about
-	uint64_t changed_us; ///< when `seen` became the set here, or this
-			     ///< process the leader
-	bool confirmed;      ///< all live gateways have it
+	struct evacset seen;   ///< set that the last log lines were about
+	uint64_t changed_us;   ///< when `seen` became the set here, or this
+			       ///< process the leader
+	bool confirmed;        ///< all live gateways have it
+	uint64_t all_known_us; ///< as the leader: live gateways have all
+			       ///< reported by then
 	struct metrics_value *n_begun;
 	struct metrics_value *n_ended;
 	struct metrics_hist *obeyed; ///< until all live gateways have a set
@@ -77,6 +79,7 @@
 hub_evac_reset(struct hub *h)
 {
 	h->evac->changed_us = loop_now_us(h->loop);
+	h->evac->all_known_us = h->evac->changed_us + HUB_GATEWAY_LOST_US;
 }
 
 /// Whether a data centre is evacuated.
@@ -144,7 +147,7 @@
 	uint32_t n_live;
 	uint32_t n_confirmed;
 
-	if (e->confirmed)
+	if (e->confirmed || now_us < e->all_known_us)
 		return;
 	count_confirmed(h, &n_live, &n_confirmed);
 	if (n_live == 0 || n_confirmed < n_live)
--- a/src/platform/api_manifest.c
+++ b/src/platform/api_manifest.c
@@ -239,6 +239,31 @@
 	return STATUS_OK;
 }
 
+/// Reads the regions where requests of a route or a customer may run.
+static enum status
+read_regions(const struct json_item *p, struct fleetcfg_regions **out)
+{
+	static const char key[] = "allowed_regions";
+	const json_t *list = json_object_get(p->object, key);
+	const json_t *region;
+	size_t i;
+
+	if (list == NULL || json_is_null(list))
+		return STATUS_OK;
+	if (!json_is_array(list))
+		return invalid_field(p, key, "is not a list");
+	json_array_foreach(list, i, region)
+	{
+		if (!json_is_string(region))
+			return invalid_field(p, key, "holds what is no text");
+		if (fleetcfg_add_region(out, json_string_value(region)) !=
+		    STATUS_OK)
+			return invalid_field(
+			    p, key, "holds an unfit name, or too many");
+	}
+	return STATUS_OK;
+}
+
 static enum status
 read_route(struct fleetcfg *c, const struct json_item *p)
 {
@@ -269,6 +294,7 @@
 	// "sticky": requests name the parts of their prompts in a header.
 	st = first_failure(st, get_bool(p, "sticky", &r->has_prompt_parts));
 	st = first_failure(st, get_bool(p, "resumable", &r->resumable));
+	st = first_failure(st, read_regions(p, &r->regions));
 	return first_failure(st, read_splits(c, p, r));
 }
 
@@ -315,6 +341,7 @@
 	    st, get_u32(p, "plain_tokens", false, 1, &u->default_tokens));
 	st = first_failure(st, get_real(p, "rate_per_s", 0, &u->rate_per_s));
 	st = first_failure(st, get_real(p, "burst", 0, &u->burst));
+	st = first_failure(st, read_regions(p, &u->regions));
 	return first_failure(st, read_keys(c, p, u));
 }
 
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -17,6 +17,7 @@
 #define BALANCER_NAME_BYTES 64
 #define BALANCER_MAX_VERSIONS 8
 #define BALANCER_MAX_EXCLUDED 8
+#define BALANCER_MAX_EXCLUDED_DCS 32
 #define BALANCER_PRIORITIES 10
 #define BALANCER_BLOCK_BYTES 64 ///< Bytes of prompt covered by one hash.
 
@@ -82,7 +83,7 @@
 	uint32_t n_servers;     ///< Excluded: already tried by this request.
 	handle_t servers[BALANCER_MAX_EXCLUDED];
 	uint32_t n_data_centres; ///< Excluded.
-	const char *data_centres[BALANCER_MAX_EXCLUDED];
+	const char *data_centres[BALANCER_MAX_EXCLUDED_DCS];
 };
 
 struct balancer_choice {
--- a/test/unit/platform/test_api_manifest.cc
+++ b/test/unit/platform/test_api_manifest.cc
@@ -201,4 +201,69 @@
 	free(body);
 }
 
+/// A manifest whose route and customer allow these lists of regions.
+std::string
+regional(const std::string &of_route, const std::string &of_customer)
+{
+	std::string r = route;
+	std::string u = customers;
+
+	r.insert(1, R"("allowed_regions":)" + of_route + ",");
+	u.insert(2, R"("allowed_regions":)" + of_customer + ",");
+	return manifest(r, u);
+}
+
+bool
+is_allowed(const struct fleetcfg *c, const char *region)
+{
+	return fleetcfg_allows_region(
+	    fleetcfg_route(c, 0), fleetcfg_find_customer(c, "c1"), region);
+}
+
+TEST(Manifest, RegionsOfRouteAndCustomerBothBind)
+{
+	struct fleetcfg *c;
+
+	ASSERT_EQ(
+	    read(regional(R"(["a","b","a"])", R"(["b","c"])"), &c), STATUS_OK)
+	    << status_last();
+	EXPECT_TRUE(is_allowed(c, "b"));
+	EXPECT_FALSE(is_allowed(c, "a"));
+	EXPECT_FALSE(is_allowed(c, "c"));
+	EXPECT_FALSE(is_allowed(c, ""));
+	EXPECT_TRUE(fleetcfg_allows_region(fleetcfg_route(c, 0), nullptr, "a"));
+	EXPECT_FALSE(
+	    fleetcfg_allows_region(fleetcfg_route(c, 0), nullptr, "c"));
+	fleetcfg_unref(c);
+	for (const char *none : { "[]", "null" }) {
+		ASSERT_EQ(read(regional(none, R"(["c"])"), &c), STATUS_OK);
+		EXPECT_TRUE(is_allowed(c, "c"));
+		EXPECT_FALSE(is_allowed(c, "a"));
+		fleetcfg_unref(c);
+		ASSERT_EQ(read(regional(none, none), &c), STATUS_OK);
+		EXPECT_TRUE(is_allowed(c, ""));
+		fleetcfg_unref(c);
+	}
+}
+
+TEST(Manifest, RegionsThatAreNoListOfNamesAreRefused)
+{
+	struct fleetcfg *c;
+	std::string many = "[";
+
+	for (int i = 0; i <= FLEETCFG_MAX_REGIONS; i++)
+		many += (i == 0 ? "\"" : ",\"") + std::to_string(i) + "\"";
+	many += "]";
+	for (const std::string &list :
+	    { std::string(R"("a")"), std::string(R"([1])"),
+		std::string(R"([""])"), std::string(R"({"a":1})"),
+		R"([")" + std::string(FLEETCFG_NAME_BYTES, 'x') + R"("])",
+		many }) {
+		EXPECT_EQ(read(regional(list, "[]"), &c), STATUS_INVALID)
+		    << list;
+		EXPECT_EQ(read(regional("[]", list), &c), STATUS_INVALID)
+		    << list;
+	}
+}
+
 } // namespace
