A duty's call expires by the time of its check

A call's time counted from when it was made. The time now counts from the check, and that is taken before the leadership is looked at. Ruled out: a second check right before the call, which leaves the same gap, only shorter.

A seeded test freezes holders at each of five steps, 60 seeds each; it fails without the change at the step between check and call, and holds with it.

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -313,12 +313,14 @@
 
 /// Lets a call expire, see struct httpc_request.
 static void
-set_expiry(struct httpc_active *a, uint64_t timeout_us)
+set_expiry(struct httpc_active *a, const struct httpc_request *call)
 {
 	struct bufferevent *bev =
 	    evhttp_connection_get_bufferevent(a->conn->evcon);
 
-	a->expires_us = boot_time_us() + timeout_us;
+	a->expires_us = call->timeout_us +
+	    (call->expires_from_us != 0 ? call->expires_from_us
+					: boot_time_us());
 	if (bev == NULL || a->conn->checks_output)
 		return;
 	a->conn->checks_output = true;
@@ -410,7 +412,7 @@
 	add_headers(req, call);
 	a->timeout = arm_timeout(a, call->timeout_us, on_timeout);
 	if (call->expires && call->timeout_us != 0)
-		set_expiry(a, call->timeout_us);
+		set_expiry(a, call);
 	if (!httpc_conn_is_connected(conn))
 		a->connect_timeout =
 		    arm_timeout(a, call->connect_us, on_connect_timeout);
--- a/src/back/httpc.h
+++ b/src/back/httpc.h
@@ -65,6 +65,9 @@
 	/// also counts suspended time; bytes still unsent when the call ends
 	/// are dropped. For requests that must not arrive late.
 	bool expires;
+	/// With `expires`: time by that clock (CLOCK_BOOTTIME) from which
+	/// timeout_us counts; 0: when the call is made.
+	uint64_t expires_from_us;
 	size_t max_body;     ///< bytes of the response; 0: 16 MiB
 	bool new_connection; ///< open a new connection and close it afterwards
 	struct ssl_ctx_st *tls; ///< NULL: plain
--- a/src/fleet/duty.c
+++ b/src/fleet/duty.c
@@ -87,17 +87,23 @@
 	return true;
 }
 
-/// Whether a call may be made now, by a process that is the leader.
+/// Whether a call may be made now, by a process that is the leader. If so, the
+/// time is kept in checked_us: a call expires by it, not by when it is made, as
+/// the process may be suspended in between.
+///
+/// @param now_us  taken before it was seen that the process is the leader
 bool
-duty_may_call(
-    const struct duty *d, uint64_t now_us, const struct duty_claim *last)
+duty_may_call(struct duty *d, uint64_t now_us, const struct duty_claim *last)
 {
-	return d->valid_from_us != 0 && last->holder == d->config.self &&
-	    now_us >= d->valid_from_us;
+	if (d->valid_from_us == 0 || last->holder != d->config.self ||
+	    now_us < d->valid_from_us)
+		return false;
+	d->checked_us = now_us;
+	return true;
 }
 
-/// Longest time that a call may take, from when duty_may_call() held until its
-/// last byte leaves.
+/// Longest time that a call may take, from checked_us until its last byte
+/// leaves.
 uint64_t
 duty_call_timeout_us(const struct duty *d, uint64_t wanted_us)
 {
--- a/src/fleet/duty.h
+++ b/src/fleet/duty.h
@@ -22,6 +22,7 @@
 	bool claiming; ///< a claim is being committed
 	bool fenced;   ///< the cloud has seen a higher number than the claim's
 	uint64_t valid_from_us; ///< no call before this; 0: not the holder
+	uint64_t checked_us;    ///< when duty_may_call() last held
 	/// Last claim that this process knows as its own, and when the calls of
 	/// the holder before it have expired.
 	uint64_t fence;
@@ -48,7 +49,7 @@
 bool duty_on_claimed(struct duty *d, uint64_t now_us, uint32_t last_holder,
     const struct duty_claim *committed);
 bool duty_may_call(
-    const struct duty *d, uint64_t now_us, const struct duty_claim *last);
+    struct duty *d, uint64_t now_us, const struct duty_claim *last);
 uint64_t duty_call_timeout_us(const struct duty *d, uint64_t wanted_us);
 
 #endif
--- a/src/hub/hub_duty.c
+++ b/src/hub/hub_duty.c
@@ -39,17 +39,21 @@
 }
 
 /// Whether this process may make the calls of the duties now: it is the leader
-/// and the holder, and the previous holder's lease is over.
+/// and the holder, and the previous holder's lease is over. Calls that follow
+/// expire by the time of this check, also if the process is suspended in
+/// between.
 bool
-hub_duty_is_held(const struct hub *h)
+hub_duty_is_held(struct hub *h)
 {
+	// Taken first, so that no part of the check is older.
+	const uint64_t now = loop_now_us(h->loop);
 	const struct duty_claim last = last_claim(h);
 
 	return hub_is_leader(h) && !h->stopping &&
-	    duty_may_call(&h->duty, loop_now_us(h->loop), &last);
+	    duty_may_call(&h->duty, now, &last);
 }
 
-/// Longest time that a call of the duties may take.
+/// Longest time that a call of the duties may take, from the last check.
 uint64_t
 hub_duty_call_timeout_us(const struct hub *h, uint64_t wanted_us)
 {
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -256,7 +256,7 @@
 void hub_duty_start(struct hub *h);
 void hub_duty_reset(struct hub *h);
 uint64_t hub_duty_call_timeout_us(const struct hub *h, uint64_t wanted_us);
-bool hub_duty_is_held(const struct hub *h);
+bool hub_duty_is_held(struct hub *h);
 void hub_duty_tick(struct hub *h, uint64_t now_us);
 void hub_duty_on_fenced(struct hub *h);
 
--- a/src/hub/hub_scale.c
+++ b/src/hub/hub_scale.c
@@ -97,6 +97,7 @@
 		.holder = h->settings.node,
 		.fence = hubstate_duty(h->state).fence,
 		.timeout_us = hub_duty_call_timeout_us(h, HUB_ORDER_TIMEOUT_US),
+		.checked_us = h->duty.checked_us,
 		.on_end = on_ordered,
 		.arg = o,
 	};
--- a/src/hub/hub_usage.c
+++ b/src/hub/hub_usage.c
@@ -135,6 +135,7 @@
 		.holder = h->settings.node,
 		.fence = hubstate_duty(h->state).fence,
 		.timeout_us = hub_duty_call_timeout_us(h, HUB_USAGE_TIMEOUT_US),
+		.checked_us = h->duty.checked_us,
 		.on_end = on_usage_reported,
 		.arg = h,
 	};
--- a/src/platform/api_cloud.c
+++ b/src/platform/api_cloud.c
@@ -188,6 +188,7 @@
 		.len = strlen(call->body),
 		.timeout_us = call->timeout_us,
 		.expires = true,
+		.expires_from_us = call->checked_us,
 		.on_end = call->on_end,
 		.arg = call->arg,
 	};
--- a/src/platform/api_cloud.h
+++ b/src/platform/api_cloud.h
@@ -33,6 +33,8 @@
 	const char *holder; ///< name of the process that holds the duty
 	uint64_t fence;     ///< fencing number of the duty
 	uint64_t timeout_us;
+	uint64_t checked_us; ///< when it was seen that the call may be made, by
+			     ///< CLOCK_BOOTTIME; timeout_us counts from then
 	httpc_end_cb on_end;
 	void *arg;
 };
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -167,7 +167,7 @@
 		    static_cast<ssize_t>(all.size()));
 	}
 
-	void send(bool expires)
+	void send(bool expires, uint64_t expires_from_us = 0)
 	{
 		struct httpc_request r = {};
 
@@ -179,6 +179,7 @@
 		r.len = 2;
 		r.timeout_us = 50000;
 		r.expires = expires;
+		r.expires_from_us = expires_from_us;
 		r.on_end = [](void *arg, const struct httpc_result *result) {
 			auto *p = static_cast<Peer *>(arg);
 
@@ -230,6 +231,23 @@
 	EXPECT_EQ(p.received(), "");
 }
 
+/// A process is suspended after it has seen that it may make a call, and before
+/// it makes it: the call's time counts from what it saw.
+TEST(Client, RequestThatExpiredBeforeItWasMadeIsNotSent)
+{
+	struct timespec now;
+	Peer p;
+
+	(void)clock_gettime(CLOCK_BOOTTIME, &now);
+	p.send(true,
+	    static_cast<uint64_t>(now.tv_sec) * 1000000 +
+		static_cast<uint64_t>(now.tv_nsec) / 1000 - 60000);
+	p.run();
+	EXPECT_EQ(p.n_ends, 1);
+	EXPECT_EQ(p.verdict, VERDICT_NOT_RUN);
+	EXPECT_EQ(p.received(), "");
+}
+
 TEST(Client, RequestIsSentInTime)
 {
 	Peer p;
--- a/test/unit/fleet/test_duty.cc
+++ b/test/unit/fleet/test_duty.cc
@@ -129,6 +129,9 @@
 		uint64_t connected_at = 0; ///< a call that isn't sent yet
 		uint64_t expires_at = 0;
 		uint64_t claim_at = 0; ///< when the pending claim is decided
+		bool claim_ended = false;
+		struct duty_claim claim_result = {}; ///< no holder: it failed
+		bool checked = false; ///< a call is about to be made
 		uint32_t claim_last = 0;
 	} p[N];
 	int leader = -1;
@@ -137,6 +140,18 @@
 	uint64_t index = 1;
 	std::deque<Call> arrivals;
 	std::vector<Call> seen;
+	/// Steps of a holder's work at which processes are frozen.
+	enum Step {
+		NONE,
+		CLAIMING,   ///< the claim is being committed
+		COMMITTED,  ///< the claim is committed and not known here yet
+		WAITING,    ///< for the end of the lease before
+		CHECKED,    ///< a call may be made, and isn't made yet
+		CONNECTING, ///< the call is made, and no byte of it is sent
+		N_STEPS,
+	};
+	Step frozen_step = NONE;
+	size_t n_frozen = 0;
 
 	explicit World(uint64_t seed) : random(seed)
 	{
@@ -181,6 +196,7 @@
 		case 2: // a restart
 			q.duty = new_duty(q.duty.config.self);
 			q.connected_at = q.claim_at = 0;
+			q.claim_ended = q.checked = false;
 			q.frozen_until = now + below(1500 * MS);
 			break;
 		case 3: // the leadership is given away
@@ -191,18 +207,42 @@
 		}
 	}
 
+	/// Freezes a process that is at a step, now and then, for up to three
+	/// leases, while another one may be elected.
+	bool freezes(Process &q, Step step)
+	{
+		if (step != frozen_step || below(4) != 0)
+			return false;
+		q.frozen_until = now + 1 + below(3 * LEASE);
+		n_frozen++;
+		return true;
+	}
+
+	/// The process learns how its claim ended.
+	void end_claim(Process &q) const
+	{
+		if (!q.claim_ended)
+			return;
+		q.claim_ended = false;
+		(void)duty_on_claimed(&q.duty, now, q.claim_last,
+		    q.claim_result.holder != 0 ? &q.claim_result : nullptr);
+	}
+
 	void run_process(int i)
 	{
 		Process &q = p[i];
 
 		if (now < q.frozen_until)
 			return;
+		end_claim(q);
 		if (i != leader || now >= lease_until) {
 			(void)duty_reset(&q.duty);
 		} else if (duty_tick(&q.duty, now, &committed) ==
 		    DUTY_COMMIT_CLAIM) {
 			q.claim_at = now + below(50 * MS);
 			q.claim_last = committed.holder;
+			if (freezes(q, CLAIMING))
+				return;
 		}
 		if (q.claim_at != 0 && now >= q.claim_at) {
 			const bool ok = i == leader && now < lease_until;
@@ -210,9 +250,12 @@
 			q.claim_at = 0;
 			if (ok)
 				committed = { q.duty.config.self, ++index };
-			(void)duty_on_claimed(&q.duty, now, q.claim_last,
-			    ok ? &committed : nullptr);
+			q.claim_ended = true;
+			q.claim_result = ok ? committed : duty_claim{};
+			if (ok && freezes(q, COMMITTED))
+				return;
 		}
+		end_claim(q);
 		// What is connected is sent if it hasn't expired; the
 		// leadership isn't checked again.
 		if (q.connected_at != 0 && now >= q.connected_at) {
@@ -221,12 +264,22 @@
 				arrivals.push_back({ now + below(20 * MS),
 				    q.duty.config.self, q_fence[i] });
 		}
+		if (i == leader && now < q.duty.valid_from_us &&
+		    freezes(q, WAITING))
+			return;
 		if (i == leader && now < lease_until && q.connected_at == 0 &&
-		    duty_may_call(&q.duty, now, &committed)) {
-			q.connected_at = now + below(3000 * MS) * below(2);
-			q.expires_at =
-			    now + duty_call_timeout_us(&q.duty, 1500 * MS);
+		    !q.checked && duty_may_call(&q.duty, now, &committed)) {
+			q.checked = true;
 			q_fence[i] = committed.fence;
+			if (freezes(q, CHECKED))
+				return;
+		}
+		if (q.checked) {
+			q.checked = false;
+			q.connected_at = now + below(3000 * MS) * below(2);
+			q.expires_at = q.duty.checked_us +
+			    duty_call_timeout_us(&q.duty, 1500 * MS);
+			(void)freezes(q, CONNECTING);
 		}
 	}
 
@@ -289,3 +342,37 @@
 	EXPECT_GT(calls, 10000U);
 	EXPECT_GT(changes, 200U);
 }
+
+/// A holder stands still at one step of its work, again and again, and others
+/// are elected meanwhile; nobody checks the fence. The step between the check
+/// and the call is the one where a call would leave late if its time counted
+/// from when it is made.
+TEST(Duty, HoldersNeverOverlapWhereverOneStandsStill)
+{
+	for (int step = World::CLAIMING; step < World::N_STEPS; step++) {
+		size_t n_frozen = 0;
+		size_t changes = 0;
+
+		for (uint64_t seed = 1; seed <= 60; seed++) {
+			World w(seed);
+
+			w.frozen_step = static_cast<World::Step>(step);
+			for (int n = 0; n < 60000; n++) {
+				w.now += 1 * MS + w.below(2 * MS);
+				w.elect();
+				w.inject();
+				for (int i = 0; i < World::N; i++)
+					w.run_process(i);
+				w.deliver();
+				ASSERT_FALSE(HasFatalFailure())
+				    << "seed " << seed << " step " << step;
+			}
+			n_frozen += w.n_frozen;
+			for (size_t i = 1; i < w.seen.size(); i++)
+				changes +=
+				    w.seen[i].holder != w.seen[i - 1].holder;
+		}
+		EXPECT_GT(n_frozen, 20U) << "step " << step;
+		EXPECT_GT(changes, 20U) << "step " << step;
+	}
+}
