--- a/src/hub/hub_scale.c
+++ b/src/hub/hub_scale.c
@@ -100,6 +100,7 @@
 		.holder = h->settings.node,
 		.fence = hubstate_duty(h->state).fence,
 		.timeout_us = hub_duty_call_timeout_us(h, HUB_ORDER_TIMEOUT_US),
+		.checked_us = h->duty.checked_us,
 		.on_end = on_ordered,
 		.arg = o,
 	};
@@ -162,6 +163,7 @@
 	    find_or_add_order(h, s->name, price->zone, true);
 
 	out->price = price->price;
+	out->closed = hub_evac_covers(h, price->zone);
 	out->on_demand = count_in_zone(h, s->name, price->zone, false);
 	out->spot = count_in_zone(h, s->name, price->zone, true);
 	out->on_demand_expected =
