Messages between processes are counted by kind and direction

Nothing told which message carries the bytes of a large deployment: the ports had one sum of both roles' links. Counters by kind and direction are exported by gateways and hubs, and the bytes that wait on a link can be asked for.

--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -333,6 +333,7 @@
 	    slotmap_count(g->requests);
 	metrics_gauge(registry, "ac_connections_made_total", "")->value =
 	    httpc_connections_opened(g->http);
+	transport_export(g->links, registry);
 	httpd_reply_metrics(g->metrics, handle, registry);
 }
 
--- a/src/hub/hub_operators.c
+++ b/src/hub/hub_operators.c
@@ -276,6 +276,7 @@
 	    g_hash_table_size(h->gateways);
 	metrics_gauge(registry, "ac_peer_bytes_sent_total", "")->value =
 	    transport_bytes_sent(h->links);
+	transport_export(h->links, registry);
 	httpd_reply_metrics(h->metrics, handle, registry);
 }
 
--- a/src/wire/transport.c
+++ b/src/wire/transport.c
@@ -1,6 +1,7 @@
 #include "wire/transport.h"
 
 #include <arpa/inet.h>
+#include <assert.h>
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -56,6 +57,7 @@
 	struct transport_config config;
 	struct slotmap *links;
 	struct evconnlistener *listener;
+	struct transport_traffic traffic[WIRE_KIND_COUNT];
 	uint64_t bytes_sent;
 	uint64_t bytes_received;
 	uint64_t n_dials;
@@ -221,6 +223,8 @@
 		    "peer=%s reason=\"%s\"", link->hello.node, status_last());
 		return false;
 	}
+	t->traffic[msg.kind].received++;
+	t->traffic[msg.kind].received_bytes += len + TRANSPORT_LENGTH_BYTES;
 	if (!link->up)
 		return handle_hello(link, &msg);
 	if (msg.kind == WIRE_HELLO)
@@ -496,10 +500,23 @@
 	wire_encode(msg, &bytes, &len);
 	(void)bufferevent_write(link->bev, bytes, len);
 	t->bytes_sent += len;
+	t->traffic[msg->kind].sent++;
+	t->traffic[msg->kind].sent_bytes += len;
 	g_free(bytes);
 	return true;
 }
 
+/// Bytes that wait to be written to a link.
+size_t
+transport_queued(const struct transport *t, handle_t h)
+{
+	const struct transport_link *link = slotmap_get(t->links, h);
+
+	return link == NULL || link->bev == NULL
+	    ? 0
+	    : evbuffer_get_length(bufferevent_get_output(link->bev));
+}
+
 /// Whether the link is established and the peer's hello was accepted.
 bool
 transport_is_up(const struct transport *t, handle_t h)
@@ -521,6 +538,42 @@
 	close_link(link);
 }
 
+/// Messages of a kind so far.
+struct transport_traffic
+transport_traffic(const struct transport *t, enum wire_kind kind)
+{
+	assert(kind > 0 && kind < WIRE_KIND_COUNT);
+	return t->traffic[kind];
+}
+
+static void
+export_direction(struct metrics_registry *registry, enum wire_kind kind,
+    const char *direction, uint64_t n, uint64_t bytes)
+{
+	char labels[80];
+
+	if (n == 0)
+		return;
+	(void)g_snprintf(labels, sizeof(labels), "kind=\"%s\",direction=\"%s\"",
+	    wire_kind_name(kind), direction);
+	metrics_counter(registry, "ac_peer_messages_total", labels)->value = n;
+	metrics_counter(registry, "ac_peer_message_bytes_total", labels)
+	    ->value = bytes;
+}
+
+/// Writes the messages of each kind and their bytes to counters.
+void
+transport_export(const struct transport *t, struct metrics_registry *registry)
+{
+	for (enum wire_kind k = WIRE_HELLO; k < WIRE_KIND_COUNT; k++) {
+		const struct transport_traffic *c = &t->traffic[k];
+
+		export_direction(registry, k, "sent", c->sent, c->sent_bytes);
+		export_direction(
+		    registry, k, "received", c->received, c->received_bytes);
+	}
+}
+
 /// Bytes queued on all links so far, frame lengths included.
 uint64_t
 transport_bytes_sent(const struct transport *t)
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -1,6 +1,7 @@
 #ifndef WIRE_TRANSPORT_H
 #define WIRE_TRANSPORT_H
 
+#include "base/metrics.h"
 #include "base/slotmap.h"
 #include "base/timerq.h"
 #include "wire/wire.h"
@@ -24,6 +25,14 @@
 	void *arg;
 };
 
+/// Messages of one kind on all links, and their bytes, frame lengths included.
+struct transport_traffic {
+	uint64_t sent;
+	uint64_t sent_bytes;
+	uint64_t received;
+	uint64_t received_bytes;
+};
+
 struct transport_config {
 	struct event_base *base;
 	struct timerq *timers;
@@ -40,10 +49,15 @@
 handle_t transport_dial(struct transport *t, const char *host, uint16_t port);
 bool transport_send(
     struct transport *t, handle_t link, const struct wire_msg *msg);
+size_t transport_queued(const struct transport *t, handle_t link);
 bool transport_is_up(const struct transport *t, handle_t link);
 void transport_close(struct transport *t, handle_t link);
+struct transport_traffic transport_traffic(
+    const struct transport *t, enum wire_kind kind);
 uint64_t transport_bytes_sent(const struct transport *t);
 uint64_t transport_bytes_received(const struct transport *t);
 uint64_t transport_dials(const struct transport *t);
+void transport_export(
+    const struct transport *t, struct metrics_registry *registry);
 
 #endif
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -352,6 +352,41 @@
 	return STATUS_OK;
 }
 
+/// Name of a message kind in metrics.
+const char *
+wire_kind_name(enum wire_kind kind)
+{
+	static const char *const names[WIRE_KIND_COUNT] = {
+		[WIRE_HELLO] = "hello",
+		[WIRE_RAFT] = "raft",
+		[WIRE_SUBSCRIBE] = "subscribe",
+		[WIRE_CONFIG] = "config",
+		[WIRE_SNAPSHOT] = "snapshot",
+		[WIRE_LEASE] = "lease",
+		[WIRE_ACK] = "ack",
+		[WIRE_PROPOSE] = "propose",
+		[WIRE_QUERY] = "query",
+		[WIRE_OUTCOME] = "outcome",
+		[WIRE_ROLLOUT_STATS] = "rollout_stats",
+		[WIRE_SLO_COUNTERS] = "slo_counters",
+		[WIRE_EXECUTE] = "execute",
+		[WIRE_GATEWAY_REPORT] = "gateway_report",
+		[WIRE_CONTROL_STATUS] = "control_status",
+		[WIRE_QUOTA_ASK] = "quota_ask",
+		[WIRE_QUOTA_ANSWER] = "quota_answer",
+		[WIRE_CRASH] = "crash",
+		[WIRE_PARTS] = "parts",
+		[WIRE_PARTS_ANSWER] = "parts_answer",
+		[WIRE_LIMITS] = "limits",
+		[WIRE_FEED_ASK] = "feed_ask",
+		[WIRE_FEED] = "feed",
+	};
+
+	if (kind <= 0 || kind >= WIRE_KIND_COUNT || names[kind] == NULL)
+		return "unknown";
+	return names[kind];
+}
+
 /// Decodes a message from a frame without its 4-byte length.
 ///
 /// @param bytes  must outlive `out`, which points into it
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -142,6 +142,7 @@
 };
 
 void wire_encode(const struct wire_msg *msg, uint8_t **bytes, size_t *len);
+const char *wire_kind_name(enum wire_kind kind);
 enum status wire_decode(const uint8_t *bytes, size_t len, struct wire_msg *out);
 
 #endif
