Revisions of the list are the same at all processes, and its reading is paced

At 300 machines and 3,000 servers a reading takes 60 calls. Processes without a current list didn't know that: nine hubs and 291 gateways read it as if it had one page, used up the platform's rate of calls, and were refused (429), the leader too. So every list got old, gateways left their hubs in turns, and each change of hub cost a whole list, as revisions were a hub's own. Ruled out by the count of messages: reports and states are 0.5 MB a second at the leader and nothing elsewhere.

A revision is now a number and a digest of the list, so that any process finds the changes since it, whoever read the list; changes are kept for a minute; a copy that misses something notices and asks for the whole list. Pages are paced by a process's part of the rate, and a large list is read data centre by data centre side by side. What a page shows as draining is sent before the other pages. The age at which a list counts as old follows the usual one.

--- a/src/fleet/feedsource.c
+++ b/src/fleet/feedsource.c
@@ -3,8 +3,6 @@
 #include "base/timerq.h"
 
 #define UNANSWERED_US USEC_PER_SEC
-/// A process whose list is older is left for another one.
-#define LIST_OLD_US (2 * USEC_PER_SEC)
 /// A process that was just chosen has this long to send a newer one.
 #define FIRST_LIST_US USEC_PER_SEC
 /// A process that doesn't have the configuration that the leader told of is
@@ -76,9 +74,11 @@
 }
 
 static bool
-list_is_old(const struct feedsource *f, uint64_t fresh_us, uint64_t now_us)
+list_is_old(const struct feedsource *f, const struct feedsource_state *has,
+    uint64_t now_us)
 {
-	return now_us > fresh_us + LIST_OLD_US &&
+	return now_us > has->list_fresh_us +
+		later(FEEDSOURCE_LIST_OLD_US, has->list_old_us) &&
 	    now_us > f->chosen_us + FIRST_LIST_US;
 }
 
@@ -100,7 +100,7 @@
 {
 	return (f->unanswered_us != 0 &&
 		   now_us > f->unanswered_us + UNANSWERED_US) ||
-	    list_is_old(f, has->list_fresh_us, now_us) ||
+	    list_is_old(f, has, now_us) ||
 	    config_is_late(f, has->version, now_us);
 }
 
--- a/src/fleet/feedsource.h
+++ b/src/fleet/feedsource.h
@@ -7,6 +7,10 @@
 /// Decides when a gateway leaves the control process that it has chosen for the
 /// configuration and the list of servers. Has no I/O.
 
+/// A process whose list is older is left for another one, unless lists are
+/// usually older.
+#define FEEDSOURCE_LIST_OLD_US UINT64_C(2000000)
+
 struct feedsource {
 	uint32_t slot;            ///< of the chosen process; 0: none
 	uint64_t chosen_us;       ///< when it was chosen
@@ -21,6 +25,8 @@
 struct feedsource_state {
 	uint64_t version;       ///< of its configuration; 0: none
 	uint64_t list_fresh_us; ///< when its list was read; 0: it has none
+	uint64_t list_old_us;   ///< age from which another process may have a
+				///< newer one; 0: only the usual bound holds
 };
 
 void feedsource_choose(struct feedsource *f, uint32_t slot, uint64_t now_us);
--- a/src/fleet/listcopy.c
+++ b/src/fleet/listcopy.c
@@ -4,8 +4,7 @@
 #include "fleet/hubmsg.h"
 
 struct listcopy {
-	uint64_t source;     ///< run of the process that the list is from
-	uint64_t revision;   ///< 0: no list yet
+	struct listview view;
 	GHashTable *servers; ///< id -> struct instance
 };
 
@@ -30,45 +29,68 @@
 	g_free(c);
 }
 
-/// Revision of the list that is held from a source; 0: none.
-///
-/// @param source  incarnation of the process
-uint64_t
-listcopy_revision(const struct listcopy *c, uint64_t source)
+/// Its revision and age.
+const struct listview *
+listcopy_view(const struct listcopy *c)
 {
-	return c->source == source ? c->revision : 0;
+	return &c->view;
 }
 
 static void
-apply_change(struct listcopy *c, const struct hubmsg_server *change)
+remove_server(struct listcopy *c, const char *id)
 {
-	struct instance *s;
+	const struct instance *s = g_hash_table_lookup(c->servers, id);
 
-	if (change->removed) {
-		(void)g_hash_table_remove(c->servers, change->instance.id);
+	if (s == NULL)
 		return;
-	}
-	s = g_memdup2(&change->instance, sizeof(*s));
+	listview_set(&c->view, s, NULL);
+	(void)g_hash_table_remove(c->servers, id);
+}
+
+static void
+set_server(struct listcopy *c, const struct instance *server)
+{
+	struct instance *s = g_memdup2(server, sizeof(*s));
+
+	listview_set(
+	    &c->view, g_hash_table_lookup(c->servers, server->id), server);
 	(void)g_hash_table_replace(c->servers, s->id, s);
 }
 
-/// Applies an update. Changes hold the newest state of each server that changed
-/// since a revision, so that those from an older one lead to the same list.
+static void
+apply_changes(struct listcopy *c, const GArray *changes, bool replaces)
+{
+	if (replaces) {
+		g_hash_table_remove_all(c->servers);
+		c->view.digest = 0;
+	}
+	for (guint i = 0; i < changes->len; i++) {
+		const struct hubmsg_server *s =
+		    &g_array_index(changes, struct hubmsg_server, i);
+
+		if (s->removed)
+			remove_server(c, s->instance.id);
+		else
+			set_server(c, &s->instance);
+	}
+}
+
+/// Applies an update.
 ///
-/// @param source  incarnation of the process that sent it
+/// @param source    incarnation of the process that sent it
+/// @param fresh_us  when the platform was asked for its list, by our clock
 enum listcopy_result
-listcopy_apply(
-    struct listcopy *c, uint64_t source, const struct feedmsg_update *u)
+listcopy_apply(struct listcopy *c, uint64_t source, uint64_t fresh_us,
+    uint64_t now_us, const struct feedmsg_update *u)
 {
-	const uint64_t has = listcopy_revision(c, source);
+	const enum listview_action action =
+	    listview_begin(&c->view, source, fresh_us, now_us, u);
 	GArray *changes;
 
-	if (u->revision == 0)
+	if (action == LISTVIEW_IGNORE)
 		return LISTCOPY_UNRELATED;
-	if (u->revision == has)
+	if (action == LISTVIEW_KEEP)
 		return LISTCOPY_SAME;
-	if (u->since != 0 && (u->since > has || has > u->revision))
-		return LISTCOPY_UNRELATED;
 	changes = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
 	if (hubmsg_servers_decode(u->changes, u->len, changes) != STATUS_OK) {
 		logger_event(LOGGER_WARN, "list.unreadable", "reason=\"%s\"",
@@ -76,15 +98,11 @@
 		g_array_unref(changes);
 		return LISTCOPY_UNRELATED;
 	}
-	if (u->since == 0)
-		g_hash_table_remove_all(c->servers);
-	for (guint i = 0; i < changes->len; i++)
-		apply_change(
-		    c, &g_array_index(changes, struct hubmsg_server, i));
+	apply_changes(c, changes, action == LISTVIEW_REPLACE);
 	g_array_unref(changes);
-	c->source = source;
-	c->revision = u->revision;
-	return LISTCOPY_CHANGED;
+	return listview_end(&c->view, source, fresh_us, now_us, u)
+	    ? LISTCOPY_CHANGED
+	    : LISTCOPY_INCOMPLETE;
 }
 
 /// The servers of the list.
--- a/src/fleet/listcopy.h
+++ b/src/fleet/listcopy.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "fleet/feedmsg.h"
+#include "fleet/listview.h"
 
 /// Copy of another process's list of servers, without I/O, kept up to date by
 /// the process's updates.
@@ -16,13 +17,14 @@
 	LISTCOPY_UNRELATED, ///< it doesn't follow the copy's revision
 	LISTCOPY_SAME,
 	LISTCOPY_CHANGED,
+	LISTCOPY_INCOMPLETE, ///< changed, and the whole list is needed
 };
 
 struct listcopy *listcopy_new(void);
 void listcopy_free(struct listcopy *c);
-uint64_t listcopy_revision(const struct listcopy *c, uint64_t source);
-enum listcopy_result listcopy_apply(
-    struct listcopy *c, uint64_t source, const struct feedmsg_update *u);
+const struct listview *listcopy_view(const struct listcopy *c);
+enum listcopy_result listcopy_apply(struct listcopy *c, uint64_t source,
+    uint64_t fresh_us, uint64_t now_us, const struct feedmsg_update *u);
 GArray *listcopy_servers(const struct listcopy *c);
 
 #endif
--- a/src/fleet/listdiff.c
+++ b/src/fleet/listdiff.c
@@ -3,27 +3,42 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/timerq.h"
 #include "fleet/hubmsg.h"
+#include "fleet/listrev.h"
 
-/// Revisions whose changes are kept: gateways report theirs several times in
-/// the time in which that many can be made.
-#define KEPT_REVISIONS 16
+/// Changes are kept at least as long as an outage after which the subscribers
+/// come back, unless they are more than the list itself.
+#define KEPT_US (60 * USEC_PER_SEC)
+#define KEPT_MIN_CHANGES 1024
+/// Number of the step of a subscriber that needs the whole list.
+#define NO_STEP UINT32_MAX
+
+/// A former revision, and the changes from it to the next one.
+struct step {
+	uint32_t digest; ///< of the former revision
+	uint64_t at_us;  ///< when the next one came
+	GArray *changes; ///< struct hubmsg_server
+};
 
 struct listdiff {
 	GArray *servers;   ///< struct instance, of the newest revision
+	GHashTable *index; ///< id -> its element of `servers`
 	uint64_t revision; ///< 0: no list yet
-	/// Changes that lead to the last revisions, struct hubmsg_server; the
-	/// newest is the last.
-	GPtrArray *changes;
-	/// Encoded updates of the newest revision, by the revision that they
-	/// follow (0: the whole list).
+	GPtrArray *steps;  ///< struct step; the newest is the last
+	guint n_changes;   ///< in all steps
+	/// Encoded updates of the newest revision, by the number of steps that
+	/// they merge (0: the whole list).
 	GHashTable *encoded;
 };
 
 static void
-unref_changes(gpointer p)
+step_free(gpointer p)
 {
-	g_array_unref(p);
+	struct step *s = p;
+
+	g_array_unref(s->changes);
+	g_free(s);
 }
 
 static void
@@ -39,9 +54,9 @@
 	struct listdiff *d = g_new0(struct listdiff, 1);
 
 	d->servers = g_array_new(FALSE, TRUE, sizeof(struct instance));
-	d->changes = g_ptr_array_new_with_free_func(unref_changes);
-	d->encoded = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, unref_bytes);
+	d->index = g_hash_table_new(g_str_hash, g_str_equal);
+	d->steps = g_ptr_array_new_with_free_func(step_free);
+	d->encoded = g_hash_table_new_full(NULL, NULL, NULL, unref_bytes);
 	return d;
 }
 
@@ -51,8 +66,9 @@
 {
 	if (d == NULL)
 		return;
+	g_hash_table_destroy(d->index);
 	g_array_unref(d->servers);
-	g_ptr_array_unref(d->changes);
+	g_ptr_array_unref(d->steps);
 	g_hash_table_destroy(d->encoded);
 	g_free(d);
 }
@@ -62,22 +78,13 @@
 listdiff_reset(struct listdiff *d)
 {
 	d->revision = 0;
+	g_hash_table_remove_all(d->index);
 	g_array_set_size(d->servers, 0);
-	g_ptr_array_set_size(d->changes, 0);
+	g_ptr_array_set_size(d->steps, 0);
+	d->n_changes = 0;
 	g_hash_table_remove_all(d->encoded);
 }
 
-static bool
-is_same(const struct instance *a, const struct instance *b)
-{
-	return strcmp(a->service, b->service) == 0 &&
-	    strcmp(a->zone, b->zone) == 0 &&
-	    strcmp(a->version, b->version) == 0 &&
-	    strcmp(a->host, b->host) == 0 && a->port == b->port &&
-	    a->slots == b->slots && a->draining == b->draining &&
-	    a->spot == b->spot;
-}
-
 static GHashTable *
 index_servers(const GArray *servers)
 {
@@ -105,50 +112,129 @@
 		const struct hubmsg_server change = { .instance = *s,
 			.removed = removed };
 
-		if (o == NULL || (!removed && !is_same(s, o)))
+		if (o == NULL || (!removed && !listrev_same(s, o)))
 			g_array_append_val(changes, change);
 	}
 }
 
-/// Sets the list as it was just read.
+static uint32_t
+digest_of(const GArray *servers)
+{
+	uint32_t digest = 0;
+
+	for (guint i = 0; i < servers->len; i++)
+		digest += listrev_digest_of(
+		    &g_array_index(servers, struct instance, i));
+	return digest;
+}
+
+/// The changes that lead to a list.
+static GArray *
+changes_to(const struct listdiff *d, const GArray *servers, GHashTable *index)
+{
+	GArray *changes =
+	    g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
+
+	add_changes(changes, servers, d->index, false);
+	add_changes(changes, d->servers, index, true);
+	return changes;
+}
+
+/// Drops the oldest steps: those that are too old, and those that would make an
+/// update larger than the list.
+static void
+prune_steps(struct listdiff *d, uint64_t now_us)
+{
+	const guint most = MAX(KEPT_MIN_CHANGES, d->servers->len);
+
+	while (d->steps->len > 0) {
+		const struct step *s = g_ptr_array_index(d->steps, 0);
+
+		if (now_us <= s->at_us + KEPT_US && d->n_changes <= most)
+			return;
+		d->n_changes -= s->changes->len;
+		(void)g_ptr_array_remove_index(d->steps, 0);
+	}
+}
+
+static void
+add_step(struct listdiff *d, GArray *changes, uint64_t now_us)
+{
+	struct step *s = g_new0(struct step, 1);
+
+	s->digest = listrev_digest(d->revision);
+	s->at_us = now_us;
+	s->changes = changes;
+	d->n_changes += changes->len;
+	g_ptr_array_add(d->steps, s);
+}
+
+/// Sets the list as it was just read, or came from another process.
 ///
-/// @param servers         struct instance; copied
-/// @param first_revision  of the first list after a reset, not 0
+/// @param servers  struct instance; copied
+/// @param number   least number of the revision; that of the other process's, 0
+///                 for an own reading
 /// @return whether it is a new revision
 bool
-listdiff_set(struct listdiff *d, const GArray *servers, uint64_t first_revision)
+listdiff_set(
+    struct listdiff *d, const GArray *servers, uint64_t number, uint64_t now_us)
 {
-	GArray *changes =
-	    g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
-	GHashTable *before = index_servers(d->servers);
-	GHashTable *now = index_servers(servers);
-	bool changed;
+	const uint32_t digest = digest_of(servers);
+	const bool is_first = d->revision == 0;
+	GHashTable *index;
+	GArray *copy;
 
-	add_changes(changes, servers, before, false);
-	add_changes(changes, d->servers, now, true);
-	g_hash_table_destroy(before);
-	g_hash_table_destroy(now);
-	changed = changes->len > 0 || d->revision == 0;
-	g_array_unref(d->servers);
-	d->servers = g_array_copy((GArray *)servers);
-	if (!changed) {
-		g_array_unref(changes);
+	if (!is_first && digest == listrev_digest(d->revision) &&
+	    servers->len == d->servers->len)
 		return false;
-	}
-	if (d->revision == 0) {
-		// Nobody has the revision before the first one.
-		g_array_unref(changes);
-		d->revision = first_revision;
-	} else {
-		d->revision++;
-		g_ptr_array_add(d->changes, changes);
-	}
-	if (d->changes->len > KEPT_REVISIONS)
-		(void)g_ptr_array_remove_index(d->changes, 0);
+	copy = g_array_copy((GArray *)servers);
+	index = index_servers(copy);
+	// Nobody has the revision before the first one.
+	if (!is_first)
+		add_step(d, changes_to(d, copy, index), now_us);
+	g_hash_table_destroy(d->index);
+	g_array_unref(d->servers);
+	d->index = index;
+	d->servers = copy;
+	d->revision =
+	    listrev_make(MAX(number, listrev_number(d->revision) + 1), digest);
+	prune_steps(d, now_us);
 	g_hash_table_remove_all(d->encoded);
 	return true;
 }
 
+/// Marks listed servers as draining before a reading is complete.
+///
+/// @param servers  as a page of the reading shows them; those that aren't
+///                 draining, or aren't listed yet, are left out
+/// @return whether it is a new revision
+bool
+listdiff_drain(struct listdiff *d, const struct instance *servers, guint n,
+    uint64_t now_us)
+{
+	GArray *list = NULL;
+	bool changed;
+
+	for (guint i = 0; i < n; i++) {
+		const struct instance *s =
+		    g_hash_table_lookup(d->index, servers[i].id);
+		gsize at;
+
+		if (!servers[i].draining || s == NULL || s->draining)
+			continue;
+		at = (gsize)(s -
+		    &g_array_index(d->servers, const struct instance, 0));
+		if (list == NULL)
+			list = g_array_copy(d->servers);
+		g_array_index(list, struct instance, at).draining = true;
+	}
+	if (list == NULL)
+		return false;
+	changed = listdiff_set(d, list, 0, now_us);
+	g_array_unref(list);
+	return changed;
+}
+
 /// The newest list; struct instance.
 const GArray *
 listdiff_servers(const struct listdiff *d)
@@ -163,20 +249,20 @@
 	return d->revision;
 }
 
-/// The newest change of each server in the last `n` revisions.
+/// The newest change of each server in the last `n` steps.
 static GArray *
 merge_changes(const struct listdiff *d, guint n)
 {
 	GArray *merged = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 
-	for (guint i = d->changes->len; i > d->changes->len - n; i--) {
-		const GArray *changes = g_ptr_array_index(d->changes, i - 1);
+	for (guint i = d->steps->len; i > d->steps->len - n; i--) {
+		const struct step *s = g_ptr_array_index(d->steps, i - 1);
 
-		// Within one revision a server is added or removed, not both.
-		for (guint k = 0; k < changes->len; k++) {
+		// Within one step a server is added or removed, not both.
+		for (guint k = 0; k < s->changes->len; k++) {
 			struct hubmsg_server *c =
-			    &g_array_index(changes, struct hubmsg_server, k);
+			    &g_array_index(s->changes, struct hubmsg_server, k);
 
 			if (g_hash_table_add(seen, c->instance.id))
 				g_array_append_val(merged, *c);
@@ -201,32 +287,58 @@
 	return all;
 }
 
+/// Steps from a revision to the newest one; NO_STEP if it isn't kept.
+static guint
+steps_since(const struct listdiff *d, uint64_t revision)
+{
+	const uint32_t digest = listrev_digest(revision);
+
+	if (revision == 0 || d->revision == 0)
+		return NO_STEP;
+	if (digest == listrev_digest(d->revision))
+		return 0;
+	for (guint i = d->steps->len; i > 0; i--) {
+		const struct step *s = g_ptr_array_index(d->steps, i - 1);
+
+		if (s->digest == digest)
+			return d->steps->len - i + 1;
+	}
+	return NO_STEP;
+}
+
+/// Whether a revision, of whatever process, is the newest one or leads to it by
+/// kept changes.
+bool
+listdiff_knows(const struct listdiff *d, uint64_t revision)
+{
+	return steps_since(d, revision) != NO_STEP;
+}
+
 /// What a gateway needs to get to the newest revision.
 ///
 /// @param has  its revision; 0: none
 void
 listdiff_update(struct listdiff *d, uint64_t has, struct listdiff_update *out)
 {
-	const uint64_t behind = d->revision - has;
-	const bool known =
-	    has != 0 && has <= d->revision && behind <= d->changes->len;
-	const uint64_t since = known ? has : 0;
-	GBytes *bytes = g_hash_table_lookup(d->encoded, &since);
+	const guint n = steps_since(d, has);
+	const bool is_whole = n == NO_STEP;
+	const gpointer key = GUINT_TO_POINTER(is_whole ? 0 : n);
+	GBytes *bytes = g_hash_table_lookup(d->encoded, key);
 	gsize len;
 
-	*out = (struct listdiff_update){ .since = since };
-	if (d->revision == 0 || has == d->revision)
+	*out = (struct listdiff_update){ .since = is_whole ? 0 : has };
+	if (d->revision == 0 || n == 0)
 		return;
 	if (bytes == NULL) {
 		GArray *changes =
-		    known ? merge_changes(d, (guint)behind) : whole_list(d);
+		    is_whole ? whole_list(d) : merge_changes(d, n);
 		uint8_t *encoded;
-		size_t n;
+		size_t size;
 
-		hubmsg_servers_encode(changes, &encoded, &n);
-		bytes = g_bytes_new_with_free_func(encoded, n, free, encoded);
-		(void)g_hash_table_insert(
-		    d->encoded, g_memdup2(&since, sizeof(since)), bytes);
+		hubmsg_servers_encode(changes, &encoded, &size);
+		bytes =
+		    g_bytes_new_with_free_func(encoded, size, free, encoded);
+		(void)g_hash_table_insert(d->encoded, key, bytes);
 		g_array_unref(changes);
 	}
 	out->bytes = g_bytes_get_data(bytes, &len);
--- a/src/fleet/listdiff.h
+++ b/src/fleet/listdiff.h
@@ -6,9 +6,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/// Revisions of the list of servers as control sends it, without I/O. Keeps the
-/// changes of the last revisions, so that a gateway that is a few of them
-/// behind gets what changed and not the whole list.
+#include "fleet/instance.h"
+
+/// Revisions (fleet/listrev.h) of the list of servers as control sends it,
+/// without I/O. Keeps the changes of the last minute, so that a process that is
+/// behind gets what changed and not the whole list, from whichever process it
+/// has its revision.
 
 struct listdiff;
 
@@ -23,10 +26,13 @@
 struct listdiff *listdiff_new(void);
 void listdiff_free(struct listdiff *d);
 void listdiff_reset(struct listdiff *d);
-bool listdiff_set(
-    struct listdiff *d, const GArray *servers, uint64_t first_revision);
+bool listdiff_set(struct listdiff *d, const GArray *servers, uint64_t number,
+    uint64_t now_us);
+bool listdiff_drain(struct listdiff *d, const struct instance *servers, guint n,
+    uint64_t now_us);
 const GArray *listdiff_servers(const struct listdiff *d);
 uint64_t listdiff_revision(const struct listdiff *d);
+bool listdiff_knows(const struct listdiff *d, uint64_t revision);
 void listdiff_update(
     struct listdiff *d, uint64_t has, struct listdiff_update *out);
 
--- a/src/gateway/gateway_feed.c
+++ b/src/gateway/gateway_feed.c
@@ -80,6 +80,8 @@
 	const struct feedsource_state has = {
 		.version = gateway_config_version(g),
 		.list_fresh_us = g->list_fresh_us,
+		.list_old_us =
+		    listview_old_us(&g->list, FEEDSOURCE_LIST_OLD_US),
 	};
 	struct gateway_hub *h =
 	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->feed.slot));
@@ -105,18 +107,14 @@
 {
 	struct wire_msg msg = { .kind = WIRE_FEED_ASK };
 	struct feedmsg_ask ask = { .sent_us = now_us,
-		.version = gateway_config_version(g),
-		.list_age_us = g->list_fresh_us == 0
-		    ? FEEDMSG_NO_LIST
-		    : now_us - g->list_fresh_us };
+		.version = gateway_config_version(g) };
 	const struct gateway_hub *h = current_hub(g, now_us);
 	uint8_t *bytes;
 
 	if (h == NULL || now_us < g->next_ask_us)
 		return;
 	g->next_ask_us = now_us + GATEWAY_FEED_ASK_US;
-	if (g->list_source == h->incarnation)
-		ask.revision = g->list_revision;
+	listview_fill_ask(&g->list, now_us, &ask);
 	feedmsg_ask_encode(&ask, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
 	if (transport_send(g->links, h->link, &msg))
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -16,6 +16,7 @@
 #include "fleet/partlog.h"
 #include "fleet/quota.h"
 #include "fleet/instance.h"
+#include "fleet/listview.h"
 #include "front/httpd.h"
 #include "gateway/gateway.h"
 #include "platform/api_request.h"
@@ -114,13 +115,12 @@
 	GHashTable *servers;    ///< id -> struct gateway_server
 	GHashTable *unlisted;   ///< server's id -> its signals while not listed
 	uint64_t list_round;    ///< number of updates of the list
+	struct listview list;   ///< revision and age of the list
 	uint64_t list_fresh_us; ///< when the list was last known to be current;
-				///< 0: never
-	uint64_t list_source;   ///< incarnation of the control process that it
-				///< is from; 0: the platform, or a state
-	uint64_t list_revision; ///< that process's revision of it
-	uint64_t list_asked_us; ///< when this gateway's last reading began
-	uint32_t list_pages;    ///< of the platform's list at the last reading
+				///< 0: there is none
+	uint64_t engines_digest; ///< of the services' engines that the balancer
+				 ///< knows of
+	uint64_t list_asked_us;  ///< when this gateway's last reading began
 	uint64_t next_list_us;
 	bool reads_list; ///< from the platform, as control doesn't send it
 	struct api_lister *lister;
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -2,13 +2,16 @@
 
 #include <inttypes.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define GATEWAY_LIST_MIN_INTERVAL_US (900 * USEC_PER_MSEC)
 /// Control sends the list; after this time without it, this gateway reads it
 /// from the platform.
 #define GATEWAY_LIST_SILENT_US (3 * USEC_PER_SEC)
 /// Share of the platform's call limit that gateways use to read the list.
-#define GATEWAY_CALLS_FACTOR 0.5
+#define GATEWAY_CALLS_FACTOR 0.2
+/// Servers of an update that are logged one by one.
+#define GATEWAY_MAX_LOGGED 64
 /// One-way network delay between data centres of a region.
 #define GATEWAY_ONE_WAY_US 500
 
@@ -61,25 +64,30 @@
 
 /// Adds a listed server, or applies its changed properties. Logs when it starts
 /// to drain.
+///
+/// @param n_logged  servers of the update: a long list isn't logged
 static void
-update_server(
-    struct gateway *g, const struct instance *instance, uint64_t now_us)
+update_server(struct gateway *g, const struct instance *instance,
+    guint n_logged, uint64_t now_us)
 {
 	struct gateway_server *s =
 	    g_hash_table_lookup(g->servers, instance->id);
 	const bool is_new = s == NULL;
 
+	listview_set(&g->list, is_new ? NULL : &s->instance, instance);
 	if (is_new) {
 		s = g_new0(struct gateway_server, 1);
 		s->instance = *instance;
 		(void)g_hash_table_insert(g->servers, s->instance.id, s);
+	}
+	if (is_new && n_logged <= GATEWAY_MAX_LOGGED) {
 		logger_event(LOGGER_INFO, "server.listed",
 		    "server=%s service=%s zone=%s version=%s address=%s:%u "
 		    "leaving=%d",
 		    instance->id, instance->service, instance->zone,
 		    instance->version, instance->host, instance->port,
 		    instance->draining);
-	} else if (instance->draining && !s->instance.draining) {
+	} else if (!is_new && instance->draining && !s->instance.draining) {
 		logger_event(LOGGER_INFO, "server.leaving", "server=%s by=list",
 		    instance->id);
 	}
@@ -103,6 +111,7 @@
 remove_from_balancer(struct gateway *g, const struct gateway_server *s)
 {
 	logger_event(LOGGER_INFO, "server.gone", "server=%s", s->instance.id);
+	listview_set(&g->list, &s->instance, NULL);
 	gateway_unlisted_keep(g, s);
 	balancer_remove_server(g->balancer, s->balancer_handle);
 }
@@ -138,25 +147,23 @@
 
 /// This gateway has read the list from the platform.
 static void
-on_list(void *arg, const GArray *servers, uint32_t pages)
+on_list(void *arg, const GArray *servers)
 {
 	struct gateway *g = arg;
 	const uint64_t now = loop_now_us(g->loop);
 
 	if (servers == NULL || g->list_asked_us <= g->list_fresh_us)
 		return;
-	g->list_pages = pages;
-	g->list_source = 0;
-	g->list_revision = 0;
 	g->list_round++;
 	for (guint i = 0; i < servers->len; i++)
-		update_server(
-		    g, &g_array_index(servers, struct instance, i), now);
+		update_server(g, &g_array_index(servers, struct instance, i),
+		    servers->len, now);
 	remove_unlisted(g);
 	if (g->list_fresh_us == 0)
 		logger_event(
 		    LOGGER_INFO, "list.known", "servers=%u", servers->len);
-	g->list_fresh_us = g->list_asked_us;
+	listview_end_reading(&g->list, g->list_asked_us, now);
+	g->list_fresh_us = g->list.fresh_us;
 	gateway_waitq_step(g, now);
 }
 
@@ -164,19 +171,10 @@
 void
 gateway_servers_start(struct gateway *g)
 {
-	g->lister = api_lister_new(g->http, on_list, g);
-}
+	const struct api_lister_callbacks callbacks = { .done = on_list,
+		.arg = g };
 
-/// Whether this gateway can apply an update's changes. They hold the newest
-/// state of each server that changed since a revision, so that those from an
-/// older one lead to the same list.
-static bool
-changes_apply(
-    const struct gateway *g, uint64_t source, const struct feedmsg_update *u)
-{
-	return u->since == 0 ||
-	    (source == g->list_source && u->since <= g->list_revision &&
-		g->list_revision < u->revision);
+	g->lister = api_lister_new(g->http, loop_timers(g->loop), &callbacks);
 }
 
 static void
@@ -191,7 +189,7 @@
 		if (c->removed)
 			remove_server(g, c->instance.id);
 		else
-			update_server(g, &c->instance, now_us);
+			update_server(g, &c->instance, changes->len, now_us);
 	}
 	if (is_whole)
 		remove_unlisted(g);
@@ -200,6 +198,19 @@
 		    g_hash_table_size(g->servers));
 }
 
+static void
+log_update(struct gateway *g, const struct feedmsg_update *u, guint n)
+{
+	if (u->since == 0)
+		logger_event(LOGGER_INFO, "list.whole",
+		    "servers=%u bytes=%zu age_ms=%" PRIu64, n, u->len,
+		    u->age_us / USEC_PER_MSEC);
+	if (g->reads_list)
+		logger_event(LOGGER_INFO, "list.from_control",
+		    "age_ms=%" PRIu64, u->age_us / USEC_PER_MSEC);
+	g->reads_list = false;
+}
+
 /// Applies the changes of the list, or the whole list, from a control process.
 /// Ignored are changes that don't lead from this gateway's revision, and a list
 /// that is older than the one in force.
@@ -209,17 +220,14 @@
 gateway_servers_update(
     struct gateway *g, uint64_t source, const struct feedmsg_update *u)
 {
+	const uint64_t now = loop_now_us(g->loop);
 	const uint64_t fresh_us = u->echo_us - u->age_us;
+	const enum listview_action action =
+	    listview_begin(&g->list, source, fresh_us, now, u);
 	GArray *changes;
 
-	if (u->revision == 0)
-		return;
-	if (u->revision == g->list_revision && source == g->list_source) {
-		g->list_fresh_us = MAX(g->list_fresh_us, fresh_us);
-		return;
-	}
-	if (!changes_apply(g, source, u) ||
-	    (source != g->list_source && fresh_us <= g->list_fresh_us))
+	g->list_fresh_us = g->list.fresh_us;
+	if (action == LISTVIEW_IGNORE || action == LISTVIEW_KEEP)
 		return;
 	changes = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
 	if (hubmsg_servers_decode(u->changes, u->len, changes) != STATUS_OK) {
@@ -228,57 +236,98 @@
 		g_array_unref(changes);
 		return;
 	}
-	apply_changes(g, changes, u->since == 0, loop_now_us(g->loop));
+	apply_changes(g, changes, action == LISTVIEW_REPLACE, now);
+	log_update(g, u, changes->len);
 	g_array_unref(changes);
-	if (g->reads_list)
-		logger_event(LOGGER_INFO, "list.from_control",
-		    "age_ms=%" PRIu64, u->age_us / USEC_PER_MSEC);
-	g->reads_list = false;
-	g->list_source = source;
-	g->list_revision = u->revision;
-	g->list_fresh_us = MAX(g->list_fresh_us, fresh_us);
-	gateway_waitq_step(g, loop_now_us(g->loop));
+	if (!listview_end(&g->list, source, fresh_us, now, u)) {
+		logger_event(LOGGER_WARN, "list.incomplete", "servers=%u",
+		    g_hash_table_size(g->servers));
+		g->next_ask_us = 0;
+	}
+	g->list_fresh_us = g->list.fresh_us;
+	gateway_waitq_step(g, now);
+}
+
+/// Rate at which this gateway may call the platform for pages of the list: all
+/// gateways share it.
+static double
+calls_per_s(const struct gateway *g)
+{
+	return GATEWAY_CALLS_FACTOR * g->settings.list_calls_per_s /
+	    MAX(g->n_gateways, 1);
 }
 
-/// Interval at which this gateway reads the list while control is silent: all
-/// gateways share the platform's call limit.
+/// Digest of what the balancer knows of the services' engines.
 static uint64_t
-list_interval_us(const struct gateway *g)
+engines_digest(const struct gateway *g)
+{
+	uint64_t digest = 1;
+
+	for (size_t i = 0; i < fleetcfg_n_services(g->config); i++) {
+		const struct fleetcfg_service *s =
+		    fleetcfg_service(g->config, i);
+
+		if (s->engine.enabled)
+			digest = XXH64(s->name, strlen(s->name),
+			    digest + s->engine.kv_tokens);
+	}
+	return digest;
+}
+
+/// Passes all servers to the balancer when a configuration has changed the
+/// engines of a service: the list itself may stay as it is for long.
+static void
+follow_engines(struct gateway *g, uint64_t now_us)
 {
-	const double n_calls =
-	    (double)MAX(g->n_gateways, 1) * MAX(g->list_pages, 1);
-	const double s =
-	    n_calls / (GATEWAY_CALLS_FACTOR * g->settings.list_calls_per_s);
+	const uint64_t digest = g->config == NULL ? 0 : engines_digest(g);
+	GHashTableIter it;
+	gpointer value;
 
-	return MAX(GATEWAY_LIST_MIN_INTERVAL_US, (uint64_t)(s * USEC_PER_SEC));
+	if (digest == g->engines_digest)
+		return;
+	g->engines_digest = digest;
+	g_hash_table_iter_init(&it, g->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		update_balancer(g, value, now_us);
 }
 
 /// Starts to read the list from the platform if control hasn't sent it for
-/// GATEWAY_LIST_SILENT_US.
+/// GATEWAY_LIST_SILENT_US, or twice as long where lists are usually old.
+/// Without a word from control this gateway serves nobody, and doesn't know
+/// with how many others it shares the platform's rate of calls.
 void
 gateway_servers_tick(struct gateway *g, uint64_t now_us)
 {
-	if (now_us < g->next_list_us || api_lister_busy(g->lister))
+	const uint64_t silent_us =
+	    listview_old_us(&g->list, GATEWAY_LIST_SILENT_US);
+
+	follow_engines(g, now_us);
+	if (now_us < MAX(g->list_fresh_us, g->started_us) + silent_us) {
+		api_lister_cancel(g->lister);
 		return;
-	if (now_us <
-	    MAX(g->list_fresh_us, g->started_us) + GATEWAY_LIST_SILENT_US)
+	}
+	if (now_us < g->next_list_us || api_lister_busy(g->lister) ||
+	    g->n_gateways == 0)
 		return;
 	if (!g->reads_list) {
 		// All gateways lose the list at the same moment: their first
-		// readings share the call limit like the later ones.
+		// calls share the rate like the later ones.
+		const uint64_t gap_us =
+		    (uint64_t)(USEC_PER_SEC / calls_per_s(g));
+
 		g->next_list_us = now_us +
-		    rnd_below(loop_random(g->loop), list_interval_us(g));
+		    rnd_below(loop_random(g->loop),
+			MAX(GATEWAY_LIST_MIN_INTERVAL_US, gap_us));
 		g->reads_list = true;
 		logger_event(LOGGER_WARN, "list.own_reading",
-		    "silent_ms=%" PRIu64 " interval_ms=%" PRIu64,
-		    timerq_ms_since(now_us, g->list_fresh_us),
-		    list_interval_us(g) / USEC_PER_MSEC);
+		    "silent_ms=%" PRIu64 " calls_per_s=%.2f",
+		    timerq_ms_since(now_us, g->list_fresh_us), calls_per_s(g));
 		return;
 	}
-	g->next_list_us = now_us + list_interval_us(g);
+	g->next_list_us = now_us + GATEWAY_LIST_MIN_INTERVAL_US;
 	g->list_asked_us = now_us;
-	api_lister_read(
-	    g->lister, g->settings.cloud.host, g->settings.cloud.port);
+	api_lister_read(g->lister, g->settings.cloud.host,
+	    g->settings.cloud.port, calls_per_s(g));
 }
 
 /// Another server has the address of a listed one: drains the listed one, so
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "fleet/listcopy.h"
+#include "fleet/listrev.h"
 
 /// What all gateways need alike spreads in two steps. The replicated log
 /// carries configurations to all control processes, and the leader, which reads
@@ -29,27 +30,28 @@
 struct hub_subscriber {
 	handle_t link;
 	uint64_t asked_us;
-	uint64_t echo_us;  ///< its clock when it asked last
-	uint64_t revision; ///< of the list that it has, or was sent; 0: it has
-			   ///< none of this process
-	uint64_t list_age_us;  ///< of its list when it asked last
-	uint64_t version;      ///< of the configuration that it has
+	uint64_t echo_us;     ///< its clock when it asked last
+	uint64_t revision;    ///< of the list that it has, or was sent; 0: none
+	uint64_t list_age_us; ///< of its list when it asked last
+	bool whole_sent;  ///< the last list that it was sent was the whole one
+	uint64_t version; ///< of the configuration that it has
 	uint64_t sent_version; ///< of the last one that it was sent
 	bool is_hub;
 	bool due; ///< to be sent what is new
 };
 
-/// Adds the list or its changes. A subscriber that has the list of another
-/// process needs this one only if it is newer.
+/// Adds the list or its changes. A subscriber whose list didn't come to be the
+/// one of this process needs it only if it is newer.
 static void
-add_list(const struct hub *h, const struct hub_subscriber *s, uint64_t now_us,
+add_list(const struct hub *h, struct hub_subscriber *s, uint64_t now_us,
     struct feedmsg_update *u)
 {
 	const uint64_t age_us = now_us - h->list_fresh_us;
 	struct listdiff_update changes;
 
 	if (h->list_fresh_us == 0 ||
-	    (s->revision == 0 && s->list_age_us != FEEDMSG_NO_LIST &&
+	    (!listdiff_knows(h->list, s->revision) &&
+		s->list_age_us != FEEDMSG_NO_LIST &&
 		age_us + HUB_FEED_NEWER_US >
 		    s->list_age_us + now_us - s->asked_us))
 		return;
@@ -59,6 +61,8 @@
 	u->since = changes.since;
 	u->changes = changes.bytes;
 	u->len = changes.len;
+	if (changes.len > 0)
+		s->whole_sent = changes.since == 0;
 }
 
 /// Adds the configuration if a gateway has an older one, unless the last one
@@ -91,7 +95,7 @@
 	add_config(h, s, &u);
 	feedmsg_update_encode(&u, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
-	if (transport_send(h->links, s->link, &msg))
+	if (transport_send(h->links, s->link, &msg) && u.revision != 0)
 		s->revision = u.revision;
 	free(bytes);
 	return msg.payload.len;
@@ -187,7 +191,9 @@
 	}
 	s->asked_us = loop_now_us(h->loop);
 	s->echo_us = ask.sent_us;
-	s->revision = ask.revision;
+	// A whole list may still be on its way over a slow link.
+	if (!s->whole_sent || transport_queued(h->links, link) == 0)
+		s->revision = ask.revision;
 	s->version = ask.version;
 	s->list_age_us = ask.list_age_us;
 	(void)send_update(h, s);
@@ -213,19 +219,25 @@
 	}
 	p->asked = false;
 	p->closes = 0;
-	result = listcopy_apply(h->leader_list, hello->incarnation, &u);
-	if (result == LISTCOPY_UNRELATED || hub_is_leader(h) ||
-	    u.echo_us > now || u.age_us >= u.echo_us)
+	if (u.echo_us > now || u.age_us >= u.echo_us)
 		return;
 	fresh_us = u.echo_us - u.age_us;
-	if (fresh_us <= h->list_fresh_us)
+	result = listcopy_apply(
+	    h->leader_list, hello->incarnation, fresh_us, now, &u);
+	if (result == LISTCOPY_UNRELATED || result == LISTCOPY_INCOMPLETE ||
+	    hub_is_leader(h))
 		return;
+	// Servers that drain are sent before the reading is complete, and so
+	// with the age of the last one.
+	if (fresh_us <= h->list_fresh_us && !h->list_is_leaders)
+		return;
+	fresh_us = MAX(fresh_us, h->list_fresh_us);
 	if (result == LISTCOPY_SAME && h->list_is_leaders) {
 		h->list_fresh_us = fresh_us;
 		return;
 	}
 	servers = listcopy_servers(h->leader_list);
-	hub_servers_set(h, servers, fresh_us);
+	hub_servers_set(h, servers, listrev_number(u.revision), fresh_us);
 	h->list_is_leaders = true;
 	g_array_unref(servers);
 }
@@ -262,8 +274,7 @@
 ask_leader(struct hub *h, uint64_t now_us)
 {
 	struct wire_msg msg = { .kind = WIRE_FEED_ASK };
-	struct feedmsg_ask ask = { .sent_us = now_us,
-		.list_age_us = FEEDMSG_NO_LIST };
+	struct feedmsg_ask ask = { .sent_us = now_us };
 	struct replica_status st;
 	struct hub_peer *p;
 	uint8_t *bytes;
@@ -272,7 +283,9 @@
 	p = hub_peer(h, st.leader & RAFT_SLOT_MASK);
 	if (p == NULL || p->closes >= HUB_FEED_MAX_CLOSES)
 		return;
-	ask.revision = listcopy_revision(h->leader_list, p->incarnation);
+	listview_fill_ask(listcopy_view(h->leader_list), now_us, &ask);
+	// It is followed, also after a change of leader.
+	ask.list_age_us = FEEDMSG_NO_LIST;
 	feedmsg_ask_encode(&ask, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
 	p->asked = transport_send(h->links, p->dialled, &msg) ||
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -111,7 +111,6 @@
 	GHashTable *load_by_service;   ///< service -> struct hub_service_load
 	struct listdiff *list;         ///< of servers, as last read in full
 	struct api_lister *lister;
-	uint32_t list_pages; ///< when this process last read the list
 	uint64_t next_list_us;
 	uint64_t list_asked_us; ///< when the newest reading began
 	uint64_t list_fresh_us; ///< when the reading of the list began, here or
@@ -214,7 +213,8 @@
 void hub_servers_start(struct hub *h);
 void hub_servers_tick(struct hub *h, uint64_t now_us);
 void hub_servers_reset(struct hub *h);
-void hub_servers_set(struct hub *h, const GArray *servers, uint64_t fresh_us);
+void hub_servers_set(
+    struct hub *h, const GArray *servers, uint64_t number, uint64_t fresh_us);
 void hub_servers_fill(
     const struct hub *h, uint64_t has, struct hubmsg_state *s);
 
--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -6,8 +6,10 @@
 #define HUB_LIST_INTERVAL_US (700 * USEC_PER_MSEC)
 /// Another process that has had no list for this long reads it itself.
 #define HUB_LIST_SILENT_US (1500 * USEC_PER_MSEC)
-/// Share of the platform's call limit that these processes use together.
-#define HUB_CALLS_FACTOR 0.5
+/// Shares of the platform's rate of calls: the leader's, and that of all others
+/// together. Gateways use a part of what is left.
+#define HUB_LEADER_CALLS_FACTOR 0.5
+#define HUB_CALLS_FACTOR 0.25
 /// A list that was read longer ago is not sent in a state, which doesn't tell
 /// its age.
 #define HUB_LIST_OLD_US (1500 * USEC_PER_MSEC)
@@ -36,38 +38,57 @@
 /// Puts a list in force that is newer than the last one.
 ///
 /// @param servers   struct instance
+/// @param number    least one of its revision; 0 if this process has read it
 /// @param fresh_us  when the platform was asked for it
 void
-hub_servers_set(struct hub *h, const GArray *servers, uint64_t fresh_us)
+hub_servers_set(
+    struct hub *h, const GArray *servers, uint64_t number, uint64_t fresh_us)
 {
-	// Starts at a random number, so that a gateway can't take the revision
-	// of another process for one of this process.
-	const uint64_t first = (rnd_u64(loop_random(h->loop)) >> 1) + 1;
-
 	h->list_fresh_us = fresh_us;
 	hub_limits_prune(h, servers);
-	hub_feed_push_list(h, listdiff_set(h->list, servers, first));
+	hub_feed_push_list(
+	    h, listdiff_set(h->list, servers, number, loop_now_us(h->loop)));
 }
 
 static void
-on_list(void *arg, const GArray *servers, uint32_t pages)
+on_list(void *arg, const GArray *servers)
 {
 	struct hub *h = arg;
 
-	h->list_pages = pages;
 	if (servers == NULL || h->list_asked_us <= h->list_fresh_us)
 		return;
 	h->list_is_leaders = false;
-	hub_servers_set(h, servers, h->list_asked_us);
+	hub_servers_set(h, servers, 0, h->list_asked_us);
+}
+
+/// A page was read: what it shows as draining is sent before the other pages
+/// have come.
+static void
+on_page(void *arg, const struct instance *servers, guint n)
+{
+	struct hub *h = arg;
+
+	if (h->list_fresh_us == 0 || h->list_asked_us <= h->list_fresh_us)
+		return;
+	if (listdiff_drain(h->list, servers, n, loop_now_us(h->loop)))
+		hub_feed_push_list(h, true);
 }
 
 /// Makes the reader of the platform's list.
 void
 hub_servers_start(struct hub *h)
 {
+	const struct api_lister_callbacks callbacks = {
+		.done = on_list,
+		.page = on_page,
+		.arg = h,
+	};
+
 	h->list = listdiff_new();
 	h->next_list_us = loop_now_us(h->loop) + HUB_LIST_SILENT_US;
-	h->lister = api_lister_new(h->http, on_list, h);
+	h->lister = api_lister_new(h->http, loop_timers(h->loop), &callbacks);
+	for (uint32_t i = 0; i < h->settings.n_zones; i++)
+		api_lister_add_zone(h->lister, h->settings.zones[i]);
 }
 
 /// Takes over the reading of the list as the new leader. Orders of servers wait
@@ -77,22 +98,30 @@
 {
 	h->scaled_list_us = h->list_fresh_us;
 	h->next_list_us = 0;
+	// A reading as a substitute is slower.
+	api_lister_cancel(h->lister);
 }
 
-/// Interval at which a process reads the list that isn't the leader: all of
-/// them share the platform's call limit.
-static uint64_t
-substitute_interval_us(const struct hub *h)
+/// Rate at which this process may call the platform for pages of the list.
+static double
+calls_per_s(const struct hub *h)
 {
 	struct replica_status st;
-	double n_calls;
-	double s;
+	uint32_t n;
 
+	if (hub_is_leader(h))
+		return HUB_LEADER_CALLS_FACTOR * h->settings.list_calls_per_s;
 	replica_status(h->group, &st);
-	n_calls = (double)(st.members.n_voters + st.members.n_learners) *
-	    MAX(h->list_pages, 1);
-	s = n_calls / (HUB_CALLS_FACTOR * h->settings.list_calls_per_s);
-	return MAX(HUB_LIST_INTERVAL_US, (uint64_t)(s * USEC_PER_SEC));
+	n = st.members.n_voters + st.members.n_learners;
+	return HUB_CALLS_FACTOR * h->settings.list_calls_per_s / MAX(n, 1);
+}
+
+/// Whether this process has to read the list as a substitute of the leader.
+static bool
+leader_is_silent(const struct hub *h, uint64_t now_us)
+{
+	return now_us >= h->list_fresh_us +
+	    listview_old_us(listcopy_view(h->leader_list), HUB_LIST_SILENT_US);
 }
 
 /// Starts to read the list when it is due: as the leader, and as a substitute
@@ -102,18 +131,18 @@
 {
 	const bool leads = hub_is_leader(h);
 
-	if (api_lister_busy(h->lister) || now_us < h->next_list_us)
+	if (!leads && !leader_is_silent(h, now_us)) {
+		api_lister_cancel(h->lister);
 		return;
-	if (!leads && now_us < h->list_fresh_us + HUB_LIST_SILENT_US)
+	}
+	if (api_lister_busy(h->lister) || now_us < h->next_list_us)
 		return;
 	if (!leads && h->list_is_leaders)
 		logger_event(LOGGER_WARN, "list.own_reading",
-		    "silent_ms=%" PRIu64 " interval_ms=%" PRIu64,
-		    timerq_ms_since(now_us, h->list_fresh_us),
-		    substitute_interval_us(h) / USEC_PER_MSEC);
-	h->next_list_us =
-	    now_us + (leads ? HUB_LIST_INTERVAL_US : substitute_interval_us(h));
+		    "silent_ms=%" PRIu64 " calls_per_s=%.2f",
+		    timerq_ms_since(now_us, h->list_fresh_us), calls_per_s(h));
+	h->next_list_us = now_us + HUB_LIST_INTERVAL_US;
 	h->list_asked_us = now_us;
-	api_lister_read(
-	    h->lister, h->settings.cloud.host, h->settings.cloud.port);
+	api_lister_read(h->lister, h->settings.cloud.host,
+	    h->settings.cloud.port, calls_per_s(h));
 }
--- a/src/platform/api_cloud.c
+++ b/src/platform/api_cloud.c
@@ -107,19 +107,23 @@
 /// Returns the path of a page of the list of servers, to be released with
 /// g_free().
 ///
+/// @param zone   data centre; NULL: all of them
 /// @param token  of the page; NULL: the first page
 char *
-api_list_path(const char *token)
+api_list_path(const char *zone, const char *token)
 {
-	char *escaped;
-	char *path;
-
-	if (token == NULL)
-		return g_strdup(API_PATH_INSTANCES);
-	escaped = g_uri_escape_string(token, NULL, FALSE);
-	path = g_strdup_printf(API_PATH_INSTANCES "?page_token=%s", escaped);
-	g_free(escaped);
-	return path;
+	GString *path = g_string_new(API_PATH_INSTANCES);
+
+	if (zone != NULL) {
+		g_string_append(path, "?zone=");
+		g_string_append_uri_escaped(path, zone, NULL, FALSE);
+	}
+	if (token != NULL) {
+		g_string_append(
+		    path, zone != NULL ? "&page_token=" : "?page_token=");
+		g_string_append_uri_escaped(path, token, NULL, FALSE);
+	}
+	return g_string_free(path, FALSE);
 }
 
 static char *
--- a/src/platform/api_cloud.h
+++ b/src/platform/api_cloud.h
@@ -12,7 +12,7 @@
 enum status api_list_read(const char *text, size_t len, GArray *servers,
     char **next, size_t *n_invalid);
 
-char *api_list_path(const char *token);
+char *api_list_path(const char *zone, const char *token);
 
 /// Number of requests of a customer that started to run in a usage window.
 struct api_usage {
