--- a/src/fleet/feedmsg.c
+++ b/src/fleet/feedmsg.c
@@ -2,13 +2,44 @@
 
 #include "codec/codec.h"
 
+/// Marks the age of a list on the wire, for a process that can read the compact
+/// form of servers. An older version takes such an age for a very old list, and
+/// sends its own.
+#define COMPACT_BIT (UINT64_C(1) << 63)
+#define COMPACT_NO_LIST (COMPACT_BIT - 2)
+
+static uint64_t
+age_to_wire(const struct feedmsg_ask *a)
+{
+	if (!a->reads_compact)
+		return a->list_age_us;
+	return COMPACT_BIT |
+	    (a->list_age_us == FEEDMSG_NO_LIST ? COMPACT_NO_LIST
+					       : a->list_age_us);
+}
+
+static void
+age_from_wire(struct feedmsg_ask *a, uint64_t age)
+{
+	a->reads_compact = age != FEEDMSG_NO_LIST && (age & COMPACT_BIT) != 0;
+	a->list_age_us = age;
+	if (a->reads_compact)
+		a->list_age_us = age & ~COMPACT_BIT;
+	if (a->reads_compact && a->list_age_us == COMPACT_NO_LIST)
+		a->list_age_us = FEEDMSG_NO_LIST;
+}
+
 static void
 code_ask(struct codec *c, struct feedmsg_ask *a)
 {
+	uint64_t age = age_to_wire(a);
+
 	codec_u64(c, &a->sent_us);
 	codec_u64(c, &a->revision);
 	codec_u64(c, &a->version);
-	codec_u64(c, &a->list_age_us);
+	codec_u64(c, &age);
+	if (!codec_is_writer(c))
+		age_from_wire(a, age);
 }
 
 static void
--- a/src/fleet/feedmsg.h
+++ b/src/fleet/feedmsg.h
@@ -1,6 +1,7 @@
 #ifndef FLEET_FEEDMSG_H
 #define FLEET_FEEDMSG_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -22,6 +23,9 @@
 	/// Age of its list, FEEDMSG_NO_LIST if it has none. A list that isn't
 	/// newer is only sent to a process that follows its changes.
 	uint64_t list_age_us;
+	/// It can read the compact form of servers (fleet/servermsg.h).
+	/// Processes of an older version can't, and don't say so.
+	bool reads_compact;
 };
 
 /// The list and the configuration of a control process. Revisions are its own:
@@ -31,8 +35,8 @@
 	uint64_t age_us;   ///< since the platform was asked for the list
 	uint64_t revision; ///< 0: the process has no list
 	uint64_t since;    ///< revision before `changes`; 0: whole list
-	const uint8_t *changes; ///< by hubmsg_servers_encode(); empty: the
-				///< asker has `revision`
+	const uint8_t *changes; ///< servers, in a form that the asker can
+				///< read; empty: it has `revision`
 	size_t len;
 	uint64_t version; ///< of the newest configuration that it has applied
 	const uint8_t *manifest; ///< of `version`; empty: the asker has it, or
--- a/src/fleet/listcopy.c
+++ b/src/fleet/listcopy.c
@@ -2,6 +2,7 @@
 
 #include "base/logger.h"
 #include "fleet/hubmsg.h"
+#include "fleet/servermsg.h"
 
 struct listcopy {
 	struct listview view;
@@ -92,7 +93,7 @@
 	if (action == LISTVIEW_KEEP)
 		return LISTCOPY_SAME;
 	changes = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
-	if (hubmsg_servers_decode(u->changes, u->len, changes) != STATUS_OK) {
+	if (servermsg_decode(u->changes, u->len, changes) != STATUS_OK) {
 		logger_event(LOGGER_WARN, "list.unreadable", "reason=\"%s\"",
 		    status_last());
 		g_array_unref(changes);
--- a/src/fleet/listdiff.c
+++ b/src/fleet/listdiff.c
@@ -6,6 +6,7 @@
 #include "base/timerq.h"
 #include "fleet/hubmsg.h"
 #include "fleet/listrev.h"
+#include "fleet/servermsg.h"
 
 /// Changes are kept at least as long as an outage after which the subscribers
 /// come back, unless they are more than the list itself.
@@ -28,7 +29,7 @@
 	GPtrArray *steps;  ///< struct step; the newest is the last
 	guint n_changes;   ///< in all steps
 	/// Encoded updates of the newest revision, by the number of steps that
-	/// they merge (0: the whole list).
+	/// they merge (0: the whole list), and the form.
 	GHashTable *encoded;
 };
 
@@ -316,13 +317,16 @@
 
 /// What a gateway needs to get to the newest revision.
 ///
-/// @param has  its revision; 0: none
+/// @param has      its revision; 0: none
+/// @param compact  the gateway can read the compact form of servers
 void
-listdiff_update(struct listdiff *d, uint64_t has, struct listdiff_update *out)
+listdiff_update(
+    struct listdiff *d, uint64_t has, bool compact, struct listdiff_update *out)
 {
 	const guint n = steps_since(d, has);
 	const bool is_whole = n == NO_STEP;
-	const gpointer key = GUINT_TO_POINTER(is_whole ? 0 : n);
+	const gpointer key =
+	    GUINT_TO_POINTER((is_whole ? 0 : n) << 1 | compact);
 	GBytes *bytes = g_hash_table_lookup(d->encoded, key);
 	gsize len;
 
@@ -335,7 +339,10 @@
 		uint8_t *encoded;
 		size_t size;
 
-		hubmsg_servers_encode(changes, &encoded, &size);
+		if (compact)
+			servermsg_encode(changes, &encoded, &size);
+		else
+			hubmsg_servers_encode(changes, &encoded, &size);
 		bytes =
 		    g_bytes_new_with_free_func(encoded, size, free, encoded);
 		(void)g_hash_table_insert(d->encoded, key, bytes);
--- a/src/fleet/listdiff.h
+++ b/src/fleet/listdiff.h
@@ -18,7 +18,8 @@
 /// What a gateway needs to get to the newest revision.
 struct listdiff_update {
 	uint64_t since;       ///< revision that the changes follow; 0: the list
-	const uint8_t *bytes; ///< by hubmsg_servers_encode(); valid until the
+	const uint8_t *bytes; ///< by servermsg_encode() or
+			      ///< hubmsg_servers_encode(); valid until the
 			      ///< next revision
 	size_t len; ///< 0: it has the newest revision
 };
@@ -33,7 +34,7 @@
 const GArray *listdiff_servers(const struct listdiff *d);
 uint64_t listdiff_revision(const struct listdiff *d);
 bool listdiff_knows(const struct listdiff *d, uint64_t revision);
-void listdiff_update(
-    struct listdiff *d, uint64_t has, struct listdiff_update *out);
+void listdiff_update(struct listdiff *d, uint64_t has, bool compact,
+    struct listdiff_update *out);
 
 #endif
--- a/src/fleet/listplan.c
+++ b/src/fleet/listplan.c
@@ -8,9 +8,11 @@
 
 /// A list of fewer pages isn't split: that would cost more calls.
 #define SPLIT_PAGES 8
-/// Each reading of this number is of all data centres at once, so that servers
-/// are found that are in none of the known ones.
+/// One of this many readings is of all data centres at once, so that servers are
+/// found that are in none of the known ones. It isn't the first, for which
+/// callers wait.
 #define WHOLE_EVERY 8
+#define WHOLE_AT 1
 /// Calls that may be made at once after a pause, in seconds of the rate.
 #define BURST_S 0.25
 /// Pause of all calls after one that the platform has refused for its rate.
@@ -36,7 +38,7 @@
 	bool is_split;     ///< this reading is by data centre
 	guint n_readings;  ///< begun
 	guint n_pages;     ///< of this reading so far
-	guint last_pages;  ///< of the last complete reading
+	guint last_pages;  ///< of the last complete reading; 0: none yet
 	guint n_refused;   ///< calls of this reading
 	double rate;       ///< calls per second
 	double calls;      ///< that may be made at `calls_us`
@@ -106,8 +108,9 @@
 void
 listplan_begin(struct listplan *p)
 {
-	p->is_split = p->last_pages >= SPLIT_PAGES && p->zones->len > 1 &&
-	    p->n_readings % WHOLE_EVERY != 0;
+	p->is_split = p->zones->len > 1 &&
+	    (p->last_pages == 0 || p->last_pages >= SPLIT_PAGES) &&
+	    p->n_readings % WHOLE_EVERY != WHOLE_AT;
 	p->n_readings++;
 	p->n_pages = 0;
 	p->n_refused = 0;
--- a/src/fleet/listview.c
+++ b/src/fleet/listview.c
@@ -155,6 +155,7 @@
     const struct listview *v, uint64_t now_us, struct feedmsg_ask *ask)
 {
 	ask->revision = v->revision;
+	ask->reads_compact = true;
 	ask->list_age_us = v->fresh_us == 0 || v->revision == 0
 	    ? FEEDMSG_NO_LIST
 	    : now_us - v->fresh_us;
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "fleet/servermsg.h"
+
 #define GATEWAY_LIST_MIN_INTERVAL_US (900 * USEC_PER_MSEC)
 /// Control sends the list; after this time without it, this gateway reads it
 /// from the platform.
@@ -230,7 +232,7 @@
 	if (action == LISTVIEW_IGNORE || action == LISTVIEW_KEEP)
 		return;
 	changes = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
-	if (hubmsg_servers_decode(u->changes, u->len, changes) != STATUS_OK) {
+	if (servermsg_decode(u->changes, u->len, changes) != STATUS_OK) {
 		logger_event(LOGGER_WARN, "list.unreadable", "reason=\"%s\"",
 		    status_last());
 		g_array_unref(changes);
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -33,6 +33,7 @@
 	uint64_t echo_us;     ///< its clock when it asked last
 	uint64_t revision;    ///< of the list that it has, or was sent; 0: none
 	uint64_t list_age_us; ///< of its list when it asked last
+	bool reads_compact;   ///< the compact form of servers
 	bool whole_sent;  ///< the last list that it was sent was the whole one
 	uint64_t version; ///< of the configuration that it has
 	uint64_t sent_version; ///< of the last one that it was sent
@@ -55,7 +56,7 @@
 		age_us + HUB_FEED_NEWER_US >
 		    s->list_age_us + now_us - s->asked_us))
 		return;
-	listdiff_update(h->list, s->revision, &changes);
+	listdiff_update(h->list, s->revision, s->reads_compact, &changes);
 	u->age_us = age_us;
 	u->revision = listdiff_revision(h->list);
 	u->since = changes.since;
@@ -196,6 +197,7 @@
 		s->revision = ask.revision;
 	s->version = ask.version;
 	s->list_age_us = ask.list_age_us;
+	s->reads_compact = ask.reads_compact;
 	(void)send_update(h, s);
 }
 
--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -28,7 +28,7 @@
 	if (has == HUBMSG_SUBSCRIBED ||
 	    loop_now_us(h->loop) >= h->list_fresh_us + HUB_LIST_OLD_US)
 		return;
-	listdiff_update(h->list, has, &update);
+	listdiff_update(h->list, has, false, &update);
 	s->list_revision = listdiff_revision(h->list);
 	s->changes_since = update.since;
 	s->changes = update.bytes;
@@ -91,6 +91,18 @@
 		api_lister_add_zone(h->lister, h->settings.zones[i]);
 }
 
+/// The lister knows the data centres of the list in force, also if others have
+/// read it.
+static void
+add_zones(struct hub *h)
+{
+	const GArray *servers = listdiff_servers(h->list);
+
+	for (guint i = 0; i < servers->len; i++)
+		api_lister_add_zone(
+		    h->lister, g_array_index(servers, struct instance, i).zone);
+}
+
 /// Takes over the reading of the list as the new leader. Orders of servers wait
 /// for the first list that this leader has read.
 void
@@ -100,6 +112,7 @@
 	h->next_list_us = 0;
 	// A reading as a substitute is slower.
 	api_lister_cancel(h->lister);
+	add_zones(h);
 }
 
 /// Rate at which this process may call the platform for pages of the list.
