--- a/src/fleet/listplan.c
+++ b/src/fleet/listplan.c
@@ -8,11 +8,11 @@
 
 /// A list of fewer pages isn't split: that would cost more calls.
 #define SPLIT_PAGES 8
-/// One of this many readings is of all data centres at once, so that servers are
-/// found that are in none of the known ones. It isn't the first, for which
+/// One of this many readings is of all data centres at once, so that servers
+/// are found that are in none of the known ones. It isn't the first, for which
 /// callers wait.
 #define WHOLE_EVERY 8
-#define WHOLE_AT 1
+#define WHOLE_AT 3
 /// Calls that may be made at once after a pause, in seconds of the rate.
 #define BURST_S 0.25
 /// Pause of all calls after one that the platform has refused for its rate.
