--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -110,9 +110,9 @@
 static int
 run_soak(struct soak *s, uint64_t seed, uint32_t seconds)
 {
-	char folder[] = "/tmp/soak-XXXXXX";
+	char *folder = g_strdup_printf("%s/soak-XXXXXX", g_get_tmp_dir());
 
-	s->folder = mkdtemp(folder);
+	s->folder = g_mkdtemp(folder);
 	s->net = (uint32_t)getpid() + 1000;
 	s->loop = loop_new(seed);
 	s->timers = loop_timers(s->loop);
@@ -147,6 +147,7 @@
 	g_ptr_array_free(s->configs, TRUE);
 	rnd_free(s->rnd);
 	loop_free(s->loop);
+	g_free(folder);
 	return s->n_violations == 0 ? 0 : 1;
 }
 
