--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -15,6 +15,11 @@
 		RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/test)
 endif()
 
+# Clients that don't behave.
+add_executable(crowd test/crowd/crowd.c)
+set_target_properties(crowd PROPERTIES
+	RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/test)
+
 # Randomised runs and failures of real processes (proof), and measurements
 # (bench). Both take --list and --run NAME --seed N.
 foreach(folder test/proof bench)
@@ -61,6 +66,10 @@
 		COMMAND ${CMAKE_SOURCE_DIR}/tools/run_script.sh
 			${CMAKE_BINARY_DIR} ${script}
 		WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+	# Crowds of clients run apart from other load.
+	if(name MATCHES "^crowd_")
+		set_tests_properties(script_${name} PROPERTIES RUN_SERIAL ON)
+	endif()
 endforeach()
 
 if(FUZZ)
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -143,6 +143,8 @@
 	struct evbuffer *out = evbuffer_new();
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	const size_t len = evbuffer_get_length(in);
+	const int padding =
+	    (int)standin_get_int(b->env->settings, "padding", 0);
 
 	add_identity_headers(b, req);
 	add_header(req, "Content-Type", "text/plain");
@@ -153,6 +155,8 @@
 	    standin_request_header(req, "Authorization", "-"),
 	    standin_request_header(req, "X-Acaciahinge-Hold", "-"), len,
 	    standin_get_str(b->env->settings, "id", ""));
+	if (padding > 0)
+		(void)evbuffer_add_printf(out, "%0*d\n", padding, 0);
 	evhttp_send_reply(req,
 	    (int)standin_get_int(b->env->settings, "status", 200), "OK", out);
 	evbuffer_free(out);
