--- a/test/unit/hub/test_feed.cc
+++ b/test/unit/hub/test_feed.cc
@@ -29,13 +29,14 @@
 
 	TestHub()
 	{
-		char name[] = "/tmp/hub-XXXXXX";
+		std::string name =
+		    std::filesystem::temp_directory_path() / "hub-XXXXXX";
 		struct bootstrap_settings settings;
 		struct spec_problems problems = {};
 		const std::string operators =
 		    "127.0.0.1:" + std::to_string(free_port());
 
-		folder = mkdtemp(name);
+		folder = mkdtemp(name.data());
 		const std::string text = R"({"role": "hub", "node": "core-1",
 		    "host": "127.0.0.1", "data_centre": "csepel",
 		    "cloud": "127.0.0.1:1", "first_start": true,
