A call that gets no descriptor ends once

Cause: evhttp ends a call at once when it can't make a socket, so httpc_send() called on_end and then returned HANDLE_NONE as well; the gateway gave up the attempt twice, the second time on a request that was released. With all descriptors used by callers it ended by a segmentation fault (script_crowd_callers, fields and pipeline). Ruled out: the failure's handling in the gateway, which follows httpc.h. Now a call that fails while it is started has no callback. unit_back Client.CallWithoutADescriptorHasNoCallback failed before (one callback).

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -42,7 +42,8 @@
 {
 	struct httpc *c = a->client;
 	const handle_t handle = a->handle;
-	const httpc_end_cb on_end = a->on_end;
+	// A call that fails while it is started is reported by httpc_send().
+	const httpc_end_cb on_end = a->starting ? NULL : a->on_end;
 	void *const arg = a->arg;
 
 	free_timers(a);
@@ -384,15 +385,17 @@
 	struct httpc_conn *conn = httpc_conn_get(c, call);
 	struct evhttp_request *req;
 	struct httpc_active *a;
+	handle_t handle;
 	void *item;
 
 	assert(call->on_end != NULL);
 	if (conn == NULL)
 		return HANDLE_NONE;
-	conn->call = slotmap_add(c->calls, &item);
+	handle = slotmap_add(c->calls, &item);
+	conn->call = handle;
 	a = item;
 	a->client = c;
-	a->handle = conn->call;
+	a->handle = handle;
 	a->conn = conn;
 	a->on_head = call->on_head;
 	a->on_data = call->on_data;
@@ -414,16 +417,17 @@
 	if (!httpc_conn_is_connected(conn))
 		a->connect_timeout =
 		    arm_timeout(a, call->connect_us, on_connect_timeout);
-	if (evhttp_make_request(conn->evcon, req, parse_method(call->method),
-		call->path) != 0) {
+	a->starting = true;
+	if (evhttp_make_request(
+		conn->evcon, req, parse_method(call->method), call->path) != 0)
 		// evhttp has released the request.
-		if (slotmap_get(c->calls, conn->call) != NULL) {
-			a->on_end = NULL;
-			httpc_cancel(c, a->handle);
-		}
+		httpc_cancel(c, handle);
+	// Without a descriptor for the connection, evhttp has ended the call.
+	a = slotmap_get(c->calls, handle);
+	if (a == NULL)
 		return HANDLE_NONE;
-	}
-	return conn->call;
+	a->starting = false;
+	return handle;
 }
 
 /// Cancels a call; no callback follows. Its connection is closed, by which the
--- a/src/back/httpc_internal.h
+++ b/src/back/httpc_internal.h
@@ -44,6 +44,7 @@
 	size_t received;   ///< bytes of the response, parsed or not
 	size_t held;       ///< bytes of the response in memory
 	size_t retained;   ///< of these, kept by the owner of the call
+	bool starting;     ///< httpc_send() is at work on it
 	bool refused;      ///< waits for httpc_input_end_refused()
 	const char *error; ///< why it was refused
 	handle_t handle;
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -11,6 +11,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -533,6 +534,33 @@
 	}
 }
 
+/// A call for which no descriptor is left isn't started: its owner is told so
+/// by httpc_send() alone. A callback as well had ended it twice.
+TEST(Client, CallWithoutADescriptorHasNoCallback)
+{
+	Peer p;
+	struct httpc_request r = {};
+	struct rlimit before;
+
+	r.method = "GET";
+	r.host = "127.0.0.1";
+	r.port = p.port;
+	r.path = "/";
+	r.on_end = [](void *arg, const struct httpc_result *) {
+		static_cast<Peer *>(arg)->n_ends++;
+	};
+	r.arg = &p;
+	ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+	const struct rlimit none = { static_cast<rlim_t>(p.listener),
+		before.rlim_max };
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+	EXPECT_EQ(httpc_send(p.client, &r), HANDLE_NONE);
+	(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+	EXPECT_EQ(p.n_ends, 0);
+	EXPECT_NE(httpc_send(p.client, &r), HANDLE_NONE);
+}
+
 /// Fields after the last chunk are no headers of the response: one of them
 /// could say that the request hasn't run.
 TEST(Client, TrailersAreNoHeaders)
