HTTP servers bound connections, unread responses and what is sent ahead; forms are bodies only

Cause: only the callers' port had bounds on requests; the ports of readiness, metrics and operators held 64 MiB each, pieces and requests sent ahead were kept in a page each, fields cost 30 times their bytes, unread responses and connections had no bound. Besides, the library took a form's body for a query, with copies of it on the stack: one legal form of over 4 MiB ended a gateway (8,000,000 bytes: no answer, SIGSEGV; 4,000,000: 200). Ruled out: our copies of the body. Change: front/httpd_room decides which connection goes, from memory_mb and max_fds; bytes are copied; fields cost 128 bytes more; bodies at probes are dropped; Content-Type is kept from the library. A leaver is seen while its connection isn't read.

--- a/src/front/httpd.c
+++ b/src/front/httpd.c
@@ -16,6 +16,8 @@
 #define HTTPD_MAX_HEAD_BYTES 65536
 #define HTTPD_HEAD_TIMEOUT_US 10000000
 #define HTTPD_MAX_HELD_BYTES ((size_t)64 << 20)
+#define HTTPD_MAX_UNSENT_BYTES ((size_t)64 << 20)
+#define HTTPD_MAX_CONNECTIONS 4096
 
 /// One request whose response is not complete.
 struct httpd_open_request {
@@ -85,6 +87,22 @@
 	    conn->sock, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 }
 
+/// Adds the header fields that were kept from evhtp.
+static void
+add_kept_fields(const struct httpd *f, evhtp_request_t *req)
+{
+	const struct httpd_conn *hc =
+	    g_hash_table_lookup(f->connections, req->conn);
+
+	for (guint i = 0; i < hc->head.kept_fields->len; i++) {
+		const struct reqhead_field *field = &g_array_index(
+		    hc->head.kept_fields, struct reqhead_field, i);
+
+		evhtp_headers_add_header(req->headers_in,
+		    evhtp_header_new(field->name, field->value, 1, 1));
+	}
+}
+
 /// Creates the handle of a request, which has arrived with its whole body, and
 /// passes the request to the owner of the server.
 static void
@@ -104,6 +122,7 @@
 	(void)evhtp_request_set_hook(
 	    req, evhtp_hook_on_request_fini, (evhtp_hook)on_fini, open);
 	set_no_delay(req);
+	add_kept_fields(f, req);
 	out.method = get_method(req);
 	out.method_name = htparser_get_methodstr(req->conn->parser);
 	out.path = req->uri->path->full;
@@ -128,35 +147,17 @@
 	return EVHTP_RES_OK;
 }
 
-/// Adds the header fields that evhtp didn't parse.
-static evhtp_res
-on_headers(evhtp_request_t *req, evhtp_headers_t *headers, void *arg)
-{
-	const struct httpd *f = arg;
-	const struct httpd_conn *hc =
-	    g_hash_table_lookup(f->connections, req->conn);
-
-	for (guint i = 0; i < hc->head.long_fields->len; i++) {
-		const struct reqhead_field *field = &g_array_index(
-		    hc->head.long_fields, struct reqhead_field, i);
-
-		evhtp_headers_add_header(
-		    headers, evhtp_header_new(field->name, field->value, 1, 1));
-	}
-	return EVHTP_RES_OK;
-}
-
 /// Installs the callbacks of a new connection.
 static evhtp_res
 on_accepted(evhtp_connection_t *conn, void *arg)
 {
 	struct httpd *f = arg;
 
+	if (!httpd_room_accept(f))
+		return EVHTP_RES_ERROR;
 	httpd_input_accept(f, conn);
 	(void)evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
 	    (evhtp_hook)on_connection_fini, f);
-	(void)evhtp_connection_set_hook(
-	    conn, evhtp_hook_on_headers, (evhtp_hook)on_headers, f);
 	return EVHTP_RES_OK;
 }
 
@@ -181,7 +182,10 @@
 		.head_timeout_us = HTTPD_HEAD_TIMEOUT_US,
 		.body_idle_us = (uint64_t)config->idle_ms * 1000,
 		.max_held_bytes = HTTPD_MAX_HELD_BYTES,
+		.max_unsent_bytes = HTTPD_MAX_UNSENT_BYTES,
+		.max_connections = HTTPD_MAX_CONNECTIONS,
 	};
+	f->shed = event_new(config->base, -1, 0, httpd_room_shed_unsent, f);
 	f->http = evhtp_new(config->base, f);
 	if (config->tls != NULL) {
 		(void)SSL_CTX_up_ref(config->tls);
@@ -202,7 +206,7 @@
 	f->limits = *limits;
 }
 
-/// Bytes of requests that are read or served.
+/// Cost in bytes of the requests that are read or served.
 size_t
 httpd_held_bytes(const struct httpd *f)
 {
@@ -237,6 +241,7 @@
 	}
 	close_connections(f);
 	evhtp_free(f->http);
+	event_free(f->shed);
 	g_hash_table_destroy(f->connections);
 	slotmap_free(f->open);
 	g_free(f);
@@ -416,12 +421,14 @@
 detach(struct httpd *f, handle_t handle)
 {
 	struct httpd_open_request *open = slotmap_get(f->open, handle);
+	const struct httpd_conn *hc;
 	evhtp_request_t *req;
 
 	if (open == NULL)
 		return NULL;
 	req = open->req;
-	if (f->closing_keepalive)
+	hc = g_hash_table_lookup(f->connections, req->conn);
+	if (f->closing_keepalive || (hc != NULL && hc->is_last))
 		evhtp_request_set_keepalive(req, 0);
 	(void)evhtp_request_unset_hook(req, evhtp_hook_on_request_fini);
 	(void)evhtp_request_set_hook(
--- a/src/front/httpd.h
+++ b/src/front/httpd.h
@@ -48,6 +48,7 @@
 	size_t max_body_bytes;
 	uint32_t idle_ms;       ///< read and write timeout of a connection
 	struct ssl_ctx_st *tls; ///< NULL: plain HTTP; a reference is taken
+	bool drops_bodies;      ///< no request has a use for one: len is 0
 	/// A request arrived: respond now or later with httpd_reply() or the
 	/// httpd_stream functions.
 	void (*on_request)(
@@ -66,12 +67,15 @@
 	uint64_t head_timeout_us; ///< from a head's first byte to its last
 	uint64_t body_idle_us;    ///< until a body's next byte
 	size_t max_held_bytes;    ///< of all requests that are read or served
+	size_t max_unsent_bytes;  ///< of all responses, unsent; 0: no limit
+	size_t max_connections;   ///< at once; 0: no limit
 };
 
 struct httpd *httpd_new(const struct httpd_config *config);
 void httpd_free(struct httpd *f);
 enum status httpd_listen(struct httpd *f, const char *host, uint16_t port);
 void httpd_set_limits(struct httpd *f, const struct httpd_limits *limits);
+size_t httpd_longest_request(size_t max_head_bytes, size_t max_body_bytes);
 size_t httpd_held_bytes(const struct httpd *f);
 void httpd_stop_listening(struct httpd *f);
 void httpd_drain(struct httpd *f);
--- a/src/front/httpd_input.c
+++ b/src/front/httpd_input.c
@@ -7,8 +7,12 @@
 #include "base/logger.h"
 
 /// Bytes that may follow a request while it is served. Beyond them the
-/// connection isn't read, and the caller's disconnecting isn't seen.
-#define HTTPD_MAX_PENDING_BYTES 65536
+/// connection isn't read.
+#define HTTPD_MAX_PENDING_BYTES 16384
+/// What a header field costs beside its bytes, in each of its copies.
+#define HTTPD_FIELD_COST 128
+/// The shortest field, with its end of line.
+#define HTTPD_SHORTEST_FIELD_BYTES 4
 /// A refused connection is read on for this long: closing it with unread bytes
 /// would reset it before the caller has the response.
 #define HTTPD_LINGER_US 1000000
@@ -35,14 +39,6 @@
 	(void)event_add(hc->timer, &tv);
 }
 
-/// Sets how many bytes of the request at hand a connection holds.
-static void
-set_held(struct httpd_conn *hc, size_t bytes)
-{
-	hc->owner->held = hc->owner->held - hc->held + bytes;
-	hc->held = bytes;
-}
-
 /// Forgets the request that was read, or a part of one.
 static void
 reset_request(struct httpd_conn *hc)
@@ -51,7 +47,9 @@
 	reqhead_init(&hc->head);
 	(void)evbuffer_drain(hc->body, evbuffer_get_length(hc->body));
 	hc->searched = 0;
-	set_held(hc, 0);
+	hc->head_cost = 0;
+	hc->begun_us = 0;
+	httpd_room_set_held(hc, evbuffer_get_length(hc->pending));
 }
 
 static const char *
@@ -83,8 +81,8 @@
 
 /// Responds to a request that wasn't read to its end, and closes the
 /// connection.
-static void
-refuse(struct httpd_conn *hc, int status, const char *why)
+void
+httpd_input_refuse(struct httpd_conn *hc, int status, const char *why)
 {
 	struct evbuffer *out = bufferevent_get_output(hc->evhtp->bev);
 
@@ -103,39 +101,46 @@
 	arm_timer(hc, HTTPD_LINGER_US);
 }
 
-/// The connection whose unfinished request holds most, or NULL.
-static struct httpd_conn *
-largest_unfinished(const struct httpd *f)
+/// Moves bytes by copying them: moving small parts would keep a buffer of a
+/// page for each.
+static void
+move_bytes(struct evbuffer *to, struct evbuffer *from, size_t n)
 {
-	struct httpd_conn *largest = NULL;
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, f->connections);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct httpd_conn *hc = p;
-
-		if ((hc->state == HTTPD_CONN_HEAD ||
-			hc->state == HTTPD_CONN_BODY) &&
-		    hc->held > 0 &&
-		    (largest == NULL || hc->held > largest->held))
-			largest = hc;
+	struct evbuffer_iovec part;
+
+	while (n > 0 && evbuffer_peek(from, -1, NULL, &part, 1) > 0) {
+		const size_t len = MIN(n, part.iov_len);
+
+		(void)evbuffer_add(to, part.iov_base, len);
+		(void)evbuffer_drain(from, len);
+		n -= len;
 	}
-	return largest;
 }
 
-/// Counts what a connection holds. If all requests together hold too much, the
-/// largest unfinished ones are refused.
+/// Stops reading behind the request that is served. The caller's disconnecting
+/// is still seen.
 static void
-count_held(struct httpd_conn *hc, size_t bytes)
+stop_reading(struct httpd_conn *hc)
 {
-	struct httpd *f = hc->owner;
-	struct httpd_conn *largest;
+	(void)bufferevent_disable(hc->evhtp->bev, EV_READ);
+	(void)event_add(hc->closed, NULL);
+}
 
-	set_held(hc, bytes);
-	while (f->held > f->limits.max_held_bytes &&
-	    (largest = largest_unfinished(f)) != NULL)
-		refuse(largest, 503, "requests hold too much memory");
+/// Forgets what came behind the request that is served; the connection is
+/// closed after the response.
+void
+httpd_input_drop_pending(struct httpd_conn *hc)
+{
+	const size_t len = evbuffer_get_length(hc->pending);
+
+	logger_event(LOGGER_WARN, "caller.refused",
+	    "status=0 reason=\"requests sent ahead hold too much memory\"");
+	(void)evbuffer_drain(hc->pending, len);
+	httpd_room_set_held(hc, hc->held - len);
+	hc->is_last = true;
+	if (hc->evhtp->request != NULL)
+		evhtp_request_set_keepalive(hc->evhtp->request, 0);
+	stop_reading(hc);
 }
 
 /// Passes the request that was read to evhtp: alone, and with a length.
@@ -154,7 +159,8 @@
 		    hc->head.text, "Content-Length: %zu\r\n", len);
 	(void)evbuffer_add_printf(request, "%s\r\n", hc->head.text->str);
 	(void)evbuffer_add_buffer(request, hc->body);
-	(void)evbuffer_add_buffer(hc->pending, in);
+	move_bytes(hc->pending, in, evbuffer_get_length(in));
+	httpd_room_count_held(hc, hc->held + evbuffer_get_length(hc->pending));
 	(void)evbuffer_prepend_buffer(in, request);
 	evbuffer_free(request);
 	// This may release the connection.
@@ -170,11 +176,11 @@
 	struct bufferevent *bev = hc->evhtp->bev;
 
 	if (h->refusal != 0) {
-		refuse(hc, h->refusal, h->why);
+		httpd_input_refuse(hc, h->refusal, h->why);
 		return;
 	}
 	if (!h->is_chunked && h->length > l->max_body_bytes) {
-		refuse(hc, 413, "the body is too long");
+		httpd_input_refuse(hc, 413, "the body is too long");
 		return;
 	}
 	hc->state = HTTPD_CONN_BODY;
@@ -216,6 +222,8 @@
 	len = evbuffer_get_length(in);
 	if (len == 0)
 		return false;
+	if (hc->begun_us == 0)
+		hc->begun_us = httpd_room_now_us();
 	if (!event_pending(hc->timer, EV_TIMEOUT, NULL))
 		arm_timer(hc, f->limits.head_timeout_us);
 	// The end may have begun in what was searched before.
@@ -224,12 +232,12 @@
 	end = evbuffer_search(in, "\r\n\r\n", 4, &from);
 	if (end.pos < 0 ? len > f->limits.max_head_bytes
 			: (size_t)end.pos > f->limits.max_head_bytes) {
-		refuse(hc, 431, "the head is too long");
+		httpd_input_refuse(hc, 431, "the head is too long");
 		return false;
 	}
 	if (end.pos < 0) {
 		hc->searched = len;
-		count_held(hc, len);
+		httpd_room_count_held(hc, len);
 		return false;
 	}
 	// The caller may have sent it just as the connection was to be closed
@@ -245,9 +253,10 @@
 	text[len] = '\0';
 	reqhead_parse(&hc->head, text, len);
 	g_free(text);
+	hc->head_cost = len + hc->head.n_fields * HTTPD_FIELD_COST;
 	begin_body(hc);
 	if (hc->state == HTTPD_CONN_BODY)
-		count_held(hc, len);
+		httpd_room_count_held(hc, hc->head_cost);
 	return hc->state == HTTPD_CONN_BODY;
 }
 
@@ -258,7 +267,10 @@
 	const size_t n =
 	    (size_t)MIN((uint64_t)evbuffer_get_length(in), hc->left);
 
-	(void)evbuffer_remove_buffer(in, hc->body, n);
+	if (hc->owner->config.drops_bodies)
+		(void)evbuffer_drain(in, n);
+	else
+		move_bytes(hc->body, in, n);
 	hc->left -= n;
 }
 
@@ -278,7 +290,7 @@
 		st = http1_chunks_feed(
 		    &hc->chunks, part.iov_base, part.iov_len, &used, &data);
 		// Copied: moving many short parts would keep a buffer for each.
-		if (data > 0)
+		if (data > 0 && !hc->owner->config.drops_bodies)
 			(void)evbuffer_add(hc->body, part.iov_base, data);
 		(void)evbuffer_drain(in, used);
 	}
@@ -297,23 +309,24 @@
 	else
 		read_length(hc, in);
 	if (st == HTTP1_TOO_LONG) {
-		refuse(hc, 413, "the body is too long");
+		httpd_input_refuse(hc, 413, "the body is too long");
 		return;
 	}
 	if (st == HTTP1_INVALID) {
-		refuse(hc, 400, "the chunks can't be read");
+		httpd_input_refuse(hc, 400, "the chunks can't be read");
 		return;
 	}
 	if (st == HTTP1_DONE || (!hc->head.is_chunked && hc->left == 0)) {
-		count_held(
-		    hc, hc->head.text->len + evbuffer_get_length(hc->body));
+		httpd_room_count_held(
+		    hc, hc->head_cost + evbuffer_get_length(hc->body));
 		if (hc->state == HTTPD_CONN_BODY)
 			serve(hc);
 		return;
 	}
 	if (had > 0)
 		arm_timer(hc, hc->owner->limits.body_idle_us);
-	count_held(hc, hc->head.text->len + evbuffer_get_length(hc->body));
+	httpd_room_count_held(
+	    hc, hc->head_cost + evbuffer_get_length(hc->body));
 }
 
 /// Reads what has come, up to the end of a request.
@@ -337,16 +350,19 @@
 	const struct httpd *f = conn->htp->arg;
 	struct httpd_conn *hc = g_hash_table_lookup(f->connections, conn);
 	struct evbuffer *in = bufferevent_get_input(bev);
+	const size_t len = evbuffer_get_length(in);
 
+	hc->moved_us = httpd_room_now_us();
 	switch (hc->state) {
 	case HTTPD_CONN_HEAD:
 	case HTTPD_CONN_BODY:
 		read_request(hc);
 		break;
 	case HTTPD_CONN_SERVING:
-		(void)evbuffer_add_buffer(hc->pending, in);
+		move_bytes(hc->pending, in, len);
+		httpd_room_count_held(hc, hc->held + len);
 		if (evbuffer_get_length(hc->pending) > HTTPD_MAX_PENDING_BYTES)
-			(void)bufferevent_disable(bev, EV_READ);
+			stop_reading(hc);
 		break;
 	case HTTPD_CONN_CLOSING:
 		(void)evbuffer_drain(in, evbuffer_get_length(in));
@@ -373,13 +389,24 @@
 	(void)fd;
 	(void)what;
 	if (hc->state == HTTPD_CONN_HEAD)
-		refuse(hc, 408, "the head took too long");
+		httpd_input_refuse(hc, 408, "the head took too long");
 	else if (hc->state == HTTPD_CONN_BODY)
-		refuse(hc, 408, "the body took too long");
+		httpd_input_refuse(hc, 408, "the body took too long");
 	else
 		evhtp_connection_free(hc->evhtp);
 }
 
+/// The caller has left while its connection wasn't read.
+static void
+on_closed(evutil_socket_t fd, short what, void *arg)
+{
+	struct httpd_conn *hc = arg;
+
+	(void)fd;
+	(void)what;
+	evhtp_connection_free(hc->evhtp);
+}
+
 /// Reads on after a response, with what came before it.
 static void
 on_resume(evutil_socket_t fd, short what, void *arg)
@@ -388,7 +415,17 @@
 
 	(void)fd;
 	(void)what;
+	(void)event_del(hc->closed);
+	if (hc->is_last) {
+		// What follows isn't the begin of a request.
+		hc->state = HTTPD_CONN_CLOSING;
+		(void)shutdown(hc->evhtp->sock, SHUT_WR);
+		(void)bufferevent_enable(hc->evhtp->bev, EV_READ);
+		arm_timer(hc, HTTPD_LINGER_US);
+		return;
+	}
 	(void)evbuffer_prepend_buffer(input_of(hc), hc->pending);
+	httpd_room_set_held(hc, 0);
 	(void)bufferevent_enable(hc->evhtp->bev, EV_READ);
 	read_request(hc);
 }
@@ -407,6 +444,10 @@
 	hc->pending = evbuffer_new();
 	hc->timer = evtimer_new(f->config.base, on_timer, hc);
 	hc->resume = event_new(f->config.base, -1, 0, on_resume, hc);
+	hc->closed = event_new(f->config.base, bufferevent_getfd(conn->bev),
+	    EV_CLOSED | EV_PERSIST, on_closed, hc);
+	hc->moved_us = httpd_room_now_us();
+	httpd_room_watch_output(hc);
 	reqhead_init(&hc->head);
 	bufferevent_getcb(
 	    conn->bev, &evhtp_read_cb, &evhtp_write_cb, &event_cb, &cb_arg);
@@ -418,12 +459,13 @@
 void
 httpd_input_free(struct httpd_conn *hc)
 {
-	set_held(hc, 0);
+	httpd_room_forget(hc);
 	reqhead_clear(&hc->head);
 	evbuffer_free(hc->body);
 	evbuffer_free(hc->pending);
 	event_free(hc->timer);
 	event_free(hc->resume);
+	event_free(hc->closed);
 	g_free(hc);
 }
 
@@ -451,6 +493,15 @@
 	(void)bufferevent_enable(conn->bev, EV_READ);
 }
 
+/// What the request that costs most holds, in bytes, within limits of its head
+/// and of its body.
+size_t
+httpd_longest_request(size_t max_head_bytes, size_t max_body_bytes)
+{
+	return max_body_bytes + max_head_bytes +
+	    max_head_bytes / HTTPD_SHORTEST_FIELD_BYTES * HTTPD_FIELD_COST;
+}
+
 /// Whether no part of a request has come since the last response.
 bool
 httpd_input_is_idle(const struct httpd_conn *hc)
--- a/src/front/reqhead.c
+++ b/src/front/reqhead.c
@@ -40,10 +40,10 @@
 {
 	*h = (struct reqhead){
 		.text = g_string_new(NULL),
-		.long_fields =
+		.kept_fields =
 		    g_array_new(FALSE, FALSE, sizeof(struct reqhead_field)),
 	};
-	g_array_set_clear_func(h->long_fields, clear_field);
+	g_array_set_clear_func(h->kept_fields, clear_field);
 }
 
 /// Releases what a head holds.
@@ -51,7 +51,7 @@
 reqhead_clear(struct reqhead *h)
 {
 	(void)g_string_free(h->text, TRUE);
-	g_array_unref(h->long_fields);
+	g_array_unref(h->kept_fields);
 }
 
 static bool
@@ -100,17 +100,20 @@
 }
 
 static void
-keep_field(struct reqhead *h, const char *line, size_t name_len)
+keep_field(struct reqhead *h, char *line, size_t name_len)
 {
 	struct reqhead_field field;
 
-	if (strlen(line) <= REQHEAD_MAX_LIBRARY_FIELD_BYTES) {
+	// The library takes the body of a form for a query, and parses it with
+	// copies of it on the stack.
+	if (http1_field_value(line, name_len, "Content-Type") == NULL &&
+	    strlen(line) <= REQHEAD_MAX_LIBRARY_FIELD_BYTES) {
 		g_string_append_printf(h->text, "%s\r\n", line);
 		return;
 	}
 	field.name = g_strndup(line, name_len);
 	field.value = g_strstrip(g_strdup(line + name_len + 1));
-	g_array_append_val(h->long_fields, field);
+	g_array_append_val(h->kept_fields, field);
 }
 
 static void
@@ -120,6 +123,7 @@
 	const size_t name_len = http1_name_length(line);
 	const char *value;
 
+	h->n_fields++;
 	if (name_len == 0) {
 		refuse(h, 400, "a header line has no name");
 		return;
--- a/src/front/reqhead.h
+++ b/src/front/reqhead.h
@@ -8,7 +8,7 @@
 /// The head of a caller's request: checked, and rewritten for the HTTP library,
 /// which neither bounds what it reads nor parses all that is valid.
 
-/// A longer field is kept apart: the library refuses it.
+/// A longer field is kept apart, as the library refuses it.
 #define REQHEAD_MAX_LIBRARY_FIELD_BYTES 4096
 #define REQHEAD_MAX_TARGET_BYTES 4096
 
@@ -23,10 +23,11 @@
 	bool is_chunked;
 	uint64_t length; ///< of the body if it isn't in chunks, in bytes
 	bool expects_continue;
+	size_t n_fields;
 	/// The head without its framing and without the empty line that ends
 	/// it.
 	struct _GString *text;
-	struct _GArray *long_fields; ///< struct reqhead_field
+	struct _GArray *kept_fields; ///< struct reqhead_field
 };
 
 void reqhead_init(struct reqhead *h);
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -17,6 +17,20 @@
 /// Part of the memory that callers' requests may hold. A body is copied three
 /// times on its way to a backend server.
 #define GATEWAY_REQUESTS_SHARE 10
+/// Part of the memory that responses may hold until callers have read them.
+#define GATEWAY_UNSENT_SHARE 16
+/// Part of the memory for each of the same at the ports of readiness and of
+/// metrics, and their connections.
+#define GATEWAY_PROBE_SHARE 64
+#define GATEWAY_PROBE_CONNECTIONS 32
+/// Descriptors for those, for links, files and calls of the platform. Callers'
+/// connections have half of the rest, and those to backend servers the other.
+#define GATEWAY_RESERVED_FDS 128
+#define GATEWAY_LEAST_CONNECTIONS 16
+#define GATEWAY_MAX_HEAD_BYTES 65536
+#define GATEWAY_HEAD_TIMEOUT_US (10 * USEC_PER_SEC)
+/// Part of the memory that the longest request of a configuration may hold.
+#define GATEWAY_LONGEST_SHARE 4
 /// Tokens of a prompt that one hash stands for.
 #define GATEWAY_BLOCK_TOKENS 128
 #define GATEWAY_MAX_BLOCKS 512
@@ -343,8 +357,51 @@
 	(void)handle;
 }
 
+static size_t
+callers_connections(const struct gateway *g)
+{
+	const uint32_t fds = g->settings.max_fds;
+
+	return fds < GATEWAY_RESERVED_FDS + 2 * GATEWAY_LEAST_CONNECTIONS
+	    ? GATEWAY_LEAST_CONNECTIONS
+	    : (fds - GATEWAY_RESERVED_FDS) / 2;
+}
+
+/// What callers may send before a configuration is known.
+static struct httpd_limits
+callers_limits(const struct gateway *g)
+{
+	const struct bootstrap_settings *s = &g->settings;
+
+	return (struct httpd_limits){
+		.max_head_bytes = GATEWAY_MAX_HEAD_BYTES,
+		.max_body_bytes = GATEWAY_MAX_BODY_BYTES,
+		.head_timeout_us = GATEWAY_HEAD_TIMEOUT_US,
+		.body_idle_us = (uint64_t)GATEWAY_IDLE_MS * USEC_PER_MSEC,
+		.max_held_bytes =
+		    bootstrap_memory_share(s, GATEWAY_REQUESTS_SHARE),
+		.max_unsent_bytes =
+		    bootstrap_memory_share(s, GATEWAY_UNSENT_SHARE),
+		.max_connections = callers_connections(g),
+	};
+}
+
+/// What may be sent to the ports of readiness and of metrics.
+static struct httpd_limits
+probe_limits(const struct gateway *g)
+{
+	struct httpd_limits l = callers_limits(g);
+
+	l.body_idle_us = GATEWAY_HEAD_TIMEOUT_US;
+	l.max_held_bytes =
+	    bootstrap_memory_share(&g->settings, GATEWAY_PROBE_SHARE);
+	l.max_unsent_bytes = l.max_held_bytes;
+	l.max_connections = GATEWAY_PROBE_CONNECTIONS;
+	return l;
+}
+
 static struct httpd *
-server_new(struct gateway *g,
+server_new(struct gateway *g, struct httpd_limits limits, bool drops_bodies,
     void (*request)(void *, handle_t, const struct httpd_request *),
     void (*gone)(void *, handle_t))
 {
@@ -352,12 +409,16 @@
 		.base = loop_event_base(g->loop),
 		.max_body_bytes = GATEWAY_MAX_BODY_BYTES,
 		.idle_ms = GATEWAY_IDLE_MS,
+		.drops_bodies = drops_bodies,
 		.on_request = request,
 		.on_disconnect = gone,
 		.arg = g,
 	};
 
-	return httpd_new(&config);
+	struct httpd *server = httpd_new(&config);
+
+	httpd_set_limits(server, &limits);
+	return server;
 }
 
 /// Sets what callers may send to what the configuration in force allows.
@@ -365,16 +426,18 @@
 gateway_accept_set_limits(struct gateway *g)
 {
 	const struct fleetcfg_limits *l = fleetcfg_limits(g->config);
-	const struct httpd_limits limits = {
-		.max_head_bytes = l->max_header_bytes + GATEWAY_TARGET_BYTES,
-		.max_body_bytes = l->max_body_bytes,
-		.head_timeout_us =
-		    (uint64_t)l->header_timeout_ms * USEC_PER_MSEC,
-		.body_idle_us = (uint64_t)l->idle_timeout_ms * USEC_PER_MSEC,
-		.max_held_bytes = bootstrap_memory_share(
-		    &g->settings, GATEWAY_REQUESTS_SHARE),
-	};
-
+	struct httpd_limits limits = callers_limits(g);
+	const size_t longest = httpd_longest_request(
+	    l->max_header_bytes + GATEWAY_TARGET_BYTES, l->max_body_bytes);
+
+	limits.max_head_bytes = l->max_header_bytes + GATEWAY_TARGET_BYTES;
+	limits.max_body_bytes = l->max_body_bytes;
+	limits.head_timeout_us = (uint64_t)l->header_timeout_ms * USEC_PER_MSEC;
+	limits.body_idle_us = (uint64_t)l->idle_timeout_ms * USEC_PER_MSEC;
+	// One request within the limits is served in any case.
+	limits.max_held_bytes = MAX(limits.max_held_bytes,
+	    MIN(longest,
+		bootstrap_memory_share(&g->settings, GATEWAY_LONGEST_SHARE)));
 	httpd_set_limits(g->callers, &limits);
 }
 
@@ -388,13 +451,15 @@
 	const struct bootstrap_settings *s = &g->settings;
 	enum status st;
 
-	g->callers = server_new(g, on_request, on_gone);
-	g->ready = server_new(g, on_ready, ignore_gone);
+	g->callers =
+	    server_new(g, callers_limits(g), false, on_request, on_gone);
+	g->ready = server_new(g, probe_limits(g), true, on_ready, ignore_gone);
 	st = httpd_listen(g->callers, s->callers.host, s->callers.port);
 	if (st == STATUS_OK)
 		st = httpd_listen(g->ready, s->ready.host, s->ready.port);
 	if (st != STATUS_OK || s->metrics_port == 0)
 		return st;
-	g->metrics = server_new(g, on_metrics, ignore_gone);
+	g->metrics =
+	    server_new(g, probe_limits(g), true, on_metrics, ignore_gone);
 	return httpd_listen(g->metrics, s->host, s->metrics_port);
 }
--- a/src/hub/hub_operators.c
+++ b/src/hub/hub_operators.c
@@ -12,6 +12,17 @@
 
 #define HUB_MAX_REQUEST_BYTES (32U << 20)
 #define HUB_IDLE_MS 60000
+#define HUB_MAX_HEAD_BYTES 65536
+/// For a head, and until the next byte of a body.
+#define HUB_SEND_TIMEOUT_US (10 * USEC_PER_SEC)
+/// Part of the memory that operators' requests may hold, and as much for the
+/// responses; the same at the port of metrics.
+#define HUB_REQUESTS_SHARE 8
+#define HUB_METRICS_SHARE 64
+/// Part of the descriptors that operators' connections may take.
+#define HUB_OPERATORS_FDS_SHARE 8
+/// Connections at the port of metrics, and at least that many of operators.
+#define HUB_CONNECTIONS 32
 #define HUB_STATUS_PATH "/v1/status"
 
 /// An operator's request whose command is being committed.
@@ -279,20 +290,44 @@
 	httpd_reply_metrics(h->metrics, handle, registry);
 }
 
+/// What may be sent to a server of the hub.
+///
+/// @param share        part of the memory that requests may hold
+/// @param connections  at once
+static struct httpd_limits
+limits_of(const struct hub *h, unsigned share, size_t connections)
+{
+	const size_t held = bootstrap_memory_share(&h->settings, share);
+
+	return (struct httpd_limits){
+		.max_head_bytes = HUB_MAX_HEAD_BYTES,
+		.max_body_bytes = MIN(HUB_MAX_REQUEST_BYTES, held),
+		.head_timeout_us = HUB_SEND_TIMEOUT_US,
+		.body_idle_us = HUB_SEND_TIMEOUT_US,
+		.max_held_bytes = held,
+		.max_unsent_bytes = held,
+		.max_connections = connections,
+	};
+}
+
 static struct httpd *
-server_new(struct hub *h,
+server_new(struct hub *h, struct httpd_limits limits, bool drops_bodies,
     void (*request)(void *, handle_t, const struct httpd_request *))
 {
 	const struct httpd_config config = {
 		.base = loop_event_base(h->loop),
 		.max_body_bytes = HUB_MAX_REQUEST_BYTES,
 		.idle_ms = HUB_IDLE_MS,
+		.drops_bodies = drops_bodies,
 		.on_request = request,
 		.on_disconnect = on_gone,
 		.arg = h,
 	};
 
-	return httpd_new(&config);
+	struct httpd *server = httpd_new(&config);
+
+	httpd_set_limits(server, &limits);
+	return server;
 }
 
 /// Listens on the operators' address, and on that of metrics and status if it
@@ -305,10 +340,14 @@
 	const struct bootstrap_settings *s = &h->settings;
 	enum status st;
 
-	h->operators = server_new(h, on_request);
+	h->operators = server_new(h,
+	    limits_of(h, HUB_REQUESTS_SHARE,
+		MAX(s->max_fds / HUB_OPERATORS_FDS_SHARE, HUB_CONNECTIONS)),
+	    false, on_request);
 	st = httpd_listen(h->operators, s->operators.host, s->operators.port);
 	if (st != STATUS_OK || s->metrics_port == 0)
 		return st;
-	h->metrics = server_new(h, on_metrics);
+	h->metrics = server_new(h,
+	    limits_of(h, HUB_METRICS_SHARE, HUB_CONNECTIONS), true, on_metrics);
 	return httpd_listen(h->metrics, s->host, s->metrics_port);
 }
--- a/test/unit/front/test_httpd.cc
+++ b/test/unit/front/test_httpd.cc
@@ -24,6 +24,10 @@
 	uint16_t port = 0;
 	std::vector<std::string> seen;
 	std::string headers; ///< of the last requests
+	bool replies = true;
+	std::string reply = "ok";
+	handle_t last = HANDLE_NONE;
+	int n_gone = 0;
 
 	Server()
 	{
@@ -53,12 +57,15 @@
 	{
 		auto *s = static_cast<Server *>(arg);
 
+		s->last = handle;
 		s->seen.push_back(std::string(req->method_name) + " " +
 		    req->path + " " + req->query + " " +
 		    std::string(
 			reinterpret_cast<const char *>(req->body), req->len));
 		httpd_foreach_header(s->f, handle, on_header, s);
-		httpd_reply(s->f, handle, 200, nullptr, "text/plain", "ok", 2);
+		if (s->replies)
+			httpd_reply(s->f, handle, 200, nullptr, "text/plain",
+			    s->reply.data(), s->reply.size());
 	}
 
 	static void on_header(void *arg, const char *name, const char *value)
@@ -67,8 +74,9 @@
 		    std::string(name) + "=" + value + " ";
 	}
 
-	static void on_gone(void *, handle_t)
+	static void on_gone(void *arg, handle_t)
 	{
+		static_cast<Server *>(arg)->n_gone++;
 	}
 
 	int Connect() const
@@ -302,6 +310,161 @@
 	close(busy);
 }
 
+/// Requests sent ahead behind one that is served: the connection is read no
+/// further, and the caller's leaving is seen all the same.
+TEST(Httpd, LeaverBehindRequestsSentAhead)
+{
+	const std::string head = "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n";
+	std::string ahead;
+	Server s;
+
+	s.replies = false;
+	while (ahead.size() < 100000)
+		ahead += head;
+	const int fd = s.Connect();
+	s.Run();
+	s.Send(fd, ahead);
+	for (int k = 0; k < 20; k++)
+		s.Run();
+	EXPECT_EQ(s.seen.size(), 1U);
+	EXPECT_GT(httpd_held_bytes(s.f), 10000U);
+	EXPECT_LT(httpd_held_bytes(s.f), 60000U);
+	close(fd);
+	s.Run();
+	EXPECT_EQ(s.n_gone, 1);
+	EXPECT_EQ(httpd_connection_count(s.f), 0U);
+	EXPECT_EQ(httpd_held_bytes(s.f), 0U);
+}
+
+struct httpd_limits
+small_limits()
+{
+	struct httpd_limits limits = {};
+
+	limits.max_head_bytes = 16384;
+	limits.max_body_bytes = 1 << 20;
+	limits.head_timeout_us = limits.body_idle_us = 10000000;
+	limits.max_held_bytes = 1 << 20;
+	return limits;
+}
+
+/// Those sent ahead are dropped when all hold too much: the request that is
+/// served has its response, and what follows isn't taken for a request.
+TEST(Httpd, RequestsSentAheadHaveABound)
+{
+	const std::string head = "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n";
+	struct httpd_limits limits = small_limits();
+	std::string ahead;
+	char rest[64];
+	Server s;
+
+	limits.max_held_bytes = 4096;
+	httpd_set_limits(s.f, &limits);
+	s.replies = false;
+	while (ahead.size() < 8000)
+		ahead += head;
+	const int fd = s.Connect();
+	s.Run();
+	s.Send(fd, ahead);
+	EXPECT_LE(httpd_held_bytes(s.f), limits.max_held_bytes);
+	httpd_reply(s.f, s.last, 200, nullptr, "text/plain", "ok", 2);
+	EXPECT_EQ(s.ReadResponse(fd), "HTTP/1.1 200 OK");
+	s.Run();
+	EXPECT_EQ(s.seen.size(), 1U);
+	EXPECT_EQ(read(fd, rest, sizeof(rest)), 0);
+	close(fd);
+}
+
+/// Whether something has come for a client, or its connection was closed.
+bool
+has_news(int fd)
+{
+	struct pollfd p = { fd, POLLIN, 0 };
+
+	return poll(&p, 1, 0) > 0;
+}
+
+/// A new connection takes the place of an idle one, then that of an unfinished
+/// request; none that waits for its response goes.
+TEST(Httpd, ConnectionsHaveABound)
+{
+	const std::string head = "GET /a HTTP/1.1\r\nHost: a.example\r\n";
+	struct httpd_limits limits = small_limits();
+	Server s;
+	std::vector<int> fds;
+	const auto connect = [&](const std::string &text) {
+		fds.push_back(s.Connect());
+		s.Run();
+		s.Send(fds.back(), text);
+		EXPECT_LE(httpd_connection_count(s.f), 3U);
+	};
+
+	limits.max_connections = 3;
+	httpd_set_limits(s.f, &limits);
+	s.replies = false;
+	connect(head + "\r\n");
+	connect(head);
+	connect("");
+	connect("");
+	EXPECT_TRUE(has_news(fds[2]));
+	connect(head + "\r\n");
+	EXPECT_TRUE(has_news(fds[3]));
+	EXPECT_FALSE(has_news(fds[1]));
+	connect(head + "\r\n");
+	EXPECT_TRUE(has_news(fds[1]));
+	fds.push_back(s.Connect());
+	s.Run();
+	EXPECT_TRUE(has_news(fds[6]));
+	EXPECT_EQ(s.seen.size(), 3U);
+	for (const int i : { 0, 4, 5 })
+		EXPECT_FALSE(has_news(fds[i])) << i;
+	for (const int fd : fds)
+		close(fd);
+}
+
+/// Responses that callers don't read have a bound; one alone may be longer.
+TEST(Httpd, UnreadResponsesHaveABound)
+{
+	struct httpd_limits limits = small_limits();
+	Server s;
+	std::vector<int> fds;
+
+	limits.max_unsent_bytes = 1 << 20;
+	httpd_set_limits(s.f, &limits);
+	s.reply.assign(16 << 20, 'x');
+	for (int i = 0; i < 4; i++) {
+		fds.push_back(s.Connect());
+		s.Run();
+		s.Send(fds[i], "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n");
+		EXPECT_EQ(httpd_connection_count(s.f), 1U);
+	}
+	EXPECT_EQ(s.seen.size(), 4U);
+	for (const int fd : fds)
+		close(fd);
+}
+
+/// Short fields cost more than their bytes, since each is kept apart. One
+/// request of the longest kind within the limits is served.
+TEST(Httpd, ShortFieldsAreCounted)
+{
+	struct httpd_limits limits = small_limits();
+	std::string fields = "GET /a HTTP/1.1\r\nHost: a.example\r\n";
+	Server s;
+
+	limits.max_held_bytes =
+	    httpd_longest_request(limits.max_head_bytes, limits.max_body_bytes);
+	httpd_set_limits(s.f, &limits);
+	s.replies = false;
+	while (fields.size() + 4 < limits.max_head_bytes)
+		fields += "a:\r\n";
+	const int fd = s.Connect();
+	s.Run();
+	s.Send(fd, fields + "\r\n");
+	EXPECT_EQ(s.seen.size(), 1U);
+	EXPECT_GT(httpd_held_bytes(s.f), 400000U);
+	close(fd);
+}
+
 } // namespace
 
 /// What evhtp refuses or loses, though it is valid: extensions of chunks, long
@@ -473,3 +636,36 @@
 	s.Run();
 	EXPECT_EQ(httpd_held_bytes(s.f), 0U);
 }
+
+/// The body of a form isn't part of its target, and one of any length within
+/// the limit is served: the library would parse it, with copies on the stack.
+TEST(Httpd, FormsAreBodiesOnly)
+{
+	struct httpd_limits limits = small_limits();
+	Server s;
+
+	limits.max_body_bytes = limits.max_held_bytes = 32 << 20;
+	httpd_set_limits(s.f, &limits);
+	for (const size_t len : { size_t{ 12 }, size_t{ 10 << 20 } }) {
+		std::string form;
+
+		while (form.size() < len)
+			form += "a=b&";
+		form.resize(len);
+		const int fd = s.Connect();
+		s.Run();
+		s.Send(fd,
+		    "POST /a HTTP/1.1\r\nHost: a.example\r\n"
+		    "Content-Type: application/x-www-form-urlencoded\r\n"
+		    "Content-Length: " +
+			std::to_string(len) + "\r\n\r\n");
+		for (size_t at = 0; at < len; at += 65536)
+			s.Send(fd, form.substr(at, 65536));
+		EXPECT_EQ(s.ReadResponse(fd), "HTTP/1.1 200 OK");
+		ASSERT_FALSE(s.seen.empty());
+		EXPECT_TRUE(s.seen.back() == "POST /a  " + form);
+		EXPECT_NE(s.headers.find("Content-Type=application/x-www"),
+		    std::string::npos);
+		close(fd);
+	}
+}
