--- a/test/standin/raw.c
+++ b/test/standin/raw.c
@@ -10,6 +10,10 @@
 #define ID_BYTES 128
 /// A response that ends with this is followed by the end of the connection.
 #define CLOSE_MARK "$CLOSE"
+/// A response that ends with this is followed by a reset of the connection
+/// after RESET_US, and nothing of the request's body is read.
+#define RESET_MARK "$RESET"
+#define RESET_US 200000
 /// The program ends after a response that ends with this.
 #define EXIT_MARK "$EXIT"
 /// What stands after this is repeated until the client closes.
@@ -34,6 +38,7 @@
 	struct bufferevent *bev;
 	GString *sent;    ///< the last response, "": none
 	bool exits;       ///< the program ends when all is written
+	bool resets;      ///< the connection is reset when all is written
 	GString *forever; ///< written again and again; NULL: nothing
 };
 
@@ -47,6 +52,17 @@
 	g_free(c);
 }
 
+static void
+reset_conn(void *arg)
+{
+	const struct raw_conn *c = arg;
+	const struct linger reset = { .l_onoff = 1 };
+
+	(void)setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER,
+	    &reset, sizeof(reset));
+	close_conn(arg);
+}
+
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
@@ -89,7 +105,10 @@
 		return;
 	if (c->exits)
 		_exit(0);
-	close_conn(arg);
+	if (c->resets)
+		standin_call_after(c->r->env, RESET_US, reset_conn, arg);
+	else
+		close_conn(arg);
 }
 
 /// The next response of the setting.
@@ -118,11 +137,14 @@
 	bool closes = g_str_has_suffix(text->str, CLOSE_MARK);
 
 	c->exits = g_str_has_suffix(text->str, EXIT_MARK);
+	c->resets = g_str_has_suffix(text->str, RESET_MARK);
 	if (closes)
 		(void)g_string_truncate(text, text->len - strlen(CLOSE_MARK));
 	if (c->exits)
 		(void)g_string_truncate(text, text->len - strlen(EXIT_MARK));
-	closes |= c->exits;
+	if (c->resets)
+		(void)g_string_truncate(text, text->len - strlen(RESET_MARK));
+	closes |= c->exits || c->resets;
 	(void)g_string_replace(text, "$ID", id, 0);
 	take_forever(c, text);
 	r->n_requests++;
@@ -136,6 +158,8 @@
 	c->sent = text;
 	if (closes)
 		bufferevent_setcb(c->bev, NULL, on_sent, NULL, c);
+	if (c->resets)
+		(void)bufferevent_disable(c->bev, EV_READ);
 }
 
 /// Reads a request's head; requests have no body.
