--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -10,6 +10,9 @@
 /// together. Gateways use a part of what is left.
 #define HUB_LEADER_CALLS_FACTOR 0.5
 #define HUB_CALLS_FACTOR 0.25
+/// Share of a leader that has no list: after a start of all, callers wait for
+/// its first reading, and other processes don't read yet.
+#define HUB_FIRST_CALLS_FACTOR 0.9
 /// A list that was read longer ago is not sent in a state, which doesn't tell
 /// its age.
 #define HUB_LIST_OLD_US (1500 * USEC_PER_MSEC)
@@ -123,7 +126,9 @@
 	uint32_t n;
 
 	if (hub_is_leader(h))
-		return HUB_LEADER_CALLS_FACTOR * h->settings.list_calls_per_s;
+		return h->settings.list_calls_per_s *
+		    (h->list_fresh_us == 0 ? HUB_FIRST_CALLS_FACTOR
+					   : HUB_LEADER_CALLS_FACTOR);
 	replica_status(h->group, &st);
 	n = st.members.n_voters + st.members.n_learners;
 	return HUB_CALLS_FACTOR * h->settings.list_calls_per_s / MAX(n, 1);
