--- a/test/unit/hub/test_feed.cc
+++ b/test/unit/hub/test_feed.cc
@@ -29,13 +29,14 @@
 
 	TestHub()
 	{
-		char name[] = "/tmp/hub-XXXXXX";
+		std::string name =
+		    std::filesystem::temp_directory_path() / "hub-XXXXXX";
 		struct bootstrap_settings settings;
 		struct spec_problems problems = {};
 		const std::string operators =
 		    "127.0.0.1:" + std::to_string(free_port());
 
-		folder = mkdtemp(name);
+		folder = mkdtemp(name.data());
 		const std::string text = R"({"role": "hub", "node": "core-1",
 		    "host": "127.0.0.1", "data_centre": "csepel",
 		    "cloud": "127.0.0.1:1", "first_start": true,
@@ -295,7 +296,7 @@
 	GArray *servers = g_array_new(FALSE, TRUE, sizeof(struct instance));
 	const uint64_t ageUs = 5 * USEC_PER_SEC;
 
-	hub_servers_set(hub.hub, servers, loop_now_us(hub.loop) - ageUs);
+	hub_servers_set(hub.hub, servers, 0, loop_now_us(hub.loop) - ageUs);
 	g_array_unref(servers);
 	gateway.ask(0, ageUs);
 	gateway.ask(0, ageUs - USEC_PER_SEC);
