--- a/src/front/httpd.h
+++ b/src/front/httpd.h
@@ -77,6 +77,7 @@
 void httpd_set_limits(struct httpd *f, const struct httpd_limits *limits);
 size_t httpd_longest_request(size_t max_head_bytes, size_t max_body_bytes);
 size_t httpd_held_bytes(const struct httpd *f);
+size_t httpd_total_unsent_bytes(const struct httpd *f);
 void httpd_stop_listening(struct httpd *f);
 void httpd_drain(struct httpd *f);
 /// Called once for each header, in the order received.
--- a/src/front/httpd_input.c
+++ b/src/front/httpd_input.c
@@ -133,8 +133,8 @@
 {
 	const size_t len = evbuffer_get_length(hc->pending);
 
-	logger_event(LOGGER_WARN, "caller.refused",
-	    "status=0 reason=\"requests sent ahead hold too much memory\"");
+	logger_event(LOGGER_WARN, "caller.closed",
+	    "reason=\"requests sent ahead hold too much memory\"");
 	(void)evbuffer_drain(hc->pending, len);
 	httpd_room_set_held(hc, hc->held - len);
 	hc->is_last = true;
--- a/src/front/httpd_room.c
+++ b/src/front/httpd_room.c
@@ -226,6 +226,13 @@
 	return a_stalled != b_stalled ? a_stalled : a->unsent > b->unsent;
 }
 
+/// Bytes of responses that wait to be sent, on all connections.
+size_t
+httpd_total_unsent_bytes(const struct httpd *f)
+{
+	return f->unsent_bytes;
+}
+
 /// Closes the connections with the longest unsent responses if all together
 /// hold too much. One alone may hold more.
 void
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -341,6 +341,10 @@
 	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER);
 	metrics_gauge(registry, "ac_request_bytes", "")->value =
 	    httpd_held_bytes(g->callers);
+	metrics_gauge(registry, "ac_unsent_bytes", "")->value =
+	    httpd_total_unsent_bytes(g->callers);
+	metrics_gauge(registry, "ac_caller_connections", "")->value =
+	    httpd_connection_count(g->callers);
 	metrics_gauge(registry, "ac_response_bytes", "")->value =
 	    httpc_held_bytes(g->http);
 	metrics_gauge(registry, "ac_requests_open", "")->value =
