Quota: asks wait in the leader's queue, urgent and tiny ones first

Cause: a gateway refused everything of a customer for 300 ms after one refusal, of every size and priority, and the bucket granted by order of arrival. Ruled out: strict priority (starves the last kind), fixed weights (serve a kind of few tokens more often than a more urgent one), waits of half of the target (essays late). Change: fleet/quota_queue, a core without I/O: fair queueing over priorities weighted by demand, waits within the latency target, refusal at once of what won't be granted, returns handed out along a line; asks and answers get optional fields; a gateway refuses from memory only what the leader would refuse.

The second half is a burst that meets a lost leader: control tells gateways of a risen demand also when it learns of it by reports; a gateway without contact lets a customer that was over its rate pass by its part of the rate only, and tells the next leader what passed.

--- a/src/fleet/hubmsg.c
+++ b/src/fleet/hubmsg.c
@@ -167,6 +167,18 @@
 	    : status_fail(STATUS_CORRUPT, "gateway report can't be decoded");
 }
 
+/// Whether a message goes on after the fields that older versions know. Such a
+/// version takes a longer message for malformed.
+///
+/// @param more  when writing, says so; when reading, is set
+static bool
+has_more(struct codec *m, bool *more)
+{
+	if (!codec_is_writer(m))
+		*more = !codec_failed(m) && !codec_at_end(m);
+	return *more;
+}
+
 static void
 code_ask(struct codec *m, struct hubmsg_ask *a)
 {
@@ -174,6 +186,14 @@
 	codec_str(m, a->customer, sizeof(a->customer));
 	codec_u64(m, &a->units);
 	codec_u64(m, &a->refused);
+	if (!has_more(m, &a->can_wait))
+		return;
+	codec_u32(m, &a->priority);
+	codec_u64(m, &a->wait_us);
+	codec_u64(m, &a->left_us);
+	codec_bool(m, &a->late);
+	codec_enum(m, &a->kind, HUBMSG_N_ASK_KINDS);
+	codec_u64(m, &a->silence_us);
 }
 
 /// Encodes an ask for a grant.
@@ -219,6 +239,10 @@
 	codec_u64(m, &level);
 	codec_u64(m, &a->demand_per_s);
 	a->level = (int64_t)level - LEVEL_BIAS;
+	if (!has_more(m, &a->has_queue))
+		return;
+	codec_bool(m, &a->queued);
+	codec_u64(m, &a->room_us);
 }
 
 /// Encodes the answer to an ask.
--- a/src/fleet/hubmsg.h
+++ b/src/fleet/hubmsg.h
@@ -31,12 +31,32 @@
 	int64_t level;
 };
 
+enum hubmsg_ask_kind {
+	HUBMSG_ASK_GRANT,
+	/// The request is decided, or its caller has left.
+	HUBMSG_ASK_WITHDRAW,
+	/// To a new leader: `units` passed here without contact to the last
+	/// one.
+	HUBMSG_ASK_SETTLE,
+	HUBMSG_N_ASK_KINDS,
+};
+
 /// A gateway asks for a grant of a customer's quota for one request.
 struct hubmsg_ask {
 	uint64_t tag; ///< returned with the answer
 	char customer[FLEETCFG_NAME_BYTES];
 	uint64_t units;
 	uint64_t refused; ///< units refused without asking, since the last ask
+	/// The rest is set; older gateways don't send it.
+	bool can_wait;
+	uint32_t priority; ///< of the route; 0: highest
+	uint64_t wait_us;  ///< longest wait for a grant
+	uint64_t left_us;  ///< until the caller gives up
+	bool late;         ///< the latency target has passed already
+	enum hubmsg_ask_kind kind;
+	/// Since the last leader's word. HUBMSG_ASK_SETTLE only: that for no
+	/// customer is about the time alone.
+	uint64_t silence_us;
 };
 
 /// The leader's answer, with the customer's quota as it is then.
@@ -47,6 +67,10 @@
 	uint64_t wait_us;      ///< when not granted
 	int64_t level;         ///< left for all gateways; below 0: overspent
 	uint64_t demand_per_s; ///< units that all gateways want
+	/// The rest is set: only in answers to asks that can wait.
+	bool has_queue;
+	bool queued;      ///< not decided yet; it will be within `wait_us`
+	uint64_t room_us; ///< when refused: until room was expected
 };
 
 /// Load of a service at one gateway.
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -92,7 +92,7 @@
 	struct gateway_request *q = arg;
 
 	(void)now_us;
-	if (q->waits_for_quota)
+	if (q->quota_asked != 0)
 		gateway_quota_on_timeout(q);
 	else if (q->awaits_opening)
 		gateway_openq_on_timeout(q);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -209,7 +209,8 @@
 	char server[FLEETCFG_NAME_BYTES]; ///< its id in the list
 	uint64_t attempt_sent_us;
 	uint64_t first_event_us; ///< when its first event came; 0: none yet
-	bool waits_for_quota;    ///< control is asked for a grant
+	uint32_t quota_asked;    ///< slot of the control process that is asked
+				 ///< for a grant; 0: none
 	bool awaits_opening;     ///< in its service's queue
 	bool work_counted; ///< the prompt is counted in the service's load
 	uint32_t n_sent;   ///< attempts sent so far
@@ -287,6 +288,8 @@
 enum gateway_quota gateway_quota_take(struct gateway_request *q);
 void gateway_quota_on_timeout(struct gateway_request *q);
 void gateway_quota_on_answer(struct gateway *g, const struct wire_bytes *bytes);
+void gateway_quota_on_leader(struct gateway *g);
+void gateway_quota_forget(struct gateway_request *q);
 
 /// Room for gateway_parts_text(): a 64-bit number in hexadecimal and a comma
 /// for each part.
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -345,6 +345,7 @@
 		    LOGGER_INFO, "control.leader", "slot=%u", sender_slot);
 		g->leader = sender_slot;
 		gateway_crashes_on_leader(g);
+		gateway_quota_on_leader(g);
 		forget_sent_limits(g);
 	}
 	if (h != NULL && !h->told_parts) {
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -59,6 +59,7 @@
 	const gint64 key = (gint64)q->original_caller;
 
 	gateway_openq_remove(q);
+	gateway_quota_forget(q);
 	(void)g_hash_table_remove(g->by_caller, &key);
 	timerq_timer_free(q->timer);
 	api_headers_free(q->headers);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -96,8 +96,6 @@
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	h->gateways = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, hub_gateway_free);
-	h->quota_buckets =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->limits =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->load_by_service =
@@ -116,6 +114,7 @@
 	    metrics_counter(registry, "ac_orders_invalid_total", "");
 	h->ack_latency = metrics_hist(registry, "ac_order_ack_seconds", "");
 	hub_fleet_start(h);
+	hub_grants_start(h);
 	hub_servers_start(h);
 	hub_feed_start(h);
 	if (status == STATUS_OK)
@@ -179,13 +178,13 @@
 	timerq_timer_free(h->shutdown_timer);
 	g_hash_table_destroy(h->peers);
 	g_hash_table_destroy(h->gateways);
-	g_hash_table_destroy(h->quota_buckets);
 	g_hash_table_destroy(h->limits);
 	g_hash_table_destroy(h->load_by_service);
 	g_hash_table_destroy(h->sizing_by_service);
 	g_hash_table_destroy(h->scale_orders);
 	listdiff_free(h->list);
 	hub_feed_stop(h);
+	hub_grants_stop(h);
 	hub_fleet_stop(h);
 	crashlog_free(h->crashlog);
 	g_array_unref(h->asked_parts);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -81,8 +81,7 @@
 	GHashTable *peers; ///< slot -> struct hub_peer
 	GHashTable *gateways;      ///< name -> struct hub_gateway
 	struct hub_fleet *fleet;   ///< figures over all of them
-	GHashTable *quota_buckets; ///< customer -> struct quota_bucket; kept by
-				   ///< the leader
+	struct hub_quotas *quotas; ///< kept by the leader (hub_quota.h)
 	struct timerq_timer *tick;
 	struct timerq_timer *push;       ///< the state has changed for gateways
 	struct timerq_timer *push_slice; ///< sends it to some of them
@@ -181,10 +180,15 @@
 void hub_quota_start(struct hub *h);
 void hub_quota_on_report(
     struct hub *h, struct hub_gateway *g, const GArray *quotas);
-void hub_quota_on_ask(
-    struct hub *h, handle_t link, const struct wire_bytes *bytes);
 void hub_quota_fill(struct hub *h, const struct hub_gateway *g, GArray *quotas);
 
+/// hub_grants.c: gateways' asks for grants of customers' quotas (leader)
+void hub_grants_start(struct hub *h);
+void hub_grants_stop(struct hub *h);
+void hub_grants_on_ask(
+    struct hub *h, handle_t link, const struct wire_bytes *bytes);
+void hub_grants_on_link_down(struct hub *h, handle_t link);
+
 /// hub_rollout.c: rollouts of services' versions (leader)
 void hub_rollout_reset(struct hub *h);
 void hub_rollout_tick(struct hub *h, uint64_t now_us);
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -281,7 +281,7 @@
 		break;
 	case WIRE_QUOTA_ASK:
 		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
-			hub_quota_on_ask(h, link, &msg->payload);
+			hub_grants_on_ask(h, link, &msg->payload);
 		break;
 	case WIRE_ROLLOUT_STATS:
 		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
@@ -322,6 +322,7 @@
 
 	logger_event(LOGGER_INFO, "link.down", "peer=%s", hello->node);
 	hub_feed_on_link_down(h, link, hello);
+	hub_grants_on_link_down(h, link);
 	if (hello->role != WIRE_ROLE_CONTROL)
 		return;
 	p = hub_peer(h, hello->id);
--- a/src/hub/hub_quota.c
+++ b/src/hub/hub_quota.c
@@ -1,10 +1,7 @@
-#include "hub/hub_internal.h"
+#include "hub/hub_quota.h"
 
-#include <stdlib.h>
 #include <string.h>
 
-#include "fleet/quota.h"
-
 /// A customer's entry in a report.
 ///
 /// @param likely  where it is in most cases: reports have the order of the
@@ -22,20 +19,22 @@
 	return NULL;
 }
 
-/// A customer's bucket; the first call adds a full one.
-static struct quota_bucket *
-bucket_of(struct hub *h, const struct fleetcfg_customer *c)
+/// A customer's quota; the first call adds one with a full bucket.
+struct hub_quota *
+hub_quota_of(struct hub *h, const struct fleetcfg_customer *c)
 {
-	struct quota_bucket *p = g_hash_table_lookup(h->quota_buckets, c->name);
+	GHashTable *all = h->quotas->by_customer;
+	struct hub_quota *q = g_hash_table_lookup(all, c->name);
 	const struct quota_limit limit =
 	    fleetcfg_quota_limit(c, &h->settings.bounds);
 
-	if (p != NULL)
-		return p;
-	p = g_new0(struct quota_bucket, 1);
-	quota_bucket_init(p, &limit, loop_now_us(h->loop));
-	(void)g_hash_table_insert(h->quota_buckets, g_strdup(c->name), p);
-	return p;
+	if (q != NULL)
+		return q;
+	q = g_new0(struct hub_quota, 1);
+	q->queue = quota_queue_new();
+	quota_bucket_init(&q->bucket, &limit, loop_now_us(h->loop));
+	(void)g_hash_table_insert(all, g_strdup(c->name), q);
+	return q;
 }
 
 /// Sets a bucket to the level that a gateway received from an earlier leader,
@@ -46,7 +45,7 @@
 {
 	const struct quota_limit limit =
 	    fleetcfg_quota_limit(c, &h->settings.bounds);
-	struct quota_bucket *p = bucket_of(h, c);
+	struct quota_bucket *p = &hub_quota_of(h, c)->bucket;
 
 	quota_bucket_set_level(p, (double)q->level);
 	quota_bucket_spend(p, &limit, loop_now_us(h->loop),
@@ -61,7 +60,7 @@
 	GHashTableIter it;
 	gpointer value;
 
-	g_hash_table_remove_all(h->quota_buckets);
+	g_hash_table_remove_all(h->quotas->by_customer);
 	g_hash_table_iter_init(&it, h->gateways);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct hub_gateway *g = value;
@@ -101,7 +100,9 @@
 		const struct hubmsg_quota *last =
 		    find_quota(g->quotas, q->customer, i);
 		const uint64_t before = last != NULL ? last->spent : 0;
+		struct quota_bucket *bucket;
 		struct quota_limit limit;
+		bool was_pressed;
 		double spent;
 
 		if (c == NULL || c->rate_per_s <= 0)
@@ -112,8 +113,12 @@
 		}
 		limit = fleetcfg_quota_limit(c, &h->settings.bounds);
 		spent = (double)(q->spent - MIN(before, q->spent));
-		quota_bucket_want(bucket_of(h, c), now, spent);
-		quota_bucket_spend(bucket_of(h, c), &limit, now, spent);
+		bucket = &hub_quota_of(h, c)->bucket;
+		was_pressed = quota_bucket_is_pressed(bucket, &limit);
+		quota_bucket_want(bucket, now, spent);
+		quota_bucket_spend(bucket, &limit, now, spent);
+		if (!was_pressed && quota_bucket_is_pressed(bucket, &limit))
+			timerq_arm_in(h->push, 0);
 	}
 	g->quotas_counted = true;
 }
@@ -140,7 +145,7 @@
 
 		if (c->rate_per_s <= 0)
 			continue;
-		p = bucket_of(h, c);
+		p = &hub_quota_of(h, c)->bucket;
 		quota_bucket_set_share(p, &limit, now, share);
 		out.spent = (uint64_t)p->demand_per_s;
 		(void)g_strlcpy(out.customer, c->name, sizeof(out.customer));
@@ -149,47 +154,3 @@
 		g_array_append_val(quotas, out);
 	}
 }
-
-/// Answers a gateway's ask for a grant. A process that isn't the leader doesn't
-/// answer; the gateway then decides by itself.
-void
-hub_quota_on_ask(struct hub *h, handle_t link, const struct wire_bytes *bytes)
-{
-	struct wire_msg msg = { .kind = WIRE_QUOTA_ANSWER };
-	const uint64_t now = loop_now_us(h->loop);
-	const struct fleetcfg_customer *c = NULL;
-	struct hubmsg_answer answer = { .granted = true };
-	struct hubmsg_ask ask;
-	uint8_t *encoded;
-
-	if (hubmsg_ask_decode(bytes->data, bytes->len, &ask) != STATUS_OK) {
-		logger_event(LOGGER_WARN, "quota.unreadable", "reason=\"%s\"",
-		    status_last());
-		return;
-	}
-	if (!hub_is_leader(h) || h->config == NULL)
-		return;
-	c = fleetcfg_find_customer(h->config, ask.customer);
-	if (c != NULL && c->rate_per_s > 0) {
-		const struct quota_limit limit =
-		    fleetcfg_quota_limit(c, &h->settings.bounds);
-		struct quota_bucket *p = bucket_of(h, c);
-		const bool was_pressed = quota_bucket_is_pressed(p, &limit);
-		struct quota_result result;
-
-		quota_bucket_want(p, now, (double)ask.refused);
-		result = quota_bucket_ask(p, &limit, now, (double)ask.units);
-		if (!was_pressed && quota_bucket_is_pressed(p, &limit))
-			timerq_arm_in(h->push, 0);
-		answer.granted = result.outcome == QUOTA_GRANTED;
-		answer.wait_us = result.wait_us;
-		answer.level = (int64_t)p->level;
-		answer.demand_per_s = (uint64_t)p->demand_per_s;
-	}
-	answer.tag = ask.tag;
-	(void)g_strlcpy(answer.customer, ask.customer, sizeof(answer.customer));
-	hubmsg_answer_encode(&answer, &encoded, &msg.payload.len);
-	msg.payload.data = encoded;
-	(void)transport_send(h->links, link, &msg);
-	free(encoded);
-}
--- a/test/unit/fleet/test_hubmsg.cc
+++ b/test/unit/fleet/test_hubmsg.cc
@@ -111,3 +111,57 @@
 }
 
 } // namespace
+
+/// Older gateways and hubs send neither how long a request can wait nor whether
+/// it does.
+TEST(Messages, AnAskOfAnOlderGatewayIsUnderstood)
+{
+	struct hubmsg_ask with = {};
+	struct hubmsg_ask without;
+	struct hubmsg_ask out;
+	uint8_t *bytes;
+	size_t len;
+
+	with.units = 900;
+	with.can_wait = true;
+	with.wait_us = 400000;
+	with.kind = HUBMSG_ASK_WITHDRAW;
+	hubmsg_ask_encode(&with, &bytes, &len);
+	ASSERT_EQ(hubmsg_ask_decode(bytes, len, &out), STATUS_OK);
+	EXPECT_TRUE(out.can_wait);
+	EXPECT_EQ(out.wait_us, 400000U);
+	EXPECT_EQ(out.kind, HUBMSG_ASK_WITHDRAW);
+	EXPECT_NE(hubmsg_ask_decode(bytes, len - 1, &out), STATUS_OK);
+	free(bytes);
+	without = with;
+	without.can_wait = false;
+	hubmsg_ask_encode(&without, &bytes, &len);
+	ASSERT_EQ(hubmsg_ask_decode(bytes, len, &out), STATUS_OK);
+	EXPECT_FALSE(out.can_wait);
+	EXPECT_EQ(out.units, 900U);
+	free(bytes);
+}
+
+TEST(Messages, AnAnswerWithoutAQueueIsUnderstood)
+{
+	struct hubmsg_answer a = {};
+	struct hubmsg_answer out;
+	uint8_t *bytes;
+	size_t len;
+
+	a.level = -40;
+	a.has_queue = true;
+	a.queued = true;
+	a.room_us = 9;
+	hubmsg_answer_encode(&a, &bytes, &len);
+	ASSERT_EQ(hubmsg_answer_decode(bytes, len, &out), STATUS_OK);
+	EXPECT_TRUE(out.queued);
+	EXPECT_EQ(out.room_us, 9U);
+	free(bytes);
+	a.has_queue = false;
+	hubmsg_answer_encode(&a, &bytes, &len);
+	ASSERT_EQ(hubmsg_answer_decode(bytes, len, &out), STATUS_OK);
+	EXPECT_FALSE(out.queued);
+	EXPECT_EQ(out.level, -40);
+	free(bytes);
+}
--- a/test/unit/fleet/test_quota_fleet.cc
+++ b/test/unit/fleet/test_quota_fleet.cc
@@ -175,11 +175,16 @@
 	{
 		for (auto &c : customers) {
 			struct quota_view &v = c.views[i];
+			const bool was_pressed =
+			    quota_bucket_is_pressed(&c.bucket, &c.limit);
 
 			if (!counted[i]) {
 				quota_bucket_set_level(&c.bucket, v.level);
 				quota_bucket_spend(&c.bucket, &c.limit, now,
 				    (double)(v.spent - v.acked_spent));
+				quota_bucket_settle(&c.bucket, &c.limit, now,
+				    (double)quota_view_settle(&v),
+				    now - v.level_received_us, n_gateways);
 			} else {
 				quota_bucket_want(&c.bucket, now,
 				    (double)(v.spent - c.reported[i]));
@@ -191,6 +196,9 @@
 			    &c.bucket, &c.limit, now, contact_share());
 			quota_view_update(&v, now, c.bucket.level,
 			    c.bucket.demand_per_s, v.spent);
+			if (!was_pressed &&
+			    quota_bucket_is_pressed(&c.bucket, &c.limit))
+				push(c);
 		}
 		counted[i] = true;
 	}
@@ -391,3 +399,36 @@
 	f.run(10 * S);
 	EXPECT_LE(c.worst, 1.0);
 }
+
+/// A burst of six times the usual begins a moment before the leader is lost, or
+/// after: gateways know a demand from the burst's first moments, or none.
+TEST(QuotaFleet, BoundedAndServedWhenABurstMeetsALostLeader)
+{
+	for (const unsigned n : { 70u, 300u }) {
+		double owed = 0;
+		double refused = 0;
+
+		for (uint64_t seed = 1; seed <= 24; seed++) {
+			Fleet f(seed, n);
+			Customer &c = f.customers[0];
+
+			c.rate = seed % 2 == 0 ? 1100000 : 400000;
+			c.limit.rate_per_s = c.limit.burst = c.rate;
+			c.load = seed % 4 < 2 ? 0.6 : 0.95;
+			quota_bucket_init(&c.bucket, &c.limit, f.now);
+			f.run(8 * S);
+			c.load = 3.6;
+			f.run((seed % 8) * 100 * MS);
+			f.lost = true;
+			f.run((8 + seed % 12) * 100 * MS);
+			f.new_leader();
+			f.run(9 * S);
+			expect_bounded(f, seed);
+			for (unsigned i = 1; i < 40; i++) {
+				owed += f.customers[i].owed;
+				refused += f.customers[i].refused;
+			}
+		}
+		EXPECT_LE(refused / owed, 0.02) << "gateways " << n;
+	}
+}
