Cold servers get what they bear from all gateways together

Cause: a service may say that its servers are cold after a start and take few requests a second then; nothing acted on cold_start_s, cold_per_s, the list's cold_left_ms or the health header, and a server that came back was sent to, and preferred for shared prompts, at once.

Ruled out: a fixed part of the bound for each gateway (a third of a request a second), and asking the leader for each request.

Change: gateways that know of a cold server share what it takes by the turns that exist for limits, half a second long; the list tells when the cold time ends, a gateway that couldn't reach a server asks for its health once it does and tells the others through the leader, a data centre that is opened again is presumed cold.

--- a/src/conf/bootstrap.c
+++ b/src/conf/bootstrap.c
@@ -58,6 +58,8 @@
 	REAL("canary_share", bounds.canary_share, 0.001, 1, 0.1),
 	REAL("canary_slack", bounds.canary_slack, 0, 1e6, 50),
 	REAL("take_back_ms", bounds.rollback_ms, 100, 600000, 5000),
+	REAL("cold_over", bounds.cold_over, 0, 100, 1.5),
+	REAL("cold_slack", bounds.cold_slack, 0, 1e6, 5),
 	REAL("pass_ms", bounds.event_relay_ms, 1, 60000, 120),
 	{ .key = NULL },
 };
--- a/src/conf/bootstrap.h
+++ b/src/conf/bootstrap.h
@@ -43,6 +43,9 @@
 	double canary_share; ///< limit on a faulty version's share of requests
 	double canary_slack; ///< responses of it allowed beyond that
 	double rollback_ms;  ///< from the 50th failed response to the rollback
+	double cold_over;    ///< a cold server's requests per second over what
+			     ///< its service says that it takes
+	double cold_slack;   ///< requests allowed beyond that in a second
 	double event_relay_ms; ///< until an event of a stream is relayed
 };
 
--- a/src/fleet/fleetcfg.h
+++ b/src/fleet/fleetcfg.h
@@ -60,6 +60,9 @@
 	char name[FLEETCFG_NAME_BYTES];
 	char health_path[FLEETCFG_NAME_BYTES * 2];
 	uint32_t max_connections; ///< to one server, from all entries
+	double
+	    cold_start_s;  ///< a server is cold so long after a start; 0: never
+	double cold_per_s; ///< requests that a cold server takes per second
 	struct fleetcfg_engine engine;
 	struct fleetcfg_scaling scaling;
 };
--- a/src/fleet/hubmsg.c
+++ b/src/fleet/hubmsg.c
@@ -269,6 +269,7 @@
 	codec_u32(m, &s->instance.slots);
 	codec_bool(m, &s->instance.draining);
 	codec_bool(m, &s->instance.spot);
+	codec_u64(m, &s->instance.cold_until_ms);
 }
 
 /// Encodes or decodes the server list or its changes.
--- a/src/fleet/instance.h
+++ b/src/fleet/instance.h
@@ -21,8 +21,20 @@
 	uint32_t slots; ///< requests that it works on at a time
 	bool draining;  ///< takes no new work
 	bool spot; ///< may be reclaimed, with all others of its data centre
-	/// Time left in which it is slow after its start.
-	uint32_t warmup_left_ms;
+	/// Time left in which it is cold, when the list was read.
+	uint32_t cold_left_ms;
+	/// When that ends, in milliseconds since 1970; 0: it isn't cold.
+	uint64_t cold_until_ms;
 };
 
+/// Sets the end of a server's cold time from the time left.
+///
+/// @param now_us  since 1970
+static inline void
+instance_set_cold_end(struct instance *s, uint64_t now_us)
+{
+	s->cold_until_ms =
+	    s->cold_left_ms == 0 ? 0 : now_us / 1000 + s->cold_left_ms;
+}
+
 #endif
--- a/src/fleet/limitmsg.c
+++ b/src/fleet/limitmsg.c
@@ -17,14 +17,16 @@
 	*m = (struct limitmsg){
 		.limits =
 		    g_array_new(FALSE, TRUE, sizeof(struct limitmsg_limit)),
+		.colds = g_array_new(FALSE, TRUE, sizeof(struct limitmsg_cold)),
 	};
 }
 
-/// Releases a message's array.
+/// Releases a message's arrays.
 void
 limitmsg_clear(struct limitmsg *m)
 {
 	g_array_unref(m->limits);
+	g_array_unref(m->colds);
 }
 
 /// Appends a server's limit.
@@ -42,6 +44,16 @@
 	g_array_append_val(m->limits, limit);
 }
 
+/// Appends a cold server.
+void
+limitmsg_add_cold(struct limitmsg *m, const char *server, uint32_t left_ms)
+{
+	struct limitmsg_cold cold = { .left_ms = left_ms };
+
+	(void)g_strlcpy(cold.server, server, sizeof(cold.server));
+	g_array_append_val(m->colds, cold);
+}
+
 /// Requests per second of a limit; 0: it has ended.
 double
 limitmsg_per_s(const struct limitmsg_limit *limit)
@@ -49,6 +61,29 @@
 	return limit->limited ? (double)limit->milli_per_s / MILLI : 0;
 }
 
+/// The part that older processes don't send.
+static void
+code_colds(struct codec *c, struct limitmsg *m)
+{
+	uint32_t n = m->colds->len;
+
+	if (!codec_is_writer(c) && codec_at_end(c))
+		return;
+	codec_u32(c, &n);
+	if (n > MAX_LIMITS) {
+		codec_fail(c);
+		return;
+	}
+	g_array_set_size(m->colds, n);
+	for (uint32_t i = 0; i < n; i++) {
+		struct limitmsg_cold *cold =
+		    &g_array_index(m->colds, struct limitmsg_cold, i);
+
+		codec_str(c, cold->server, sizeof(cold->server));
+		codec_u32(c, &cold->left_ms);
+	}
+}
+
 static void
 code_message(struct codec *c, struct limitmsg *m)
 {
@@ -71,6 +106,7 @@
 		codec_u64(c, &limit->milli_per_s);
 		codec_bool(c, &limit->limited);
 	}
+	code_colds(c, m);
 }
 
 /// Encodes a message.
--- a/src/fleet/limitmsg.h
+++ b/src/fleet/limitmsg.h
@@ -6,10 +6,11 @@
 #include "fleet/fleetcfg.h"
 
 /// Message, in both directions, about the limits that backend servers
-/// advertise. A gateway tells the leader of each change in the responses of a
-/// server, and a new leader of all limits that it knows; a new leader's
-/// response has all that it knows. The leader passes changes on to all other
-/// gateways, and gives each of them its number for the turns (route/turns.h).
+/// advertise, and how long servers are cold. A gateway tells the leader of each
+/// change in the responses of a server, and a new leader of all limits that it
+/// knows; a new leader's response has all that it knows. The leader passes
+/// changes on to all other gateways, and gives each of them its number for the
+/// turns (route/turns.h).
 
 struct limitmsg_limit {
 	char server[FLEETCFG_NAME_BYTES];
@@ -17,16 +18,25 @@
 	bool limited;         ///< false: the limit has ended
 };
 
+/// A server that is cold.
+struct limitmsg_cold {
+	char server[FLEETCFG_NAME_BYTES];
+	uint32_t left_ms; ///< when the message was sent
+};
+
 struct limitmsg {
 	bool whole;      ///< all limits that the sender knows
 	uint32_t number; ///< of the gateway that gets it, from 0
 	uint32_t n;      ///< numbered gateways; 0: `number` isn't given
 	GArray *limits;  ///< struct limitmsg_limit
+	GArray *colds;   ///< struct limitmsg_cold; older senders give none
 };
 
 void limitmsg_init(struct limitmsg *m);
 void limitmsg_clear(struct limitmsg *m);
 void limitmsg_add(struct limitmsg *m, const char *server, double per_s);
+void limitmsg_add_cold(
+    struct limitmsg *m, const char *server, uint32_t left_ms);
 double limitmsg_per_s(const struct limitmsg_limit *limit);
 void limitmsg_encode(const struct limitmsg *m, uint8_t **bytes, size_t *len);
 enum status limitmsg_decode(
--- a/src/fleet/listdiff.c
+++ b/src/fleet/listdiff.c
@@ -67,6 +67,20 @@
 	g_hash_table_remove_all(d->encoded);
 }
 
+/// Readings of one cold time differ by the age of the platform's figures.
+#define COLD_TOLERANCE_MS 1000
+
+/// Whether a server's cold time is the one that was told. An entry that isn't
+/// cold says nothing new: the end that was told passes by itself.
+static bool
+is_same_cold(const struct instance *now, const struct instance *told)
+{
+	const uint64_t a = now->cold_until_ms;
+	const uint64_t b = told->cold_until_ms;
+
+	return a == 0 || MAX(a, b) - MIN(a, b) <= COLD_TOLERANCE_MS;
+}
+
 static bool
 is_same(const struct instance *a, const struct instance *b)
 {
@@ -75,7 +89,7 @@
 	    strcmp(a->version, b->version) == 0 &&
 	    strcmp(a->host, b->host) == 0 && a->port == b->port &&
 	    a->slots == b->slots && a->draining == b->draining &&
-	    a->spot == b->spot;
+	    a->spot == b->spot && is_same_cold(a, b);
 }
 
 static GHashTable *
@@ -110,6 +124,22 @@
 	}
 }
 
+/// Keeps the ends of cold times that were told, where a reading shows nothing
+/// else.
+static void
+keep_cold_ends(GArray *servers, GHashTable *before)
+{
+	for (guint i = 0; i < servers->len; i++) {
+		struct instance *s =
+		    &g_array_index(servers, struct instance, i);
+		const struct instance *told =
+		    g_hash_table_lookup(before, s->id);
+
+		if (told != NULL && is_same_cold(s, told))
+			s->cold_until_ms = told->cold_until_ms;
+	}
+}
+
 /// Sets the list as it was just read.
 ///
 /// @param servers         struct instance; copied
@@ -121,16 +151,18 @@
 	GArray *changes =
 	    g_array_new(FALSE, TRUE, sizeof(struct hubmsg_server));
 	GHashTable *before = index_servers(d->servers);
-	GHashTable *now = index_servers(servers);
+	GArray *kept = g_array_copy((GArray *)servers);
+	GHashTable *now = index_servers(kept);
 	bool changed;
 
-	add_changes(changes, servers, before, false);
+	keep_cold_ends(kept, before);
+	add_changes(changes, kept, before, false);
 	add_changes(changes, d->servers, now, true);
 	g_hash_table_destroy(before);
 	g_hash_table_destroy(now);
 	changed = changes->len > 0 || d->revision == 0;
 	g_array_unref(d->servers);
-	d->servers = g_array_copy((GArray *)servers);
+	d->servers = kept;
 	if (!changed) {
 		g_array_unref(changes);
 		return false;
--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -132,6 +132,7 @@
 		crash_free(crash);
 		return;
 	}
+	gateway_cold_on_unreachable(g, crash->report.server);
 	g->n_server_crashes->value++;
 	logger_event(LOGGER_INFO, "server.crashed",
 	    "server=%s service=%s parts=%u", crash->report.server,
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -16,6 +16,7 @@
 #include "fleet/partlog.h"
 #include "fleet/quota.h"
 #include "fleet/instance.h"
+#include "fleet/limitmsg.h"
 #include "front/httpd.h"
 #include "gateway/gateway.h"
 #include "platform/api_request.h"
@@ -49,10 +50,11 @@
 	uint64_t n_reports;  ///< load reports in its responses
 	double limit_per_s; ///< requests that it takes from all gateways; 0: no
 			    ///< limit
-	uint64_t limit_since_us; ///< when that became known here
-	bool signalled_leaving;  ///< in a response since its last start
-	uint64_t incarnation;    ///< starts under this id, as known here
-	uint64_t next_check_us;  ///< whether it still leaves
+	uint64_t limit_since_us;   ///< when that became known here
+	bool signalled_leaving;    ///< in a response since its last start
+	uint64_t incarnation;      ///< starts under this id, as known here
+	uint64_t next_check_us;    ///< whether it still leaves
+	bool cold_check_in_flight; ///< whether it is cold
 	bool malformed_logged[API_N_SIGNALS];
 };
 
@@ -340,6 +342,18 @@
 void gateway_limits_on_response(struct gateway *g, struct gateway_server *s,
     const struct gateway_server_response *h);
 
+void gateway_limits_send_to_leader(struct gateway *g, const struct limitmsg *m);
+
+/// gateway_cold.c: servers that take few requests after a start
+void gateway_cold_on_config(struct gateway *g);
+void gateway_cold_on_listed(struct gateway *g, struct gateway_server *s);
+void gateway_cold_on_health(
+    struct gateway *g, struct gateway_server *s, uint32_t left_ms);
+void gateway_cold_on_response(struct gateway *g, struct gateway_server *s);
+void gateway_cold_on_unreachable(struct gateway *g, const char *server);
+void gateway_cold_fill(const struct gateway *g, struct limitmsg *m);
+void gateway_cold_on_message(struct gateway *g, const struct limitmsg *m);
+
 /// gateway_leaving.c: servers that leave, and come back under the same id
 void gateway_leaving_tick(struct gateway *g, uint64_t now_us);
 
--- a/src/gateway/gateway_leaving.c
+++ b/src/gateway/gateway_leaving.c
@@ -46,6 +46,7 @@
 		    !response.signals.malformed[API_SIGNAL_LEAVING]) {
 			on_restarted(s);
 			gateway_servers_refresh(g, s);
+			gateway_cold_on_health(g, s, response.cold_ms);
 		}
 	}
 	g_free(check);
--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -2,8 +2,6 @@
 
 #include <stdlib.h>
 
-#include "fleet/limitmsg.h"
-
 /// Limits of requests per second that servers advertise, and this gateway's
 /// part of them.
 
@@ -40,19 +38,26 @@
 	free(bytes);
 }
 
+/// Sends the leader a message, if it takes such messages.
+void
+gateway_limits_send_to_leader(struct gateway *g, const struct limitmsg *m)
+{
+	const struct gateway_hub *leader =
+	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->leader));
+
+	if (leader != NULL && leader->acks_limits)
+		send_message(g, leader->link, m);
+}
+
 /// Sends the leader a limit that a server has just advertised or lifted.
 static void
 send_limit(struct gateway *g, const struct gateway_server *s)
 {
-	const struct gateway_hub *leader =
-	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->leader));
 	struct limitmsg m;
 
-	if (leader == NULL || !leader->acks_limits)
-		return;
 	limitmsg_init(&m);
 	limitmsg_add(&m, s->instance.id, s->limit_per_s);
-	send_message(g, leader->link, &m);
+	gateway_limits_send_to_leader(g, &m);
 	limitmsg_clear(&m);
 }
 
@@ -74,6 +79,7 @@
 		if (s->limit_per_s > 0)
 			limitmsg_add(&m, s->instance.id, s->limit_per_s);
 	}
+	gateway_cold_fill(g, &m);
 	send_message(g, link, &m);
 	limitmsg_clear(&m);
 }
@@ -116,6 +122,7 @@
 		if (s != NULL)
 			set_limit(g, s, limitmsg_per_s(limit), "control");
 	}
+	gateway_cold_on_message(g, &m);
 	limitmsg_clear(&m);
 }
 
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -500,6 +500,8 @@
 	}
 	if (result->verdict != VERDICT_NOT_RUN)
 		gateway_crashes_on_lost(q);
+	else
+		gateway_cold_on_unreachable(q->gateway, q->server);
 	attempt_failed(
 	    q, BALANCER_FAILED, result->verdict, failure_reason(result));
 }
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -53,6 +53,7 @@
 	if (handle != s->balancer_handle && s->limit_per_s > 0)
 		balancer_set_limit(g->balancer, now_us, handle, s->limit_per_s);
 	s->balancer_handle = handle;
+	gateway_cold_on_listed(g, s);
 	if (s->instance.draining || s->signalled_leaving)
 		balancer_set_draining(g->balancer, now_us, handle,
 		    s->instance.draining ? BALANCER_BY_LIST
@@ -138,7 +139,7 @@
 
 /// This gateway has read the list from the platform.
 static void
-on_list(void *arg, const GArray *servers, uint32_t pages)
+on_list(void *arg, GArray *servers, uint32_t pages)
 {
 	struct gateway *g = arg;
 	const uint64_t now = loop_now_us(g->loop);
@@ -149,9 +150,13 @@
 	g->list_source = 0;
 	g->list_revision = 0;
 	g->list_round++;
-	for (guint i = 0; i < servers->len; i++)
-		update_server(
-		    g, &g_array_index(servers, struct instance, i), now);
+	for (guint i = 0; i < servers->len; i++) {
+		struct instance *s =
+		    &g_array_index(servers, struct instance, i);
+
+		instance_set_cold_end(s, gateway_wall_clock_us(g));
+		update_server(g, s, now);
+	}
 	remove_unlisted(g);
 	if (g->list_fresh_us == 0)
 		logger_event(
--- a/src/gateway/gateway_signals.c
+++ b/src/gateway/gateway_signals.c
@@ -80,6 +80,10 @@
 			g->n_signals[i]->value++;
 	}
 	gateway_limits_on_response(g, s, &h);
+	if (response->has_cold)
+		gateway_cold_on_health(g, s, response->cold_ms);
+	else if (response->stamped)
+		gateway_cold_on_response(g, s);
 	if (signals->leaving)
 		on_leaving(g, s);
 	if ((http_status == 503 || http_status == 429) &&
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -98,6 +98,8 @@
 	    g_str_hash, g_str_equal, NULL, hub_gateway_free);
 	h->quota_buckets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	h->colds =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->limits =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->load_by_service =
@@ -181,6 +183,7 @@
 	g_hash_table_destroy(h->gateways);
 	g_hash_table_destroy(h->quota_buckets);
 	g_hash_table_destroy(h->limits);
+	g_hash_table_destroy(h->colds);
 	g_hash_table_destroy(h->load_by_service);
 	g_hash_table_destroy(h->sizing_by_service);
 	g_hash_table_destroy(h->scale_orders);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -143,6 +143,7 @@
 
 	/// Limits that servers advertise (hub_limits.c).
 	GHashTable *limits; ///< server's id -> double, requests per second
+	GHashTable *colds;  ///< server's id -> uint64_t, when it isn't cold
 	uint64_t next_numbers_us;
 
 	struct metrics_value *n_operator_requests;
--- a/src/hub/hub_limits.c
+++ b/src/hub/hub_limits.c
@@ -8,6 +8,8 @@
 /// A new leader gives out numbers after this time, when all live gateways have
 /// reported to it: until then they keep those of the last leader.
 #define HUB_LIMITS_SETTLE_US (2 * USEC_PER_SEC)
+/// An end of a cold time that is later than known by less isn't passed on.
+#define HUB_COLD_NEWS_US (300 * USEC_PER_MSEC)
 /// Gateways report this often, and so are known to be live.
 #define HUB_LIMITS_NUMBER_US (400 * USEC_PER_MSEC)
 
@@ -33,6 +35,7 @@
 	gpointer value;
 
 	g_hash_table_remove_all(h->limits);
+	g_hash_table_remove_all(h->colds);
 	h->next_numbers_us = loop_now_us(h->loop) + HUB_LIMITS_SETTLE_US;
 	g_hash_table_iter_init(&it, h->gateways);
 	while (g_hash_table_iter_next(&it, NULL, &value))
@@ -59,17 +62,62 @@
 	}
 }
 
+/// Records the cold servers in a message, and drops those that are known
+/// already.
+static void
+apply_colds(struct hub *h, struct limitmsg *m)
+{
+	const uint64_t now = loop_now_us(h->loop);
+	guint n = 0;
+
+	for (guint i = 0; i < m->colds->len; i++) {
+		const struct limitmsg_cold c =
+		    g_array_index(m->colds, struct limitmsg_cold, i);
+		const uint64_t until_us = now + c.left_ms * USEC_PER_MSEC;
+		const uint64_t *known = g_hash_table_lookup(h->colds, c.server);
+
+		if (known != NULL && until_us < *known + HUB_COLD_NEWS_US)
+			continue;
+		(void)g_hash_table_insert(h->colds, g_strdup(c.server),
+		    g_memdup2(&until_us, sizeof(until_us)));
+		g_array_index(m->colds, struct limitmsg_cold, n++) = c;
+	}
+	g_array_set_size(m->colds, n);
+}
+
+/// Adds the servers that are cold to a message.
+static void
+fill_colds(const struct hub *h, struct limitmsg *m)
+{
+	const uint64_t now = loop_now_us(h->loop);
+	GHashTableIter it;
+	gpointer server;
+	gpointer until_us;
+
+	g_hash_table_iter_init(&it, h->colds);
+	while (g_hash_table_iter_next(&it, &server, &until_us)) {
+		const uint64_t left_ms =
+		    timerq_ms_since(*(const uint64_t *)until_us, now);
+
+		if (left_ms > 0)
+			limitmsg_add_cold(m, server, (uint32_t)left_ms);
+	}
+}
+
 /// Sends the changes in a message to all other gateways.
 static void
 pass_on(struct hub *h, const struct hub_gateway *from, const struct limitmsg *m)
 {
-	const struct limitmsg changes = { .limits = m->limits };
+	const struct limitmsg changes = {
+		.limits = m->limits,
+		.colds = m->colds,
+	};
+	const bool any = m->limits->len > 0 || m->colds->len > 0;
 	GHashTableIter it;
 	gpointer value;
 
 	g_hash_table_iter_init(&it, h->gateways);
-	while (
-	    m->limits->len > 0 && g_hash_table_iter_next(&it, NULL, &value)) {
+	while (any && g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct hub_gateway *g = value;
 
 		if (g != from && g->knows_limits && hub_gateway_is_alive(h, g))
@@ -93,6 +141,7 @@
 	g_hash_table_iter_init(&it, h->limits);
 	while (g_hash_table_iter_next(&it, &server, &per_s))
 		limitmsg_add(&m, server, *(const double *)per_s);
+	fill_colds(h, &m);
 	send_message(h, g, &m);
 	limitmsg_clear(&m);
 }
@@ -114,6 +163,7 @@
 		return;
 	}
 	apply(h, &m);
+	apply_colds(h, &m);
 	pass_on(h, g, &m);
 	g->knows_limits = true;
 	if (m.whole)
@@ -121,16 +171,26 @@
 	limitmsg_clear(&m);
 }
 
-/// Drops the limits of servers that the list doesn't show any more.
+static gboolean
+is_over(gpointer server, gpointer until_us, gpointer now)
+{
+	(void)server;
+	return *(const uint64_t *)until_us <= *(const uint64_t *)now;
+}
+
+/// Drops the limits of servers that the list doesn't show any more, and cold
+/// times that have passed.
 ///
 /// @param servers  struct instance
 void
 hub_limits_prune(struct hub *h, const GArray *servers)
 {
 	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	uint64_t now = loop_now_us(h->loop);
 	GHashTableIter it;
 	gpointer server;
 
+	(void)g_hash_table_foreach_remove(h->colds, is_over, &now);
 	for (guint i = 0; i < servers->len; i++)
 		(void)g_hash_table_add(
 		    listed, g_array_index(servers, struct instance, i).id);
--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -50,7 +50,7 @@
 }
 
 static void
-on_list(void *arg, const GArray *servers, uint32_t pages)
+on_list(void *arg, GArray *servers, uint32_t pages)
 {
 	struct hub *h = arg;
 
@@ -58,6 +58,10 @@
 	if (servers == NULL || h->list_asked_us <= h->list_fresh_us)
 		return;
 	h->list_is_leaders = false;
+	for (guint i = 0; i < servers->len; i++)
+		instance_set_cold_end(
+		    &g_array_index(servers, struct instance, i),
+		    hub_wall_clock_us(h));
 	hub_servers_set(h, servers, h->list_asked_us);
 }
 
--- a/src/platform/api_cloud.c
+++ b/src/platform/api_cloud.c
@@ -9,7 +9,7 @@
 #include "base/logger.h"
 #include "platform/api_names.h"
 
-#define MAX_WARMUP_MS 600000
+#define MAX_COLD_MS 600000
 
 static bool
 copy_text(const json_t *o, const char *key, char *out, size_t size)
@@ -44,7 +44,7 @@
 read_server(const json_t *o, struct instance *out)
 {
 	const json_t *slots = json_object_get(o, "slots");
-	const json_t *warmup = json_object_get(o, "cold_left_ms");
+	const json_t *cold = json_object_get(o, "cold_left_ms");
 
 	memset(out, 0, sizeof(*out));
 	if (!json_is_object(o) ||
@@ -60,9 +60,9 @@
 		return false;
 	out->slots = (uint32_t)json_integer_value(slots);
 	out->spot = json_is_true(json_object_get(o, "spot"));
-	if (json_is_number(warmup))
-		out->warmup_left_ms = (uint32_t)CLAMP(
-		    json_number_value(warmup), 0, MAX_WARMUP_MS);
+	if (json_is_number(cold))
+		out->cold_left_ms =
+		    (uint32_t)CLAMP(json_number_value(cold), 0, MAX_COLD_MS);
 	return true;
 }
 
--- a/src/platform/api_lister.h
+++ b/src/platform/api_lister.h
@@ -14,7 +14,7 @@
 /// @param servers  struct instance, valid until the next read starts; NULL: a
 ///                 page failed, which was logged
 /// @param pages    number of pages read
-typedef void (*api_lister_cb)(void *arg, const GArray *servers, uint32_t pages);
+typedef void (*api_lister_cb)(void *arg, GArray *servers, uint32_t pages);
 
 struct api_lister *api_lister_new(
     struct httpc *http, api_lister_cb on_done, void *arg);
--- a/src/platform/api_manifest.c
+++ b/src/platform/api_manifest.c
@@ -182,6 +182,9 @@
 	(void)g_strlcpy(s->health_path, health_path != NULL ? health_path : "",
 	    sizeof(s->health_path));
 	st = get_u32(p, "max_conns", false, 0, &s->max_connections);
+	st =
+	    first_failure(st, get_real(p, "cold_start_s", 0, &s->cold_start_s));
+	st = first_failure(st, get_real(p, "cold_per_s", 0, &s->cold_per_s));
 	st = first_failure(st, read_engine(p, &s->engine));
 	return first_failure(st, read_autoscale(p, &s->scaling));
 }
--- a/src/platform/api_names.h
+++ b/src/platform/api_names.h
@@ -30,7 +30,11 @@
 #define API_HDR_SERVER_STAMP "X-Acaciahinge-Server-Stamp"
 /// Present when the backend server didn't run the request.
 #define API_HDR_NOT_RUN "X-Acaciahinge-Not-Run"
-/// "RUNNING,WAITING,SLOTS": requests at the backend server and its slots.
+/// Milliseconds for which the backend server is still cold, in responses to
+/// requests for its health.
+#define API_HDR_COLD "X-Acaciahinge-Cold-Ms"
+/// "RUNNING,WAITING,SLOTS": requests at the backend server and its slots. Some
+/// add ",PACE": how long work takes there now, in percent of the usual time.
 #define API_HDR_SERVER_LOAD "X-Acaciahinge-Server-Load"
 /// Requests per second that the backend server takes from all senders together,
 /// a decimal number.
--- a/src/platform/api_request.c
+++ b/src/platform/api_request.c
@@ -190,15 +190,31 @@
 	api_request_settle_tokens(out);
 }
 
-/// Reads API_HDR_SERVER_LOAD: "RUNNING,WAITING,SLOTS".
+static const char *
+skip_spaces(const char *text)
+{
+	while (*text == ' ')
+		text++;
+	return text;
+}
+
+/// Reads API_HDR_SERVER_LOAD: "RUNNING,WAITING,SLOTS" and, from some servers,
+/// ",PACE". A pace that can't be read counts as not given.
 static void
 read_load(const char *value, struct api_response *out)
 {
 	char *end;
 
+	out->pace_percent = 0;
 	out->has_load = read_u32(value, &end, &out->running) && *end == ',' &&
-	    read_u32(end + 1, &end, &out->waiting) && *end == ',' &&
-	    read_u32(end + 1, &end, &out->slots);
+	    read_u32(skip_spaces(end + 1), &end, &out->waiting) &&
+	    *end == ',' && read_u32(skip_spaces(end + 1), &end, &out->slots);
+	if (!out->has_load || *end != ',')
+		return;
+	if (!read_u32(skip_spaces(end + 1), &end, &out->pace_percent) ||
+	    (*end != '\0' && *end != '.') ||
+	    out->pace_percent > API_MAX_PACE_PERCENT)
+		out->pace_percent = 0;
 }
 
 /// Reads one header into a struct api_response; other headers are ignored.
@@ -217,6 +233,8 @@
 		out->not_run = true;
 	else if (g_ascii_strcasecmp(name, API_HDR_SERVER_LOAD) == 0)
 		read_load(value, out);
+	else if (g_ascii_strcasecmp(name, API_HDR_COLD) == 0)
+		out->has_cold = read_ms(value, &out->cold_ms);
 	else if (g_ascii_strcasecmp(name, "Content-Encoding") == 0)
 		out->encoded = g_ascii_strcasecmp(value, "identity") != 0;
 	else
--- a/src/platform/api_request.h
+++ b/src/platform/api_request.h
@@ -20,6 +20,8 @@
 /// A larger number of tokens is read as this many: no server has as much
 /// memory.
 #define API_MAX_TOKENS (1U << 24)
+/// A larger figure is taken for an error.
+#define API_MAX_PACE_PERCENT 10000
 
 /// A part of a prompt. Prompts that begin with the same parts can share the KV
 /// cache of these.
@@ -59,6 +61,11 @@
 	uint32_t running; ///< requests
 	uint32_t waiting; ///< requests
 	uint32_t slots;
+	bool has_cold;    ///< the next one is set
+	uint32_t cold_ms; ///< time for which it is still cold
+	/// Time that work takes there now, in percent of the usual; 0: not
+	/// given.
+	uint32_t pace_percent;
 	struct api_signals signals;
 };
 
--- a/src/route/balancer.c
+++ b/src/route/balancer.c
@@ -151,8 +151,11 @@
 	struct balancer_dc *c = data_centre_of(r, name);
 
 	c->distance_us = distance_us;
-	if (c->by_note && !reclaiming)
+	if (c->by_note && !reclaiming) {
 		c->by_notice = false;
+		c->returned = true;
+		r->any_dc_returned = true;
+	}
 	c->by_note = reclaiming;
 }
 
@@ -510,6 +513,7 @@
 		.first_token_us = (uint64_t)p->ttft_us,
 		.limit_per_s = p->turns.per_s,
 		.paused_until_us = p->paused_until_us,
+		.cold_until_us = p->cold.until_us,
 		.failures = p->failures,
 		.blocks = prefix_index_count(r->index, p->slot),
 	};
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -191,6 +191,29 @@
 void balancer_set_limit(
     struct balancer *r, uint64_t now_us, handle_t server, double per_s);
 
+/// What a pool says of its cold servers; see balancer_cold.c.
+struct balancer_cold_rule {
+	uint64_t start_us; ///< a server is cold so long after a start; 0: never
+	double per_s;      ///< requests that a cold server takes per second
+	double max_per_s;  ///< that it may get in any second from all processes
+};
+
+void balancer_set_cold_rule(struct balancer *r, const char *pool,
+    const struct balancer_cold_rule *rule);
+void balancer_set_cold(
+    struct balancer *r, uint64_t now_us, handle_t server, uint64_t until_us);
+void balancer_presume_cold(
+    struct balancer *r, uint64_t now_us, handle_t server);
+
+/// Whether and how long a server is cold.
+struct balancer_cold_state {
+	uint64_t until_us; ///< in the past: it isn't
+	bool presumed;     ///< it may have restarted; not known
+};
+
+struct balancer_cold_state balancer_cold_state(
+    const struct balancer *r, uint64_t now_us, handle_t server);
+
 /// Sends no requests to a server until a time. After it the server gets one
 /// request at a time until it has responded to one.
 void balancer_pause(
@@ -233,6 +256,7 @@
 	bool draining;
 	double limit_per_s;       ///< Advertised; 0: none.
 	uint64_t paused_until_us; ///< In the past: it isn't.
+	uint64_t cold_until_us;   ///< In the past: it isn't.
 	uint64_t first_token_us;  ///< Smoothed; 0: none yet.
 	uint64_t failures;
 	uint64_t blocks; ///< Entries of the prefix index for it.
--- a/src/route/balancer_choose.c
+++ b/src/route/balancer_choose.c
@@ -23,6 +23,10 @@
 /// Fraction of a shared prompt that its preferred server is assumed to cache.
 #define SHARED_CACHED 0.9
 
+/// Fraction of a shared prompt that counts as gained where a cold server caches
+/// it for the requests after this one.
+#define WARMED_SHARE 0.5
+
 /// State of one call of balancer_choose().
 struct search {
 	struct balancer *r;
@@ -39,6 +43,8 @@
 	uint64_t tie_hash; ///< Decides among servers of nearly equal cost.
 	/// Preferred for the shared prompt, or NULL.
 	const struct balancer_server *preferred;
+	/// A cold server that will be preferred for it, or NULL.
+	const struct balancer_server *warmed;
 };
 
 static bool
@@ -92,6 +98,7 @@
 	for (uint32_t i = 0; i < s->pool->n_peers; i++) {
 		struct balancer_server *p = s->pool->peers[i];
 
+		balancer__cold_expire(p, s->now_us);
 		n_serving += serves_version(s, p);
 		if (!is_eligible(s, p))
 			continue;
@@ -209,6 +216,9 @@
 	    (double)p->data_centre->distance_us / USEC_PER_MSEC;
 	double tokens = s->request->prompt_tokens - cached_tokens(s, p);
 
+	if (p == s->warmed)
+		tokens =
+		    MAX(tokens - s->request->shared_tokens * WARMED_SHARE, 0);
 	tokens += params->queue_weight * queue_tokens(s, p);
 	tokens *= slowness(p);
 	return tokens + params->distance_tokens_per_ms * distance_ms;
@@ -238,22 +248,30 @@
 	return x ^ (x >> 32);
 }
 
-/// Finds the server that all entries prefer for the shared prompt. One with a
-/// limit takes requests for moments only, and at another time for each entry.
+/// Finds the server that all entries prefer for the shared prompt, and a cold
+/// one that they will prefer then. One with a limit takes requests for moments
+/// only, and at another time for each entry.
 static void
 find_preferred(struct search *s)
 {
 	uint64_t best = 0;
+	uint64_t best_cold = 0;
 
 	for (uint32_t i = 0; i < s->n && s->request->shared_hash != 0; i++) {
 		const struct balancer_server *p = s->r->usable[i];
 		const uint64_t x = rendezvous_score(s->request->shared_hash, p);
 
+		if (balancer__is_cold(p, s->now_us) && x >= best_cold) {
+			s->warmed = p;
+			best_cold = x;
+		}
 		if (p->restricted || (s->preferred != NULL && x <= best))
 			continue;
 		s->preferred = p;
 		best = x;
 	}
+	if (s->preferred != NULL && best_cold < best)
+		s->warmed = NULL;
 }
 
 static struct balancer_server *
@@ -387,6 +405,7 @@
 	if (s.pool == NULL)
 		return status_fail(
 		    STATUS_NOT_FOUND, "pool %s has no servers", request->pool);
+	balancer__cold_presume_returned(r, now_us);
 	balancer__start_probes(s.pool, now_us);
 	balancer__update_medians(r, s.pool, now_us);
 	st = collect_usable(&s);
--- a/src/route/balancer_dispatch.c
+++ b/src/route/balancer_dispatch.c
@@ -131,6 +131,9 @@
 	balancer__end_trial(p, now_us, dispatch, BALANCER_DONE);
 	us = (double)(now_us - d->begin_us);
 	us_per_token = us / (d->predicted + BALANCER_BASE_TOKENS);
+	// A server is slow while it is cold; that isn't its speed.
+	if (balancer__is_cold(p, now_us) || d->begin_us < p->cold.ended_us)
+		return;
 	smooth(&p->ttft_us, us);
 	smooth(&p->ttft_tokens, d->predicted + BALANCER_BASE_TOKENS);
 	p->us_per_token = p->ttft_us / p->ttft_tokens;
--- a/src/route/balancer_health.c
+++ b/src/route/balancer_health.c
@@ -70,6 +70,17 @@
 	    ejected, n);
 }
 
+/// Drops what was learned of a server's speed.
+void
+balancer__forget_speed(struct balancer_server *p)
+{
+	p->samples = 0;
+	p->us_per_token = 0;
+	p->ttft_us = 0;
+	p->ttft_tokens = 0;
+	p->inter_token_us = 0;
+}
+
 static void
 reinstate(struct balancer_server *p, uint64_t now_us)
 {
@@ -77,11 +88,7 @@
 	p->reinstated_us = now_us;
 	p->consecutive_failures = 0;
 	p->fail_rate = 0;
-	p->samples = 0;
-	p->us_per_token = 0;
-	p->ttft_us = 0;
-	p->ttft_tokens = 0;
-	p->inter_token_us = 0;
+	balancer__forget_speed(p);
 }
 
 /// Records a complete response of a server, and the success of its probe.
--- a/src/route/balancer_intake.c
+++ b/src/route/balancer_intake.c
@@ -4,26 +4,34 @@
 
 #include "base/timerq.h"
 
-/// Which servers take a request now: those whose limit has a turn of this
-/// process, and that aren't paused.
+/// Which servers take a request now: those whose limit, or cold time, has a
+/// turn of this process, and that aren't paused.
 
 /// When the response to the request after a pause is next looked for.
 #define TRIAL_CHECK_US (20 * USEC_PER_MSEC)
 
 /// Time that all processes share, for the turns.
-static uint64_t
-shared_us(const struct balancer *r, uint64_t now_us)
+uint64_t
+balancer__shared_us(const struct balancer *r, uint64_t now_us)
 {
 	return (uint64_t)((int64_t)now_us + r->time_offset_us);
 }
 
+/// To be called when a limit, a pause or a cold time begins or ends.
+void
+balancer__update_restricted(struct balancer_server *p)
+{
+	p->restricted =
+	    p->half_open || p->turns.per_s > 0 || p->cold.until_us > 0;
+}
+
 static void
 set_turns(struct balancer *r, struct balancer_server *p, uint64_t now_us,
     double per_s)
 {
-	turns_set(&p->turns, shared_us(r, now_us), per_s, r->position,
+	turns_set(&p->turns, balancer__shared_us(r, now_us), per_s, r->position,
 	    (uint32_t)p->name_hash);
-	p->restricted = p->half_open || per_s > 0;
+	balancer__update_restricted(p);
 }
 
 /// Sets this process's number among those that send to the servers.
@@ -39,9 +47,13 @@
 	r->position = position;
 	r->time_offset_us = time_offset_us;
 	for (uint32_t i = 0; i < r->n_slots; i++) {
-		if (r->slots[i] != NULL)
-			set_turns(
-			    r, r->slots[i], now_us, r->slots[i]->turns.per_s);
+		struct balancer_server *p = r->slots[i];
+
+		if (p == NULL)
+			continue;
+		set_turns(r, p, now_us, p->turns.per_s);
+		if (balancer__is_cold(p, now_us))
+			balancer__cold_set_turns(r, p, now_us);
 	}
 }
 
@@ -77,7 +89,7 @@
 opens_us(
     const struct balancer *r, const struct balancer_server *p, uint64_t now_us)
 {
-	const uint64_t shared = shared_us(r, now_us);
+	const uint64_t shared = balancer__shared_us(r, now_us);
 	const uint64_t next = turns_next_us(&p->turns, shared);
 	uint64_t open_us = MAX(now_us, p->paused_until_us);
 
@@ -85,7 +97,8 @@
 		return next;
 	if (p->half_open && p->trial != HANDLE_NONE)
 		open_us = MAX(open_us, now_us + TRIAL_CHECK_US);
-	return MAX(open_us, now_us + (next - shared));
+	open_us = MAX(open_us, now_us + (next - shared));
+	return MAX(open_us, balancer__cold_opens_us(r, p, now_us));
 }
 
 /// Whether a server takes a request now.
@@ -96,7 +109,10 @@
 	if (now_us < p->paused_until_us ||
 	    (p->half_open && p->trial != HANDLE_NONE))
 		return false;
-	return turns_is_open(&p->turns, shared_us(r, now_us));
+	if (balancer__is_cold(p, now_us) &&
+	    !turns_is_open(&p->cold.turns, balancer__shared_us(r, now_us)))
+		return false;
+	return turns_is_open(&p->turns, balancer__shared_us(r, now_us));
 }
 
 bool
@@ -107,12 +123,20 @@
 	return p != NULL && balancer__is_open(r, p, now_us);
 }
 
+static void
+use_turns(const struct balancer *r, struct balancer_server *p, uint64_t now_us)
+{
+	turns_use(&p->turns, balancer__shared_us(r, now_us));
+	if (balancer__is_cold(p, now_us))
+		turns_use(&p->cold.turns, balancer__shared_us(r, now_us));
+}
+
 /// Counts a request that is sent to a server.
 void
 balancer__count_sent(struct balancer *r, struct balancer_server *p,
     uint64_t now_us, handle_t dispatch)
 {
-	turns_use(&p->turns, shared_us(r, now_us));
+	use_turns(r, p, now_us);
 	if (p->half_open)
 		p->trial = dispatch;
 }
@@ -123,7 +147,7 @@
 	struct balancer_server *p = balancer__server(r, server);
 
 	if (p != NULL)
-		turns_use(&p->turns, shared_us(r, now_us));
+		use_turns(r, p, now_us);
 }
 
 /// Ends the trial after a pause, if the request is its one. Any response but a
@@ -140,7 +164,7 @@
 		    MAX(p->paused_until_us, now_us + BALANCER_BUSY_US);
 	else if (end != BALANCER_CANCELLED)
 		p->half_open = now_us < p->paused_until_us;
-	p->restricted = p->half_open || p->turns.per_s > 0;
+	balancer__update_restricted(p);
 }
 
 /// When servers of a pool take requests again, and how many.
@@ -160,7 +184,10 @@
 		if (balancer__is_unavailable(p) || at_us == UINT64_MAX)
 			continue;
 		out->next_us = MIN(out->next_us, at_us);
-		if (p->turns.per_s > 0)
+		if (balancer__is_cold(p, now_us))
+			out->per_s +=
+			    p->cold.turns.per_s / MAX(r->position.n, 1);
+		else if (p->turns.per_s > 0)
 			out->per_s += p->turns.per_s / p->turns.position.n;
 		else
 			out->any_unlimited = true;
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -31,6 +31,14 @@
 
 struct balancer_dispatch;
 
+/// Cold time of a server, see balancer_cold.c.
+struct balancer_cold {
+	uint64_t until_us;  ///< 0: it isn't cold
+	uint64_t ended_us;  ///< when the last cold time ended
+	bool presumed;      ///< by a failure or a return, not told
+	struct turns turns; ///< while it is cold
+};
+
 struct balancer_server {
 	struct balancer_server_conf conf;
 	handle_t handle;
@@ -42,7 +50,7 @@
 	uint32_t versions[BALANCER_MAX_VERSIONS];
 
 	bool draining;
-	/// It has advertised a limit or is half open: balancer__is_open()
+	/// It has advertised a limit, is cold or half open: balancer__is_open()
 	/// decides.
 	bool restricted;
 	uint64_t draining_since_us;
@@ -85,6 +93,8 @@
 	uint64_t paused_until_us; ///< no requests are sent to it until then
 	bool half_open;           ///< paused, or it gets one request at a time
 	handle_t trial;           ///< that request; HANDLE_NONE: none in flight
+
+	struct balancer_cold cold;
 };
 
 struct balancer_pool {
@@ -98,6 +108,7 @@
 	double median_us_per_token;
 	double median_inter_token_us;
 	uint64_t medians_us; ///< When the medians were computed.
+	struct balancer_cold_rule cold_rule;
 };
 
 struct balancer_dc {
@@ -105,6 +116,7 @@
 	uint64_t distance_us;
 	bool by_note;   ///< A release note says that it is reclaimed.
 	bool by_notice; ///< A reclaim notice was received.
+	bool returned;  ///< It gets requests again; balancer_choose() acts.
 };
 
 /// A request in flight.
@@ -132,6 +144,7 @@
 	void *pools;           ///< GHashTable: name -> struct balancer_pool
 	void *data_centres;    ///< GHashTable: name -> struct balancer_dc
 	void *versions;        ///< GHashTable: name -> number
+	bool any_dc_returned;  ///< A data centre has `returned` set.
 	struct balancer_server **slots; ///< By slot; NULL: free.
 	uint32_t n_slots;
 	struct prefix_index *index;
@@ -151,6 +164,17 @@
 
 bool balancer__is_open(
     const struct balancer *r, const struct balancer_server *p, uint64_t now_us);
+uint64_t balancer__shared_us(const struct balancer *r, uint64_t now_us);
+void balancer__update_restricted(struct balancer_server *p);
+void balancer__forget_speed(struct balancer_server *p);
+
+bool balancer__is_cold(const struct balancer_server *p, uint64_t now_us);
+void balancer__cold_expire(struct balancer_server *p, uint64_t now_us);
+void balancer__cold_set_turns(
+    struct balancer *r, struct balancer_server *p, uint64_t now_us);
+uint64_t balancer__cold_opens_us(
+    const struct balancer *r, const struct balancer_server *p, uint64_t now_us);
+void balancer__cold_presume_returned(struct balancer *r, uint64_t now_us);
 void balancer__count_sent(struct balancer *r, struct balancer_server *p,
     uint64_t now_us, handle_t dispatch);
 void balancer__end_trial(struct balancer_server *p, uint64_t now_us,
--- a/src/route/turns.c
+++ b/src/route/turns.c
@@ -37,8 +37,9 @@
 static int64_t
 oldest_valid(const struct turns *t, uint64_t time_us)
 {
-	const uint64_t since =
-	    time_us > TURNS_VALID_US ? time_us - TURNS_VALID_US : 0;
+	const uint64_t valid_us =
+	    t->valid_us != 0 ? t->valid_us : TURNS_VALID_US;
+	const uint64_t since = time_us > valid_us ? time_us - valid_us : 0;
 	const int64_t valid = newest(t, since) + 1;
 
 	return valid > t->used ? valid : t->used + 1;
--- a/src/route/turns.h
+++ b/src/route/turns.h
@@ -8,7 +8,7 @@
 /// send to it, without messages: time since 1970 is cut into turns of
 /// 1 / limit, and each turn belongs to one of the processes, by their numbers.
 /// A core without I/O. A turn allows one request, until TURNS_VALID_US after
-/// its start.
+/// its start, or a shorter time where `valid_us` says so.
 ///
 /// In any W seconds the processes together send at most limit * (W + 1) + 1
 /// requests. While their numbers change, two processes may have the same turn,
@@ -27,8 +27,9 @@
 struct turns {
 	double per_s; ///< 0: no limit
 	struct turns_position position;
-	uint32_t offset; ///< differs between servers
-	int64_t used;    ///< own turn that was used or given up last
+	uint32_t offset;   ///< differs between servers
+	uint64_t valid_us; ///< of a turn; 0: TURNS_VALID_US
+	int64_t used;      ///< own turn that was used or given up last
 };
 
 void turns_set(struct turns *t, uint64_t time_us, double per_s,
--- a/test/unit/fleet/test_limitmsg.cc
+++ b/test/unit/fleet/test_limitmsg.cc
@@ -73,4 +73,27 @@
 	EXPECT_EQ(limitmsg_decode(bytes, len - 1, &out), STATUS_CORRUPT);
 }
 
+TEST_F(LimitMsg, KeepsColdServers)
+{
+	limitmsg_add_cold(&in, "i-1", 2500);
+	ASSERT_EQ(Transfer(), STATUS_OK);
+	ASSERT_EQ(out.colds->len, 1U);
+
+	const auto *colds =
+	    reinterpret_cast<const struct limitmsg_cold *>(out.colds->data);
+
+	EXPECT_STREQ(colds[0].server, "i-1");
+	EXPECT_EQ(colds[0].left_ms, 2500U);
+}
+
+// A process of the version before sends nothing after the limits.
+TEST_F(LimitMsg, OlderSenderGivesNoColdServers)
+{
+	limitmsg_add(&in, "i-1", 1.5);
+	limitmsg_encode(&in, &bytes, &len);
+	ASSERT_EQ(limitmsg_decode(bytes, len - 1, &out), STATUS_OK);
+	EXPECT_EQ(out.limits->len, 1U);
+	EXPECT_EQ(out.colds->len, 0U);
+}
+
 } // namespace
--- a/test/unit/fleet/test_listdiff.cc
+++ b/test/unit/fleet/test_listdiff.cc
@@ -79,6 +79,43 @@
 	}
 };
 
+/// Sets a list of one server.
+bool
+set_cold(struct listdiff *d, uint64_t until_ms)
+{
+	GArray *a = to_array({ { "i-1", false } });
+	bool changed;
+
+	g_array_index(a, struct instance, 0).cold_until_ms = until_ms;
+	changed = listdiff_set(d, a, 1000);
+	g_array_unref(a);
+	return changed;
+}
+
+uint64_t
+cold_until(const struct listdiff *d)
+{
+	return g_array_index(listdiff_servers(d), struct instance, 0)
+	    .cold_until_ms;
+}
+
+// Guards against a change with each reading while a server's cold time counts
+// down, and against a later end that isn't told.
+TEST(ListDiff, ColdTimeIsOneChange)
+{
+	struct listdiff *d = listdiff_new();
+
+	EXPECT_TRUE(set_cold(d, 0));
+	EXPECT_TRUE(set_cold(d, 5000));
+	EXPECT_FALSE(set_cold(d, 5800));
+	EXPECT_FALSE(set_cold(d, 4300));
+	EXPECT_FALSE(set_cold(d, 0));
+	EXPECT_EQ(cold_until(d), 5000U);
+	EXPECT_TRUE(set_cold(d, 8000));
+	EXPECT_EQ(cold_until(d), 8000U);
+	listdiff_free(d);
+}
+
 } // namespace
 
 TEST(ListDiff, AnUnchangedListIsNoRevision)
