Messages about limits alone keep their form

Cause: the count of cold servers stood after the limits also where it is zero, so that a message that lost its last byte was read as that of an older process (LimitMsg.RefusesATruncatedMessage failed), and older processes refused all messages.

Change: the part is left out where there are no cold servers.

Measured: unit_fleet passes; a message without cold servers has as many bytes as before.

--- a/src/fleet/limitmsg.c
+++ b/src/fleet/limitmsg.c
@@ -61,13 +61,13 @@
 	return limit->limited ? (double)limit->milli_per_s / MILLI : 0;
 }
 
-/// The part that older processes don't send.
+/// The part that older processes don't know: left out where it is empty.
 static void
 code_colds(struct codec *c, struct limitmsg *m)
 {
 	uint32_t n = m->colds->len;
 
-	if (!codec_is_writer(c) && codec_at_end(c))
+	if (codec_is_writer(c) ? n == 0 : codec_at_end(c))
 		return;
 	codec_u32(c, &n);
 	if (n > MAX_LIMITS) {
--- a/test/unit/fleet/test_limitmsg.cc
+++ b/test/unit/fleet/test_limitmsg.cc
@@ -86,14 +86,21 @@
 	EXPECT_EQ(colds[0].left_ms, 2500U);
 }
 
-// A process of the version before sends nothing after the limits.
-TEST_F(LimitMsg, OlderSenderGivesNoColdServers)
+// A process of the version before knows nothing after the limits.
+TEST_F(LimitMsg, LimitsAloneAreAsBefore)
 {
 	limitmsg_add(&in, "i-1", 1.5);
-	limitmsg_encode(&in, &bytes, &len);
-	ASSERT_EQ(limitmsg_decode(bytes, len - 1, &out), STATUS_OK);
-	EXPECT_EQ(out.limits->len, 1U);
+	ASSERT_EQ(Transfer(), STATUS_OK);
 	EXPECT_EQ(out.colds->len, 0U);
+	// Three numbers and a flag, then name, limit and flag.
+	EXPECT_EQ(len, 4U + 4U + 3U + 1U);
+}
+
+TEST_F(LimitMsg, RefusesTruncatedColdServers)
+{
+	limitmsg_add_cold(&in, "i-1", 2500);
+	ASSERT_EQ(Transfer(), STATUS_OK);
+	EXPECT_EQ(limitmsg_decode(bytes, len - 1, &out), STATUS_CORRUPT);
 }
 
 } // namespace
