Cold servers' turns are used by need, and work returns gradually after them

Ruled out: longer turns, which leave fewer of them within the bound.

Change: a turn at a cold server counts as a mean request's work, for the part of the turns that gives the server what others get; after its cold time a server without a turn costs up to a request more, which fades over the time of a start.

--- a/src/route/balancer_choose.c
+++ b/src/route/balancer_choose.c
@@ -221,6 +221,7 @@
 		    MAX(tokens - s->request->shared_tokens * WARMED_SHARE, 0);
 	tokens += params->queue_weight * queue_tokens(s, p);
 	tokens *= slowness(p);
+	tokens += balancer__cold_cost(s->r, p, s->now_us, s->n);
 	return tokens + params->distance_tokens_per_ms * distance_ms;
 }
 
@@ -291,7 +292,7 @@
 		r->costs[i] = cost_of(s, r->usable[i]);
 		best = MIN(best, r->costs[i]);
 	}
-	tie_limit = best + best * r->params.tie_tolerance +
+	tie_limit = best + fabs(best) * r->params.tie_tolerance +
 	    r->params.running_request_tokens;
 	for (uint32_t i = 0; i < s->n; i++) {
 		uint64_t x;
--- a/src/route/balancer_cold.c
+++ b/src/route/balancer_cold.c
@@ -1,6 +1,7 @@
 #include "route/balancer_internal.h"
 
 #include <glib.h>
+#include <math.h>
 
 #include "base/timerq.h"
 
@@ -12,6 +13,8 @@
 #define COLD_TURN_US (500 * USEC_PER_MSEC)
 /// Turns of so many seconds may be used within one.
 #define COLD_TURN_SPAN 1.5
+/// Time constant of a pool's smoothed rate of requests.
+#define RATE_S 2.0
 /// A later end than known, by this much, means that the server has restarted.
 #define COLD_AGAIN_US USEC_PER_SEC
 
@@ -54,6 +57,71 @@
 	    MAX(per_s, G_MINDOUBLE), r->position, (uint32_t)p->name_hash);
 }
 
+/// Whether a server's cold time has ended lately. Processes that know nothing
+/// of its load yet would all take it for idle.
+static bool
+is_warming(const struct balancer_server *p, uint64_t now_us)
+{
+	return p->cold.ended_us != 0 &&
+	    now_us < p->cold.ended_us + p->pool->cold_rule.start_us;
+}
+
+/// Counts a request that is sent to a server of a pool with a rule.
+void
+balancer__cold_count(
+    struct balancer *r, struct balancer_server *p, uint64_t now_us)
+{
+	struct balancer_pool *pool = p->pool;
+	const double age_s =
+	    (double)(now_us - pool->sent_us) / (double)USEC_PER_SEC;
+
+	if (!has_rule(pool))
+		return;
+	pool->sent_per_s = pool->sent_per_s * exp(-age_s / RATE_S) + 1 / RATE_S;
+	pool->sent_us = now_us;
+	if (balancer__is_cold(p, now_us) || is_warming(p, now_us))
+		turns_use(&p->cold.turns, balancer__shared_us(r, now_us));
+}
+
+/// Whether this process should use its turn at a cold server. Of its turns it
+/// uses the part that gives the server as many requests as others have; which
+/// ones, the number of the turn decides.
+static bool
+wants_turn(const struct balancer *r, const struct balancer_server *p,
+    uint64_t now_us, uint32_t n_usable)
+{
+	const struct turns *t = &p->cold.turns;
+	const double own_turns_per_s = t->per_s / MAX(t->position.n, 1);
+	const double share =
+	    p->pool->sent_per_s / MAX(n_usable, 1) / own_turns_per_s;
+	const uint64_t number =
+	    (uint64_t)turns_number(t, balancer__shared_us(r, now_us));
+	const uint64_t hash = (number ^ p->name_hash) * 0x9e3779b97f4a7c15ULL;
+
+	return (double)(hash >> 32) / 4294967296.0 < share;
+}
+
+/// What is added to a server's cost for its cold time, in tokens: less where a
+/// turn would be lost; more where a server that was cold lately has none, which
+/// fades.
+double
+balancer__cold_cost(const struct balancer *r, const struct balancer_server *p,
+    uint64_t now_us, uint32_t n_usable)
+{
+	const double request = p->pool->mean_recompute_tokens;
+	double left;
+
+	if (balancer__is_cold(p, now_us))
+		return wants_turn(r, p, now_us, n_usable) ? -request : 0;
+	if (!is_warming(p, now_us) ||
+	    turns_is_open(&p->cold.turns, balancer__shared_us(r, now_us)))
+		return 0;
+	left = 1 -
+	    (double)(now_us - p->cold.ended_us) /
+		(double)p->pool->cold_rule.start_us;
+	return request * left * left;
+}
+
 /// Ends a cold time that has passed.
 void
 balancer__cold_expire(struct balancer_server *p, uint64_t now_us)
--- a/src/route/balancer_dispatch.c
+++ b/src/route/balancer_dispatch.c
@@ -106,6 +106,7 @@
 	balancer__update_own(p, now_us, 1);
 	if (p->restricted)
 		balancer__count_sent(r, p, now_us, handle);
+	balancer__cold_count(r, p, now_us);
 	index_prompt(r, p, now_us, request);
 	smooth(&p->pool->mean_recompute_tokens, choice->recompute_tokens);
 	if (choice->probe)
--- a/src/route/balancer_intake.c
+++ b/src/route/balancer_intake.c
@@ -52,7 +52,7 @@
 		if (p == NULL)
 			continue;
 		set_turns(r, p, now_us, p->turns.per_s);
-		if (balancer__is_cold(p, now_us))
+		if (balancer__is_cold(p, now_us) || p->cold.ended_us != 0)
 			balancer__cold_set_turns(r, p, now_us);
 	}
 }
@@ -123,20 +123,12 @@
 	return p != NULL && balancer__is_open(r, p, now_us);
 }
 
-static void
-use_turns(const struct balancer *r, struct balancer_server *p, uint64_t now_us)
-{
-	turns_use(&p->turns, balancer__shared_us(r, now_us));
-	if (balancer__is_cold(p, now_us))
-		turns_use(&p->cold.turns, balancer__shared_us(r, now_us));
-}
-
 /// Counts a request that is sent to a server.
 void
 balancer__count_sent(struct balancer *r, struct balancer_server *p,
     uint64_t now_us, handle_t dispatch)
 {
-	use_turns(r, p, now_us);
+	turns_use(&p->turns, balancer__shared_us(r, now_us));
 	if (p->half_open)
 		p->trial = dispatch;
 }
@@ -147,7 +139,7 @@
 	struct balancer_server *p = balancer__server(r, server);
 
 	if (p != NULL)
-		use_turns(r, p, now_us);
+		turns_use(&p->turns, balancer__shared_us(r, now_us));
 }
 
 /// Ends the trial after a pause, if the request is its one. Any response but a
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -36,7 +36,7 @@
 	uint64_t until_us;  ///< 0: it isn't cold
 	uint64_t ended_us;  ///< when the last cold time ended
 	bool presumed;      ///< by a failure or a return, not told
-	struct turns turns; ///< while it is cold
+	struct turns turns; ///< while it is cold, and for some time after
 };
 
 struct balancer_server {
@@ -109,6 +109,8 @@
 	double median_inter_token_us;
 	uint64_t medians_us; ///< When the medians were computed.
 	struct balancer_cold_rule cold_rule;
+	double sent_per_s; ///< Own requests, smoothed; while servers are cold.
+	uint64_t sent_us;  ///< When the last one was counted.
 };
 
 struct balancer_dc {
@@ -172,6 +174,10 @@
 void balancer__cold_expire(struct balancer_server *p, uint64_t now_us);
 void balancer__cold_set_turns(
     struct balancer *r, struct balancer_server *p, uint64_t now_us);
+double balancer__cold_cost(const struct balancer *r,
+    const struct balancer_server *p, uint64_t now_us, uint32_t n_usable);
+void balancer__cold_count(
+    struct balancer *r, struct balancer_server *p, uint64_t now_us);
 uint64_t balancer__cold_opens_us(
     const struct balancer *r, const struct balancer_server *p, uint64_t now_us);
 void balancer__cold_presume_returned(struct balancer *r, uint64_t now_us);
--- a/src/route/turns.c
+++ b/src/route/turns.c
@@ -73,6 +73,13 @@
 	    oldest_valid(t, time_us) <= newest(t, time_us);
 }
 
+/// Number of the oldest turn that is valid, or of the next one.
+int64_t
+turns_number(const struct turns *t, uint64_t time_us)
+{
+	return t->position.n > 0 ? oldest_valid(t, time_us) : 0;
+}
+
 /// When the next request may be sent; UINT64_MAX: no turn belongs to this
 /// process.
 uint64_t
--- a/src/route/turns.h
+++ b/src/route/turns.h
@@ -35,6 +35,7 @@
 void turns_set(struct turns *t, uint64_t time_us, double per_s,
     struct turns_position position, uint32_t offset);
 bool turns_is_open(const struct turns *t, uint64_t time_us);
+int64_t turns_number(const struct turns *t, uint64_t time_us);
 uint64_t turns_next_us(const struct turns *t, uint64_t time_us);
 void turns_use(struct turns *t, uint64_t time_us);
 
