Work goes by the pace that servers state

Cause: the load header may have a fourth figure, how long work takes at a server now; read_load() dropped it, and one gateway sees too little of a server to learn its speed by itself (0.13 requests a second).

Change: gateways send the leader samples that the list lacks; the leader keeps one figure a server, robust against slow moments, which spreads in the list. Engines: cost times usual pace and what is left of the moment, eight candidates drawn by speed, homes of prompts by speed. Plain services: the call's own work counts, times the pace. Ejection and the judge of versions get times without the stated pace. Pools without the figure are balanced as before.

--- a/src/fleet/hubmsg.c
+++ b/src/fleet/hubmsg.c
@@ -270,6 +270,7 @@
 	codec_bool(m, &s->instance.draining);
 	codec_bool(m, &s->instance.spot);
 	codec_u64(m, &s->instance.cold_until_ms);
+	codec_u32(m, &s->instance.pace_percent);
 }
 
 /// Encodes or decodes the server list or its changes.
--- a/src/fleet/instance.h
+++ b/src/fleet/instance.h
@@ -25,6 +25,9 @@
 	uint32_t cold_left_ms;
 	/// When that ends, in milliseconds since 1970; 0: it isn't cold.
 	uint64_t cold_until_ms;
+	/// Usual time of work there, in percent of its service's; 0: not
+	/// known. Not from the platform: the leader adds it.
+	uint32_t pace_percent;
 };
 
 /// Sets the end of a server's cold time from the time left.
--- a/src/fleet/limitmsg.c
+++ b/src/fleet/limitmsg.c
@@ -18,6 +18,8 @@
 		.limits =
 		    g_array_new(FALSE, TRUE, sizeof(struct limitmsg_limit)),
 		.colds = g_array_new(FALSE, TRUE, sizeof(struct limitmsg_cold)),
+		.speeds =
+		    g_array_new(FALSE, TRUE, sizeof(struct limitmsg_speed)),
 	};
 }
 
@@ -27,6 +29,7 @@
 {
 	g_array_unref(m->limits);
 	g_array_unref(m->colds);
+	g_array_unref(m->speeds);
 }
 
 /// Appends a server's limit.
@@ -54,6 +57,17 @@
 	g_array_append_val(m->colds, cold);
 }
 
+/// Appends the pace of a server.
+void
+limitmsg_add_speed(
+    struct limitmsg *m, const char *server, uint32_t pace_percent)
+{
+	struct limitmsg_speed speed = { .pace_percent = pace_percent };
+
+	(void)g_strlcpy(speed.server, server, sizeof(speed.server));
+	g_array_append_val(m->speeds, speed);
+}
+
 /// Requests per second of a limit; 0: it has ended.
 double
 limitmsg_per_s(const struct limitmsg_limit *limit)
@@ -67,7 +81,7 @@
 {
 	uint32_t n = m->colds->len;
 
-	if (codec_is_writer(c) ? n == 0 : codec_at_end(c))
+	if (codec_is_writer(c) ? n + m->speeds->len == 0 : codec_at_end(c))
 		return;
 	codec_u32(c, &n);
 	if (n > MAX_LIMITS) {
@@ -84,6 +98,28 @@
 	}
 }
 
+static void
+code_speeds(struct codec *c, struct limitmsg *m)
+{
+	uint32_t n = m->speeds->len;
+
+	if (codec_is_writer(c) ? n == 0 : codec_at_end(c))
+		return;
+	codec_u32(c, &n);
+	if (n > MAX_LIMITS) {
+		codec_fail(c);
+		return;
+	}
+	g_array_set_size(m->speeds, n);
+	for (uint32_t i = 0; i < n; i++) {
+		struct limitmsg_speed *speed =
+		    &g_array_index(m->speeds, struct limitmsg_speed, i);
+
+		codec_str(c, speed->server, sizeof(speed->server));
+		codec_u32(c, &speed->pace_percent);
+	}
+}
+
 static void
 code_message(struct codec *c, struct limitmsg *m)
 {
@@ -107,6 +143,7 @@
 		codec_bool(c, &limit->limited);
 	}
 	code_colds(c, m);
+	code_speeds(c, m);
 }
 
 /// Encodes a message.
--- a/src/fleet/limitmsg.h
+++ b/src/fleet/limitmsg.h
@@ -6,11 +6,11 @@
 #include "fleet/fleetcfg.h"
 
 /// Message, in both directions, about the limits that backend servers
-/// advertise, and how long servers are cold. A gateway tells the leader of each
-/// change in the responses of a server, and a new leader of all limits that it
-/// knows; a new leader's response has all that it knows. The leader passes
-/// changes on to all other gateways, and gives each of them its number for the
-/// turns (route/turns.h).
+/// advertise, how long servers are cold, and what pace they state. A gateway
+/// tells the leader of each change in the responses of a server, and a new
+/// leader of all limits that it knows; a new leader's response has all that it
+/// knows. The leader passes changes on to all other gateways, and gives each of
+/// them its number for the turns (route/turns.h).
 
 struct limitmsg_limit {
 	char server[FLEETCFG_NAME_BYTES];
@@ -24,12 +24,19 @@
 	uint32_t left_ms; ///< when the message was sent
 };
 
+/// The pace that a server stated in a response.
+struct limitmsg_speed {
+	char server[FLEETCFG_NAME_BYTES];
+	uint32_t pace_percent;
+};
+
 struct limitmsg {
 	bool whole;      ///< all limits that the sender knows
 	uint32_t number; ///< of the gateway that gets it, from 0
 	uint32_t n;      ///< numbered gateways; 0: `number` isn't given
 	GArray *limits;  ///< struct limitmsg_limit
 	GArray *colds;   ///< struct limitmsg_cold; older senders give none
+	GArray *speeds;  ///< struct limitmsg_speed, to the leader only
 };
 
 void limitmsg_init(struct limitmsg *m);
@@ -37,6 +44,8 @@
 void limitmsg_add(struct limitmsg *m, const char *server, double per_s);
 void limitmsg_add_cold(
     struct limitmsg *m, const char *server, uint32_t left_ms);
+void limitmsg_add_speed(
+    struct limitmsg *m, const char *server, uint32_t pace_percent);
 double limitmsg_per_s(const struct limitmsg_limit *limit);
 void limitmsg_encode(const struct limitmsg *m, uint8_t **bytes, size_t *len);
 enum status limitmsg_decode(
--- a/src/fleet/listdiff.c
+++ b/src/fleet/listdiff.c
@@ -89,7 +89,8 @@
 	    strcmp(a->version, b->version) == 0 &&
 	    strcmp(a->host, b->host) == 0 && a->port == b->port &&
 	    a->slots == b->slots && a->draining == b->draining &&
-	    a->spot == b->spot && is_same_cold(a, b);
+	    a->spot == b->spot && is_same_cold(a, b) &&
+	    a->pace_percent == b->pace_percent;
 }
 
 static GHashTable *
@@ -124,10 +125,10 @@
 	}
 }
 
-/// Keeps the ends of cold times that were told, where a reading shows nothing
-/// else.
+/// Keeps the ends of cold times and the paces that were told, where a reading
+/// shows nothing else.
 static void
-keep_cold_ends(GArray *servers, GHashTable *before)
+keep_told(GArray *servers, GHashTable *before)
 {
 	for (guint i = 0; i < servers->len; i++) {
 		struct instance *s =
@@ -135,8 +136,12 @@
 		const struct instance *told =
 		    g_hash_table_lookup(before, s->id);
 
-		if (told != NULL && is_same_cold(s, told))
+		if (told == NULL)
+			continue;
+		if (is_same_cold(s, told))
 			s->cold_until_ms = told->cold_until_ms;
+		if (s->pace_percent == 0)
+			s->pace_percent = told->pace_percent;
 	}
 }
 
@@ -155,7 +160,7 @@
 	GHashTable *now = index_servers(kept);
 	bool changed;
 
-	keep_cold_ends(kept, before);
+	keep_told(kept, before);
 	add_changes(changes, kept, before, false);
 	add_changes(changes, d->servers, now, true);
 	g_hash_table_destroy(before);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -185,6 +185,10 @@
 	    metrics_counter(registry, "ac_server_leaving_responses_total", "");
 	g->n_signals[API_SIGNAL_RETRY_AFTER] = metrics_counter(
 	    registry, "ac_server_retry_after_responses_total", "");
+	g->n_cold_checks =
+	    metrics_counter(registry, "ac_server_cold_checks_total", "");
+	g->n_pace_samples =
+	    metrics_counter(registry, "ac_server_pace_samples_total", "");
 	g->n_malformed_signals =
 	    metrics_counter(registry, "ac_server_malformed_signals_total", "");
 	g->first_event_latency =
--- a/src/gateway/gateway_cold.c
+++ b/src/gateway/gateway_cold.c
@@ -154,6 +154,7 @@
 
 	if (service == NULL)
 		return;
+	g->n_cold_checks->value++;
 	check = g_new0(struct cold_check, 1);
 	check->gateway = g;
 	(void)g_strlcpy(check->server, s->instance.id, sizeof(check->server));
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -50,11 +50,14 @@
 	uint64_t n_reports;  ///< load reports in its responses
 	double limit_per_s; ///< requests that it takes from all gateways; 0: no
 			    ///< limit
-	uint64_t limit_since_us;   ///< when that became known here
-	bool signalled_leaving;    ///< in a response since its last start
-	uint64_t incarnation;      ///< starts under this id, as known here
-	uint64_t next_check_us;    ///< whether it still leaves
-	bool cold_check_in_flight; ///< whether it is cold
+	uint64_t limit_since_us;    ///< when that became known here
+	bool signalled_leaving;     ///< in a response since its last start
+	uint64_t incarnation;       ///< starts under this id, as known here
+	uint64_t next_check_us;     ///< whether it still leaves
+	bool cold_check_in_flight;  ///< whether it is cold
+	uint32_t told_pace_percent; ///< by the list; 0: not known
+	uint32_t n_speed_samples;   ///< sent to the leader for that figure
+	uint32_t n_contrary; ///< samples in a row that contradict the figure
 	bool malformed_logged[API_N_SIGNALS];
 };
 
@@ -169,6 +172,8 @@
 	/// Responses with each signal.
 	struct metrics_value *n_signals[API_N_SIGNALS];
 	struct metrics_value *n_malformed_signals;
+	struct metrics_value *n_cold_checks;      ///< requests for health
+	struct metrics_value *n_pace_samples;     ///< sent to the leader
 	struct metrics_hist *first_event_latency; ///< or that of the response
 	struct metrics_hist *total_latency;
 };
@@ -354,6 +359,12 @@
 void gateway_cold_fill(const struct gateway *g, struct limitmsg *m);
 void gateway_cold_on_message(struct gateway *g, const struct limitmsg *m);
 
+/// gateway_speed.c: the pace of servers
+void gateway_speed_on_listed(struct gateway *g, struct gateway_server *s);
+void gateway_speed_on_response(
+    struct gateway *g, struct gateway_server *s, uint32_t pace_percent);
+double gateway_speed_of_response(const struct gateway_request *q);
+
 /// gateway_leaving.c: servers that leave, and come back under the same id
 void gateway_leaving_tick(struct gateway *g, uint64_t now_us);
 
--- a/src/gateway/gateway_rollout.c
+++ b/src/gateway/gateway_rollout.c
@@ -122,6 +122,7 @@
 	const struct gateway_server *s =
 	    g_hash_table_lookup(g->servers, q->server);
 	const uint64_t now = loop_now_us(g->loop);
+	const double pace = gateway_speed_of_response(q);
 	struct rollout_response response = { .failed = failed };
 	struct balancer_server_stats stats;
 
@@ -132,8 +133,11 @@
 	response.route = rollout_key(q->route->name);
 	if (!failed)
 		response.first_token_us =
-		    MAX((q->first_event_us != 0 ? q->first_event_us : now) -
-			    q->attempt_sent_us,
+		    MAX((uint64_t)((double)((q->first_event_us != 0
+						    ? q->first_event_us
+						    : now) -
+				       q->attempt_sent_us) /
+			    pace),
 			1);
 	if (balancer_server_stats(g->balancer, now, s->balancer_handle, &stats))
 		response.load_permille = (uint32_t)MIN(
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -181,10 +181,13 @@
 	struct balancer_report report = {
 		.running = q->response.running,
 		.waiting = q->response.waiting,
+		.slots = q->response.slots,
+		.pace_percent = q->response.pace_percent,
 	};
 
 	if (s == NULL || !q->response.has_load)
 		return;
+	gateway_speed_on_response(g, s, q->response.pace_percent);
 	report.sequence = ++s->n_reports;
 	balancer_record_report(
 	    g->balancer, loop_now_us(g->loop), s->balancer_handle, &report);
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -54,6 +54,7 @@
 		balancer_set_limit(g->balancer, now_us, handle, s->limit_per_s);
 	s->balancer_handle = handle;
 	gateway_cold_on_listed(g, s);
+	gateway_speed_on_listed(g, s);
 	if (s->instance.draining || s->signalled_leaving)
 		balancer_set_draining(g->balancer, now_us, handle,
 		    s->instance.draining ? BALANCER_BY_LIST
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -187,6 +187,7 @@
 	g_hash_table_destroy(h->load_by_service);
 	g_hash_table_destroy(h->sizing_by_service);
 	g_hash_table_destroy(h->scale_orders);
+	hub_speed_stop(h);
 	listdiff_free(h->list);
 	hub_feed_stop(h);
 	hub_fleet_stop(h);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -11,6 +11,7 @@
 #include "fleet/fleetcfg.h"
 #include "fleet/hubmsg.h"
 #include "fleet/instance.h"
+#include "fleet/limitmsg.h"
 #include "fleet/listcopy.h"
 #include "fleet/listdiff.h"
 #include "front/httpd.h"
@@ -145,6 +146,7 @@
 	GHashTable *limits; ///< server's id -> double, requests per second
 	GHashTable *colds;  ///< server's id -> uint64_t, when it isn't cold
 	uint64_t next_numbers_us;
+	struct serverspeed *speeds; ///< of servers (hub_speed.c)
 
 	struct metrics_value *n_operator_requests;
 	struct metrics_value *n_invalid_requests;
@@ -211,6 +213,13 @@
 void hub_limits_prune(struct hub *h, const GArray *servers);
 void hub_limits_tick(struct hub *h, uint64_t now_us);
 
+/// hub_speed.c: the usual pace of servers (leader)
+void hub_speed_start(struct hub *h);
+void hub_speed_stop(struct hub *h);
+void hub_speed_reset(struct hub *h);
+void hub_speed_on_message(struct hub *h, const struct limitmsg *m);
+void hub_speed_fill(struct hub *h, GArray *servers);
+
 /// hub_servers.c: the list of servers
 void hub_servers_start(struct hub *h);
 void hub_servers_tick(struct hub *h, uint64_t now_us);
--- a/src/hub/hub_limits.c
+++ b/src/hub/hub_limits.c
@@ -3,8 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fleet/limitmsg.h"
-
 /// A new leader gives out numbers after this time, when all live gateways have
 /// reported to it: until then they keep those of the last leader.
 #define HUB_LIMITS_SETTLE_US (2 * USEC_PER_SEC)
@@ -111,6 +109,7 @@
 	const struct limitmsg changes = {
 		.limits = m->limits,
 		.colds = m->colds,
+		.speeds = m->speeds,
 	};
 	const bool any = m->limits->len > 0 || m->colds->len > 0;
 	GHashTableIter it;
@@ -164,6 +163,8 @@
 	}
 	apply(h, &m);
 	apply_colds(h, &m);
+	hub_speed_on_message(h, &m);
+	g_array_set_size(m.speeds, 0);
 	pass_on(h, g, &m);
 	g->knows_limits = true;
 	if (m.whole)
--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -135,6 +135,7 @@
 		hub_rollout_reset(h);
 		hub_crashes_reset(h);
 		hub_limits_reset(h);
+		hub_speed_reset(h);
 		timerq_arm_in(h->tick, 0);
 	}
 	h->was_leader = hub_is_leader(h);
--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -62,6 +62,8 @@
 		instance_set_cold_end(
 		    &g_array_index(servers, struct instance, i),
 		    hub_wall_clock_us(h));
+	if (hub_is_leader(h))
+		hub_speed_fill(h, servers);
 	hub_servers_set(h, servers, h->list_asked_us);
 }
 
@@ -70,6 +72,7 @@
 hub_servers_start(struct hub *h)
 {
 	h->list = listdiff_new();
+	hub_speed_start(h);
 	h->next_list_us = loop_now_us(h->loop) + HUB_LIST_SILENT_US;
 	h->lister = api_lister_new(h->http, on_list, h);
 }
--- a/src/route/balancer.c
+++ b/src/route/balancer.c
@@ -412,6 +412,7 @@
 		return;
 	total = report->running + report->waiting;
 	own = own_requests_at(p, at_us);
+	balancer__speed_record(p, at_us, report->pace_percent);
 	p->report = *report;
 	p->report_us = at_us == 0 ? 1 : at_us;
 	p->other_requests = total > own ? total - own : 0;
@@ -502,7 +503,6 @@
 {
 	const struct balancer_server *p = balancer__server(r, server);
 
-	(void)now_us;
 	if (p == NULL)
 		return false;
 	*out = (struct balancer_server_stats){
@@ -514,6 +514,9 @@
 		.limit_per_s = p->turns.per_s,
 		.paused_until_us = p->paused_until_us,
 		.cold_until_us = p->cold.until_us,
+		.pace_percent = balancer__usual_pace(p),
+		.pace_now_percent = (uint32_t)(balancer__pace(p, now_us) *
+		    BALANCER_PACE_NORMAL),
 		.failures = p->failures,
 		.blocks = prefix_index_count(r->index, p->slot),
 	};
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -61,7 +61,10 @@
 	uint64_t kv_used_tokens;
 	uint64_t kv_total_tokens; ///< 0: unknown.
 	uint32_t tokens_per_s;    ///< 0: unknown.
-	bool draining;            ///< Taken as BALANCER_BY_SERVER.
+	uint32_t slots;           ///< Requests at a time; 0: unknown.
+	/// Time that work takes there now, in percent of the usual; 0: unknown.
+	uint32_t pace_percent;
+	bool draining; ///< Taken as BALANCER_BY_SERVER.
 };
 
 /// A request to be dispatched. The balancer keeps no pointer of it.
@@ -191,6 +194,9 @@
 void balancer_set_limit(
     struct balancer *r, uint64_t now_us, handle_t server, double per_s);
 
+/// See balancer_speed.c.
+void balancer_set_pace(struct balancer *r, handle_t server, uint32_t percent);
+
 /// What a pool says of its cold servers; see balancer_cold.c.
 struct balancer_cold_rule {
 	uint64_t start_us; ///< a server is cold so long after a start; 0: never
@@ -254,10 +260,12 @@
 	uint32_t own_requests; ///< Our own requests there.
 	bool ejected;          ///< Ejected as an outlier.
 	bool draining;
-	double limit_per_s;       ///< Advertised; 0: none.
-	uint64_t paused_until_us; ///< In the past: it isn't.
-	uint64_t cold_until_us;   ///< In the past: it isn't.
-	uint64_t first_token_us;  ///< Smoothed; 0: none yet.
+	double limit_per_s;        ///< Advertised; 0: none.
+	uint64_t paused_until_us;  ///< In the past: it isn't.
+	uint64_t cold_until_us;    ///< In the past: it isn't.
+	uint32_t pace_percent;     ///< Usual time of work there.
+	uint32_t pace_now_percent; ///< Expected of work sent now.
+	uint64_t first_token_us;   ///< Smoothed; 0: none yet.
 	uint64_t failures;
 	uint64_t blocks; ///< Entries of the prefix index for it.
 };
--- a/src/route/balancer_choose.c
+++ b/src/route/balancer_choose.c
@@ -15,6 +15,12 @@
 /// Fraction of a lower priority's prompt that counts as queued ahead of ours.
 #define LOWER_PRIORITY_SHARE 0.25
 
+/// Requests as which a call to a plain service counts at an idle server.
+#define OWN_REQUESTS 2
+
+/// Servers drawn for a request where they state their pace.
+#define N_CANDIDATES 8
+
 /// A server's slowness against the pool's median is clamped to these factors.
 #define PACE_MIN 0.5
 #define PACE_MAX 4.0
@@ -36,8 +42,9 @@
 	uint32_t version;     ///< 0: any.
 	uint32_t not_version; ///< 0: none.
 	bool any_version;
-	uint32_t n;      ///< Servers in r->usable.
-	double load_sum; ///< Of their loads.
+	uint32_t n;        ///< Servers in r->usable.
+	double load_sum;   ///< Of their loads.
+	double load_limit; ///< Of one of them, with our request.
 	bool panic;
 	double tokens_per_block;
 	uint64_t tie_hash; ///< Decides among servers of nearly equal cost.
@@ -152,7 +159,8 @@
 
 	if (d == NULL || us_per_token <= 0)
 		return 0;
-	age = (double)(s->now_us - d->begin_us) / us_per_token;
+	age = (double)(s->now_us - d->begin_us) / us_per_token /
+	    balancer__pace(p, s->now_us);
 	return age > 2 * d->predicted ? age - 2 * d->predicted : 0;
 }
 
@@ -205,6 +213,20 @@
 	    p->us_per_token / p->pool->median_us_per_token, PACE_MIN, PACE_MAX);
 }
 
+/// How many times longer work takes at a server than at the median one: by what
+/// it states, and by what was learned beside that.
+static double
+slowness_with_pace(const struct search *s, const struct balancer_server *p)
+{
+	const double pace = balancer__pace(p, s->now_us);
+
+	if (s->pool->kind == BALANCER_RUNNER)
+		return pace * slowness(p);
+	// Few servers with many requests each: their mean pace is known here.
+	return slowness(p) * balancer__mean_pace(p) * pace /
+	    balancer__usual_pace(p) * BALANCER_PACE_NORMAL;
+}
+
 /// Cost of sending the request to a server, in tokens at the median speed of
 /// its pool: the uncached part of the prompt, the queue, and the network
 /// distance.
@@ -220,7 +242,9 @@
 		tokens =
 		    MAX(tokens - s->request->shared_tokens * WARMED_SHARE, 0);
 	tokens += params->queue_weight * queue_tokens(s, p);
-	tokens *= slowness(p);
+	if (s->pool->has_pace && s->pool->kind == BALANCER_SERVICE)
+		tokens += OWN_REQUESTS * params->running_request_tokens;
+	tokens *= s->pool->has_pace ? slowness_with_pace(s, p) : slowness(p);
 	tokens += balancer__cold_cost(s->r, p, s->now_us, s->n);
 	return tokens + params->distance_tokens_per_ms * distance_ms;
 }
@@ -249,18 +273,31 @@
 	return x ^ (x >> 32);
 }
 
+/// Order of a server among those that may be preferred for a hash, highest
+/// first: a server of half the pace is it for twice as many hashes. All entries
+/// know the same usual paces.
+static double
+preference(
+    const struct search *s, uint64_t hash, const struct balancer_server *p)
+{
+	const double x = (double)(rendezvous_score(hash, p) >> 11);
+	const double unit = (x + 1) / ((double)(UINT64_C(1) << 53) + 1);
+
+	return log(unit) * (s->pool->has_pace ? balancer__usual_pace(p) : 1);
+}
+
 /// Finds the server that all entries prefer for the shared prompt, and a cold
 /// one that they will prefer then. One with a limit takes requests for moments
 /// only, and at another time for each entry.
 static void
 find_preferred(struct search *s)
 {
-	uint64_t best = 0;
-	uint64_t best_cold = 0;
+	double best = -DBL_MAX;
+	double best_cold = -DBL_MAX;
 
 	for (uint32_t i = 0; i < s->n && s->request->shared_hash != 0; i++) {
 		const struct balancer_server *p = s->r->usable[i];
-		const uint64_t x = rendezvous_score(s->request->shared_hash, p);
+		const double x = preference(s, s->request->shared_hash, p);
 
 		if (balancer__is_cold(p, s->now_us) && x >= best_cold) {
 			s->warmed = p;
@@ -275,11 +312,57 @@
 		s->warmed = NULL;
 }
 
+/// Keeps of the usable servers those to choose among where speeds are known:
+/// the preferred one and a few drawn at random, faster ones more often. All
+/// entries know the same fast servers, and little of the load there.
+static void
+draw_candidates(struct search *s, struct rnd *rnd)
+{
+	struct balancer_server **usable = s->r->usable;
+	uint32_t kept = 0;
+
+	if (!s->pool->has_pace || s->pool->kind != BALANCER_RUNNER)
+		return;
+	for (uint32_t i = 0; i < s->n; i++) {
+		if (balancer__load(usable[i]) + 1 <= s->load_limit)
+			usable[kept++] = usable[i];
+	}
+	s->n = kept;
+	kept = 0;
+	for (uint32_t i = 0; i < s->n; i++) {
+		struct balancer_server *p = usable[i];
+
+		if (p == s->preferred || p == s->warmed) {
+			usable[i] = usable[kept];
+			usable[kept++] = p;
+		}
+	}
+	for (uint32_t k = 0; k < N_CANDIDATES && kept < s->n; k++) {
+		double best = -DBL_MAX;
+		uint32_t at = kept;
+		struct balancer_server *p;
+
+		for (uint32_t i = kept; i < s->n; i++) {
+			const double x = log(1 - rnd_unit(rnd)) *
+			    balancer__usual_pace(usable[i]);
+
+			if (x > best) {
+				best = x;
+				at = i;
+			}
+		}
+		p = usable[at];
+		usable[at] = usable[kept];
+		usable[kept++] = p;
+	}
+	s->n = kept;
+}
+
 static struct balancer_server *
 pick_cheapest(const struct search *s)
 {
 	struct balancer *r = s->r;
-	const double limit = load_limit(s);
+	const double limit = s->load_limit;
 	double best = DBL_MAX;
 	double tie_limit;
 	uint64_t best_score = 0;
@@ -354,9 +437,10 @@
 	const uint32_t prompt = s->request->prompt_tokens;
 
 	const double queue = queue_tokens(s, p);
-	const double us_per_token = p->samples < PACE_MIN_SAMPLES
-	    ? p->pool->median_us_per_token
-	    : p->us_per_token;
+	const double us_per_token =
+	    (p->samples < PACE_MIN_SAMPLES ? p->pool->median_us_per_token
+					   : p->us_per_token) *
+	    balancer__pace(p, s->now_us);
 	const uint32_t recompute = prompt - MIN(cached, prompt);
 
 	*out = (struct balancer_choice){
@@ -419,6 +503,8 @@
 		fill_choice(&s, p, true, out);
 		return STATUS_OK;
 	}
+	s.load_limit = load_limit(&s);
+	draw_candidates(&s, rnd);
 	fill_choice(&s, pick_cheapest(&s), false, out);
 	return STATUS_OK;
 }
--- a/src/route/balancer_dispatch.c
+++ b/src/route/balancer_dispatch.c
@@ -130,7 +130,8 @@
 		return;
 	remove_pending(p, d);
 	balancer__end_trial(p, now_us, dispatch, BALANCER_DONE);
-	us = (double)(now_us - d->begin_us);
+	// The server's pace isn't its fault.
+	us = (double)(now_us - d->begin_us) / balancer__stated_pace(p, now_us);
 	us_per_token = us / (d->predicted + BALANCER_BASE_TOKENS);
 	// A server is slow while it is cold; that isn't its speed.
 	if (balancer__is_cold(p, now_us) || d->begin_us < p->cold.ended_us)
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -39,6 +39,19 @@
 	struct turns turns; ///< while it is cold, and for some time after
 };
 
+#define BALANCER_PACE_NORMAL 100
+#define BALANCER_PACE_SAMPLES 5
+
+/// Speed of a server, see balancer_speed.c.
+struct balancer_speed {
+	uint32_t told_percent; ///< its usual pace, by control; 0: not known
+	uint32_t samples[BALANCER_PACE_SAMPLES]; ///< own, a ring
+	uint32_t n;                              ///< own samples ever
+	uint32_t now_percent;                    ///< last one; 0: none
+	uint64_t now_us;                         ///< when it was stated
+	double mean_pace; ///< of the stated ones, smoothed; 0: none
+};
+
 struct balancer_server {
 	struct balancer_server_conf conf;
 	handle_t handle;
@@ -95,6 +108,7 @@
 	handle_t trial;           ///< that request; HANDLE_NONE: none in flight
 
 	struct balancer_cold cold;
+	struct balancer_speed speed;
 };
 
 struct balancer_pool {
@@ -108,6 +122,7 @@
 	double median_us_per_token;
 	double median_inter_token_us;
 	uint64_t medians_us; ///< When the medians were computed.
+	bool has_pace;       ///< A server has stated its pace.
 	struct balancer_cold_rule cold_rule;
 	double sent_per_s; ///< Own requests, smoothed; while servers are cold.
 	uint64_t sent_us;  ///< When the last one was counted.
@@ -170,6 +185,13 @@
 void balancer__update_restricted(struct balancer_server *p);
 void balancer__forget_speed(struct balancer_server *p);
 
+void balancer__speed_record(
+    struct balancer_server *p, uint64_t at_us, uint32_t percent);
+uint32_t balancer__usual_pace(const struct balancer_server *p);
+double balancer__pace(const struct balancer_server *p, uint64_t now_us);
+double balancer__stated_pace(const struct balancer_server *p, uint64_t now_us);
+double balancer__mean_pace(const struct balancer_server *p);
+
 bool balancer__is_cold(const struct balancer_server *p, uint64_t now_us);
 void balancer__cold_expire(struct balancer_server *p, uint64_t now_us);
 void balancer__cold_set_turns(
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 
 #define CRASH_EXIT 9
-#define WINDOW_US 4000000
+#define WINDOW_MS 4000
 
 /// A backend server as the platform runs them: it serves requests for one
 /// instance id, puts its identity into the headers of each response, and sends
@@ -68,6 +68,8 @@
 {
 	add_signal(b, req, "Server-Limit", "limit");
 	add_signal(b, req, "Server-Leaving", "leaving");
+	if (strcmp(standin_request_path(req), "/health") == 0)
+		add_signal(b, req, "X-Acaciahinge-Cold-Ms", "cold_ms");
 	add_header(req, "X-Acaciahinge-Request-Id",
 	    standin_request_header(req, "X-Acaciahinge-Request-Id", ""));
 	add_header(req, "X-Acaciahinge-Server-Stamp",
@@ -215,10 +217,14 @@
 		send_response(b, req);
 }
 
-/// Most requests that arrived within four seconds.
+/// Most requests that arrived within a window, of four seconds if no setting
+/// says otherwise.
 static uint32_t
 most_in_window(const struct backend *b)
 {
+	const uint64_t window_us = (uint64_t)standin_get_int(b->env->settings,
+				       "window_ms", WINDOW_MS) *
+	    1000;
 	uint32_t most = 0;
 	guint first = 0;
 
@@ -226,7 +232,7 @@
 		const uint64_t at = g_array_index(b->arrivals, uint64_t, i);
 
 		while (at - g_array_index(b->arrivals, uint64_t, first) >=
-		    WINDOW_US)
+		    window_us)
 			first++;
 		most = MAX(most, i - first + 1);
 	}
