A response's pace counts once, and servers are drawn in one pass

Cause: the load was recorded when the head of a response came and again at its end, so that each stated pace was two of a gateway's five samples and both of those that it sends the leader; and eight servers were drawn by eight passes with a logarithm for each server.

Ruled out: leaving it to the leader's median, which had the same doubled samples.

Change: the pace is taken from the head only; each server's key is computed once.

--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -172,9 +172,10 @@
 		gateway_give_up(q, why);
 }
 
-/// Passes the load in the response's headers, if any, to the balancer.
+/// Passes the load in the response's headers, if any, to the balancer; the pace
+/// only once, when the head has come.
 static void
-record_load(struct gateway_request *q)
+record_load(struct gateway_request *q, bool is_head)
 {
 	struct gateway *g = q->gateway;
 	struct gateway_server *s = g_hash_table_lookup(g->servers, q->server);
@@ -182,12 +183,12 @@
 		.running = q->response.running,
 		.waiting = q->response.waiting,
 		.slots = q->response.slots,
-		.pace_percent = q->response.pace_percent,
+		.pace_percent = is_head ? q->response.pace_percent : 0,
 	};
 
 	if (s == NULL || !q->response.has_load)
 		return;
-	gateway_speed_on_response(g, s, q->response.pace_percent);
+	gateway_speed_on_response(g, s, report.pace_percent);
 	report.sequence = ++s->n_reports;
 	balancer_record_report(
 	    g->balancer, loop_now_us(g->loop), s->balancer_handle, &report);
@@ -226,7 +227,7 @@
 
 	q->status = http_status;
 	api_response_read(g->http, q->call_handle, &q->response);
-	record_load(q);
+	record_load(q, true);
 	gateway_signals_on_head(q);
 	q->is_stream = q->events != NULL && http_status == 200 &&
 	    response_matches(q) && !was_not_run(q);
@@ -497,7 +498,7 @@
 	if (result->status == STATUS_OK) {
 		api_response_read(
 		    q->gateway->http, q->call_handle, &q->response);
-		record_load(q);
+		record_load(q, false);
 		finish_response(q, result);
 		return;
 	}
--- a/src/route/balancer_choose.c
+++ b/src/route/balancer_choose.c
@@ -319,6 +319,7 @@
 draw_candidates(struct search *s, struct rnd *rnd)
 {
 	struct balancer_server **usable = s->r->usable;
+	double *keys = s->r->costs;
 	uint32_t kept = 0;
 
 	if (!s->pool->has_pace || s->pool->kind != BALANCER_RUNNER)
@@ -337,23 +338,19 @@
 			usable[kept++] = p;
 		}
 	}
-	for (uint32_t k = 0; k < N_CANDIDATES && kept < s->n; k++) {
-		double best = -DBL_MAX;
+	for (uint32_t i = kept; i < s->n; i++)
+		keys[i] =
+		    log(1 - rnd_unit(rnd)) * balancer__usual_pace(usable[i]);
+	for (uint32_t k = 0; k < N_CANDIDATES && kept < s->n; k++, kept++) {
 		uint32_t at = kept;
 		struct balancer_server *p;
 
-		for (uint32_t i = kept; i < s->n; i++) {
-			const double x = log(1 - rnd_unit(rnd)) *
-			    balancer__usual_pace(usable[i]);
-
-			if (x > best) {
-				best = x;
-				at = i;
-			}
-		}
+		for (uint32_t i = kept + 1; i < s->n; i++)
+			at = keys[i] > keys[at] ? i : at;
 		p = usable[at];
 		usable[at] = usable[kept];
-		usable[kept++] = p;
+		usable[kept] = p;
+		keys[at] = keys[kept];
 	}
 	s->n = kept;
 }
