--- a/src/fleet/limitmsg.c
+++ b/src/fleet/limitmsg.c
@@ -17,14 +17,19 @@
 	*m = (struct limitmsg){
 		.limits =
 		    g_array_new(FALSE, TRUE, sizeof(struct limitmsg_limit)),
+		.colds = g_array_new(FALSE, TRUE, sizeof(struct limitmsg_cold)),
+		.speeds =
+		    g_array_new(FALSE, TRUE, sizeof(struct limitmsg_speed)),
 	};
 }
 
-/// Releases a message's array.
+/// Releases a message's arrays.
 void
 limitmsg_clear(struct limitmsg *m)
 {
 	g_array_unref(m->limits);
+	g_array_unref(m->colds);
+	g_array_unref(m->speeds);
 }
 
 /// Appends a server's limit.
@@ -42,6 +47,27 @@
 	g_array_append_val(m->limits, limit);
 }
 
+/// Appends a cold server.
+void
+limitmsg_add_cold(struct limitmsg *m, const char *server, uint32_t left_ms)
+{
+	struct limitmsg_cold cold = { .left_ms = left_ms };
+
+	(void)g_strlcpy(cold.server, server, sizeof(cold.server));
+	g_array_append_val(m->colds, cold);
+}
+
+/// Appends the pace of a server.
+void
+limitmsg_add_speed(
+    struct limitmsg *m, const char *server, uint32_t pace_percent)
+{
+	struct limitmsg_speed speed = { .pace_percent = pace_percent };
+
+	(void)g_strlcpy(speed.server, server, sizeof(speed.server));
+	g_array_append_val(m->speeds, speed);
+}
+
 /// Requests per second of a limit; 0: it has ended.
 double
 limitmsg_per_s(const struct limitmsg_limit *limit)
@@ -49,6 +75,51 @@
 	return limit->limited ? (double)limit->milli_per_s / MILLI : 0;
 }
 
+/// The part that older processes don't know: left out where it is empty.
+static void
+code_colds(struct codec *c, struct limitmsg *m)
+{
+	uint32_t n = m->colds->len;
+
+	if (codec_is_writer(c) ? n + m->speeds->len == 0 : codec_at_end(c))
+		return;
+	codec_u32(c, &n);
+	if (n > MAX_LIMITS) {
+		codec_fail(c);
+		return;
+	}
+	g_array_set_size(m->colds, n);
+	for (uint32_t i = 0; i < n; i++) {
+		struct limitmsg_cold *cold =
+		    &g_array_index(m->colds, struct limitmsg_cold, i);
+
+		codec_str(c, cold->server, sizeof(cold->server));
+		codec_u32(c, &cold->left_ms);
+	}
+}
+
+static void
+code_speeds(struct codec *c, struct limitmsg *m)
+{
+	uint32_t n = m->speeds->len;
+
+	if (codec_is_writer(c) ? n == 0 : codec_at_end(c))
+		return;
+	codec_u32(c, &n);
+	if (n > MAX_LIMITS) {
+		codec_fail(c);
+		return;
+	}
+	g_array_set_size(m->speeds, n);
+	for (uint32_t i = 0; i < n; i++) {
+		struct limitmsg_speed *speed =
+		    &g_array_index(m->speeds, struct limitmsg_speed, i);
+
+		codec_str(c, speed->server, sizeof(speed->server));
+		codec_u32(c, &speed->pace_percent);
+	}
+}
+
 static void
 code_message(struct codec *c, struct limitmsg *m)
 {
@@ -71,6 +142,8 @@
 		codec_u64(c, &limit->milli_per_s);
 		codec_bool(c, &limit->limited);
 	}
+	code_colds(c, m);
+	code_speeds(c, m);
 }
 
 /// Encodes a message.
--- a/src/fleet/listdiff.c
+++ b/src/fleet/listdiff.c
@@ -86,6 +86,20 @@
 	g_hash_table_remove_all(d->encoded);
 }
 
+/// Readings of one cold time differ by the age of the platform's figures.
+#define COLD_TOLERANCE_MS 1000
+
+/// Whether a server's cold time is the one that was told. An entry that isn't
+/// cold says nothing new: the end that was told passes by itself.
+static bool
+is_same_cold(const struct instance *now, const struct instance *told)
+{
+	const uint64_t a = now->cold_until_ms;
+	const uint64_t b = told->cold_until_ms;
+
+	return a == 0 || MAX(a, b) - MIN(a, b) <= COLD_TOLERANCE_MS;
+}
+
 static GHashTable *
 index_servers(const GArray *servers)
 {
@@ -118,6 +132,26 @@
 	}
 }
 
+/// Keeps the ends of cold times and the paces that were told, where a reading
+/// shows nothing else.
+static void
+keep_told(GArray *servers, GHashTable *before)
+{
+	for (guint i = 0; i < servers->len; i++) {
+		struct instance *s =
+		    &g_array_index(servers, struct instance, i);
+		const struct instance *told =
+		    g_hash_table_lookup(before, s->id);
+
+		if (told == NULL)
+			continue;
+		if (is_same_cold(s, told))
+			s->cold_until_ms = told->cold_until_ms;
+		if (s->pace_percent == 0)
+			s->pace_percent = told->pace_percent;
+	}
+}
+
 static uint32_t
 digest_of(const GArray *servers)
 {
@@ -180,15 +214,19 @@
 listdiff_set(
     struct listdiff *d, const GArray *servers, uint64_t number, uint64_t now_us)
 {
-	const uint32_t digest = digest_of(servers);
 	const bool is_first = d->revision == 0;
+	GArray *copy = g_array_copy((GArray *)servers);
 	GHashTable *index;
-	GArray *copy;
+	uint32_t digest;
 
+	if (number == 0)
+		keep_told(copy, d->index);
+	digest = digest_of(copy);
 	if (!is_first && digest == listrev_digest(d->revision) &&
-	    servers->len == d->servers->len)
+	    servers->len == d->servers->len) {
+		g_array_unref(copy);
 		return false;
-	copy = g_array_copy((GArray *)servers);
+	}
 	index = index_servers(copy);
 	// Nobody has the revision before the first one.
 	if (!is_first)
--- a/src/fleet/listrev.c
+++ b/src/fleet/listrev.c
@@ -25,6 +25,12 @@
 	h = hash_text(server->host, h);
 	h ^= (uint64_t)server->port << 40 ^ (uint64_t)server->slots << 2 ^
 	    (uint64_t)server->draining << 1 ^ (uint64_t)server->spot;
+	if (server->cold_until_ms != 0)
+		h = XXH64(
+		    &server->cold_until_ms, sizeof(server->cold_until_ms), h);
+	if (server->pace_percent != 0)
+		h = XXH64(
+		    &server->pace_percent, sizeof(server->pace_percent), h);
 	return (uint32_t)XXH64(&h, sizeof(h), 0);
 }
 
@@ -38,7 +44,8 @@
 	    strcmp(a->version, b->version) == 0 &&
 	    strcmp(a->host, b->host) == 0 && a->port == b->port &&
 	    a->slots == b->slots && a->draining == b->draining &&
-	    a->spot == b->spot;
+	    a->spot == b->spot && a->cold_until_ms == b->cold_until_ms &&
+	    a->pace_percent == b->pace_percent;
 }
 
 /// The revision of a list.
--- a/src/fleet/servermsg.c
+++ b/src/fleet/servermsg.c
@@ -16,8 +16,10 @@
 	SERVER_REMOVED = 1,
 	SERVER_DRAINING = 2,
 	SERVER_SPOT = 4,
-	SERVER_HAS_IPV4 = 8, ///< the host is a number
-	SERVER_FLAGS = 15,
+	SERVER_HAS_IPV4 = 8,  ///< the host is a number
+	SERVER_HAS_COLD = 16, ///< it is cold for some time
+	SERVER_HAS_PACE = 32, ///< its pace is known
+	SERVER_FLAGS = 63,
 };
 
 /// Texts that were coded before.
@@ -94,7 +96,9 @@
 	return (s->removed ? SERVER_REMOVED : 0) |
 	    (s->instance.draining ? SERVER_DRAINING : 0) |
 	    (s->instance.spot ? SERVER_SPOT : 0) |
-	    (to_ipv4(s->instance.host, &address) ? SERVER_HAS_IPV4 : 0);
+	    (to_ipv4(s->instance.host, &address) ? SERVER_HAS_IPV4 : 0) |
+	    (s->instance.cold_until_ms != 0 ? SERVER_HAS_COLD : 0) |
+	    (s->instance.pace_percent != 0 ? SERVER_HAS_PACE : 0);
 }
 
 static void
@@ -135,6 +139,10 @@
 	code_host(m, &s->instance, flags);
 	codec_u16(m, &s->instance.port);
 	codec_u32(m, &s->instance.slots);
+	if ((flags & SERVER_HAS_COLD) != 0)
+		codec_u64(m, &s->instance.cold_until_ms);
+	if ((flags & SERVER_HAS_PACE) != 0)
+		codec_u32(m, &s->instance.pace_percent);
 }
 
 /// Codes the servers that follow the mark.
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -58,6 +58,8 @@
 	if (handle != s->balancer_handle && s->limit_per_s > 0)
 		balancer_set_limit(g->balancer, now_us, handle, s->limit_per_s);
 	s->balancer_handle = handle;
+	gateway_cold_on_listed(g, s);
+	gateway_speed_on_listed(g, s);
 	if (s->instance.draining || s->signalled_leaving)
 		balancer_set_draining(g->balancer, now_us, handle,
 		    s->instance.draining ? BALANCER_BY_LIST
@@ -149,7 +151,7 @@
 
 /// This gateway has read the list from the platform.
 static void
-on_list(void *arg, const GArray *servers)
+on_list(void *arg, GArray *servers)
 {
 	struct gateway *g = arg;
 	const uint64_t now = loop_now_us(g->loop);
@@ -157,9 +159,13 @@
 	if (servers == NULL || g->list_asked_us <= g->list_fresh_us)
 		return;
 	g->list_round++;
-	for (guint i = 0; i < servers->len; i++)
-		update_server(g, &g_array_index(servers, struct instance, i),
-		    servers->len, now);
+	for (guint i = 0; i < servers->len; i++) {
+		struct instance *s =
+		    &g_array_index(servers, struct instance, i);
+
+		instance_set_cold_end(s, gateway_wall_clock_us(g));
+		update_server(g, s, servers->len, now);
+	}
 	remove_unlisted(g);
 	if (g->list_fresh_us == 0)
 		logger_event(
--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -136,6 +136,7 @@
 		hub_crashes_reset(h);
 		hub_limits_reset(h);
 		hub_evac_reset(h);
+		hub_speed_reset(h);
 		timerq_arm_in(h->tick, 0);
 	}
 	h->was_leader = hub_is_leader(h);
--- a/src/hub/hub_servers.c
+++ b/src/hub/hub_servers.c
@@ -54,13 +54,19 @@
 }
 
 static void
-on_list(void *arg, const GArray *servers)
+on_list(void *arg, GArray *servers)
 {
 	struct hub *h = arg;
 
 	if (servers == NULL || h->list_asked_us <= h->list_fresh_us)
 		return;
 	h->list_is_leaders = false;
+	for (guint i = 0; i < servers->len; i++)
+		instance_set_cold_end(
+		    &g_array_index(servers, struct instance, i),
+		    hub_wall_clock_us(h));
+	if (hub_is_leader(h))
+		hub_speed_fill(h, servers);
 	hub_servers_set(h, servers, 0, h->list_asked_us);
 }
 
@@ -88,6 +94,7 @@
 	};
 
 	h->list = listdiff_new();
+	hub_speed_start(h);
 	h->next_list_us = loop_now_us(h->loop) + HUB_LIST_SILENT_US;
 	h->lister = api_lister_new(h->http, loop_timers(h->loop), &callbacks);
 	for (uint32_t i = 0; i < h->settings.n_zones; i++)
--- a/src/platform/api_lister.h
+++ b/src/platform/api_lister.h
@@ -15,7 +15,7 @@
 	///
 	/// @param servers  struct instance, valid until the next read starts;
 	///                 NULL: a page failed, which was logged
-	void (*done)(void *arg, const GArray *servers);
+	void (*done)(void *arg, GArray *servers);
 	/// A page was read; NULL: not called.
 	///
 	/// @param n  number of servers on it
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -62,7 +62,10 @@
 	uint64_t kv_used_tokens;
 	uint64_t kv_total_tokens; ///< 0: unknown.
 	uint32_t tokens_per_s;    ///< 0: unknown.
-	bool draining;            ///< Taken as BALANCER_BY_SERVER.
+	uint32_t slots;           ///< Requests at a time; 0: unknown.
+	/// Time that work takes there now, in percent of the usual; 0: unknown.
+	uint32_t pace_percent;
+	bool draining; ///< Taken as BALANCER_BY_SERVER.
 };
 
 /// A request to be dispatched. The balancer keeps no pointer of it.
@@ -192,6 +195,32 @@
 void balancer_set_limit(
     struct balancer *r, uint64_t now_us, handle_t server, double per_s);
 
+/// See balancer_speed.c.
+void balancer_set_pace(struct balancer *r, handle_t server, uint32_t percent);
+
+/// What a pool says of its cold servers; see balancer_cold.c.
+struct balancer_cold_rule {
+	uint64_t start_us; ///< a server is cold so long after a start; 0: never
+	double per_s;      ///< requests that a cold server takes per second
+	double max_per_s;  ///< that it may get in any second from all processes
+};
+
+void balancer_set_cold_rule(struct balancer *r, const char *pool,
+    const struct balancer_cold_rule *rule);
+void balancer_set_cold(
+    struct balancer *r, uint64_t now_us, handle_t server, uint64_t until_us);
+void balancer_presume_cold(
+    struct balancer *r, uint64_t now_us, handle_t server);
+
+/// Whether and how long a server is cold.
+struct balancer_cold_state {
+	uint64_t until_us; ///< in the past: it isn't
+	bool presumed;     ///< it may have restarted; not known
+};
+
+struct balancer_cold_state balancer_cold_state(
+    const struct balancer *r, uint64_t now_us, handle_t server);
+
 /// Sends no requests to a server until a time. After it the server gets one
 /// request at a time until it has responded to one.
 void balancer_pause(
@@ -232,9 +261,12 @@
 	uint32_t own_requests; ///< Our own requests there.
 	bool ejected;          ///< Ejected as an outlier.
 	bool draining;
-	double limit_per_s;       ///< Advertised; 0: none.
-	uint64_t paused_until_us; ///< In the past: it isn't.
-	uint64_t first_token_us;  ///< Smoothed; 0: none yet.
+	double limit_per_s;        ///< Advertised; 0: none.
+	uint64_t paused_until_us;  ///< In the past: it isn't.
+	uint64_t cold_until_us;    ///< In the past: it isn't.
+	uint32_t pace_percent;     ///< Usual time of work there.
+	uint32_t pace_now_percent; ///< Expected of work sent now.
+	uint64_t first_token_us;   ///< Smoothed; 0: none yet.
 	uint64_t failures;
 	uint64_t blocks; ///< Entries of the prefix index for it.
 };
--- a/src/route/balancer_dispatch.c
+++ b/src/route/balancer_dispatch.c
@@ -106,6 +106,7 @@
 	balancer__update_own(p, now_us, 1);
 	if (p->restricted)
 		balancer__count_sent(r, p, now_us, handle);
+	balancer__cold_count(r, p, now_us);
 	index_prompt(r, p, now_us, request);
 	smooth(&p->pool->mean_recompute_tokens, choice->recompute_tokens);
 	if (choice->probe)
@@ -129,8 +130,12 @@
 		return;
 	remove_pending(p, d);
 	balancer__end_trial(p, now_us, dispatch, BALANCER_DONE);
-	us = (double)(now_us - d->begin_us);
+	// The server's pace isn't its fault.
+	us = (double)(now_us - d->begin_us) / balancer__stated_pace(p, now_us);
 	us_per_token = us / (d->predicted + BALANCER_BASE_TOKENS);
+	// A server is slow while it is cold; that isn't its speed.
+	if (balancer__is_cold(p, now_us) || d->begin_us < p->cold.ended_us)
+		return;
 	smooth(&p->ttft_us, us);
 	smooth(&p->ttft_tokens, d->predicted + BALANCER_BASE_TOKENS);
 	p->us_per_token = p->ttft_us / p->ttft_tokens;
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -31,6 +31,27 @@
 
 struct balancer_dispatch;
 
+/// Cold time of a server, see balancer_cold.c.
+struct balancer_cold {
+	uint64_t until_us;  ///< 0: it isn't cold
+	uint64_t ended_us;  ///< when the last cold time ended
+	bool presumed;      ///< by a failure or a return, not told
+	struct turns turns; ///< while it is cold, and for some time after
+};
+
+#define BALANCER_PACE_NORMAL 100
+#define BALANCER_PACE_SAMPLES 5
+
+/// Speed of a server, see balancer_speed.c.
+struct balancer_speed {
+	uint32_t told_percent; ///< its usual pace, by control; 0: not known
+	uint32_t samples[BALANCER_PACE_SAMPLES]; ///< own, a ring
+	uint32_t n;                              ///< own samples ever
+	uint32_t now_percent;                    ///< last one; 0: none
+	uint64_t now_us;                         ///< when it was stated
+	double mean_pace; ///< of the stated ones, smoothed; 0: none
+};
+
 struct balancer_server {
 	struct balancer_server_conf conf;
 	handle_t handle;
@@ -42,7 +63,7 @@
 	uint32_t versions[BALANCER_MAX_VERSIONS];
 
 	bool draining;
-	/// It has advertised a limit or is half open: balancer__is_open()
+	/// It has advertised a limit, is cold or half open: balancer__is_open()
 	/// decides.
 	bool restricted;
 	uint64_t draining_since_us;
@@ -85,6 +106,9 @@
 	uint64_t paused_until_us; ///< no requests are sent to it until then
 	bool half_open;           ///< paused, or it gets one request at a time
 	handle_t trial;           ///< that request; HANDLE_NONE: none in flight
+
+	struct balancer_cold cold;
+	struct balancer_speed speed;
 };
 
 struct balancer_pool {
@@ -98,6 +122,10 @@
 	double median_us_per_token;
 	double median_inter_token_us;
 	uint64_t medians_us; ///< When the medians were computed.
+	bool has_pace;       ///< A server has stated its pace.
+	struct balancer_cold_rule cold_rule;
+	double sent_per_s; ///< Own requests, smoothed; while servers are cold.
+	uint64_t sent_us;  ///< When the last one was counted.
 };
 
 struct balancer_dc {
@@ -105,6 +133,7 @@
 	uint64_t distance_us;
 	bool by_note;   ///< A release note says that it is reclaimed.
 	bool by_notice; ///< A reclaim notice was received.
+	bool returned;  ///< It gets requests again; balancer_choose() acts.
 };
 
 /// A request in flight.
@@ -132,6 +161,7 @@
 	void *pools;           ///< GHashTable: name -> struct balancer_pool
 	void *data_centres;    ///< GHashTable: name -> struct balancer_dc
 	void *versions;        ///< GHashTable: name -> number
+	bool any_dc_returned;  ///< A data centre has `returned` set.
 	struct balancer_server **slots; ///< By slot; NULL: free.
 	uint32_t n_slots;
 	struct prefix_index *index;
@@ -151,6 +181,28 @@
 
 bool balancer__is_open(
     const struct balancer *r, const struct balancer_server *p, uint64_t now_us);
+uint64_t balancer__shared_us(const struct balancer *r, uint64_t now_us);
+void balancer__update_restricted(struct balancer_server *p);
+void balancer__forget_speed(struct balancer_server *p);
+
+void balancer__speed_record(
+    struct balancer_server *p, uint64_t at_us, uint32_t percent);
+uint32_t balancer__usual_pace(const struct balancer_server *p);
+double balancer__pace(const struct balancer_server *p, uint64_t now_us);
+double balancer__stated_pace(const struct balancer_server *p, uint64_t now_us);
+double balancer__mean_pace(const struct balancer_server *p);
+
+bool balancer__is_cold(const struct balancer_server *p, uint64_t now_us);
+void balancer__cold_expire(struct balancer_server *p, uint64_t now_us);
+void balancer__cold_set_turns(
+    struct balancer *r, struct balancer_server *p, uint64_t now_us);
+double balancer__cold_cost(const struct balancer *r,
+    const struct balancer_server *p, uint64_t now_us, uint32_t n_usable);
+void balancer__cold_count(
+    struct balancer *r, struct balancer_server *p, uint64_t now_us);
+uint64_t balancer__cold_opens_us(
+    const struct balancer *r, const struct balancer_server *p, uint64_t now_us);
+void balancer__cold_presume_returned(struct balancer *r, uint64_t now_us);
 void balancer__count_sent(struct balancer *r, struct balancer_server *p,
     uint64_t now_us, handle_t dispatch);
 void balancer__end_trial(struct balancer_server *p, uint64_t now_us,
--- a/src/route/turns.c
+++ b/src/route/turns.c
@@ -37,8 +37,9 @@
 static int64_t
 oldest_valid(const struct turns *t, uint64_t time_us)
 {
-	const uint64_t since =
-	    time_us > TURNS_VALID_US ? time_us - TURNS_VALID_US : 0;
+	const uint64_t valid_us =
+	    t->valid_us != 0 ? t->valid_us : TURNS_VALID_US;
+	const uint64_t since = time_us > valid_us ? time_us - valid_us : 0;
 	const int64_t valid = newest(t, since) + 1;
 
 	return valid > t->used ? valid : t->used + 1;
@@ -72,6 +73,13 @@
 	    oldest_valid(t, time_us) <= newest(t, time_us);
 }
 
+/// Number of the oldest turn that is valid, or of the next one.
+int64_t
+turns_number(const struct turns *t, uint64_t time_us)
+{
+	return t->position.n > 0 ? oldest_valid(t, time_us) : 0;
+}
+
 /// When the next request may be sent; UINT64_MAX: no turn belongs to this
 /// process.
 uint64_t
--- a/test/unit/fleet/test_limitmsg.cc
+++ b/test/unit/fleet/test_limitmsg.cc
@@ -73,4 +73,34 @@
 	EXPECT_EQ(limitmsg_decode(bytes, len - 1, &out), STATUS_CORRUPT);
 }
 
+TEST_F(LimitMsg, KeepsColdServers)
+{
+	limitmsg_add_cold(&in, "i-1", 2500);
+	ASSERT_EQ(Transfer(), STATUS_OK);
+	ASSERT_EQ(out.colds->len, 1U);
+
+	const auto *colds =
+	    reinterpret_cast<const struct limitmsg_cold *>(out.colds->data);
+
+	EXPECT_STREQ(colds[0].server, "i-1");
+	EXPECT_EQ(colds[0].left_ms, 2500U);
+}
+
+// A process of the version before knows nothing after the limits.
+TEST_F(LimitMsg, LimitsAloneAreAsBefore)
+{
+	limitmsg_add(&in, "i-1", 1.5);
+	ASSERT_EQ(Transfer(), STATUS_OK);
+	EXPECT_EQ(out.colds->len, 0U);
+	// Three numbers and a flag, then name, limit and flag.
+	EXPECT_EQ(len, 4U + 4U + 3U + 1U);
+}
+
+TEST_F(LimitMsg, RefusesTruncatedColdServers)
+{
+	limitmsg_add_cold(&in, "i-1", 2500);
+	ASSERT_EQ(Transfer(), STATUS_OK);
+	EXPECT_EQ(limitmsg_decode(bytes, len - 1, &out), STATUS_CORRUPT);
+}
+
 } // namespace
--- a/test/unit/fleet/test_servermsg.cc
+++ b/test/unit/fleet/test_servermsg.cc
@@ -141,3 +141,27 @@
 		}
 	}
 }
+
+/// What control adds to the list is in the compact form only.
+TEST(ServerMsg, CompactFormHasColdTimesAndPaces)
+{
+	GArray *list = someServers(5, 60);
+	GArray *out = newList();
+	uint8_t *bytes;
+	size_t len;
+
+	for (guint i = 0; i < list->len; i += 3) {
+		auto &s = g_array_index(list, struct hubmsg_server, i);
+
+		if (s.removed)
+			continue;
+		s.instance.cold_until_ms = i % 2 == 0 ? 0 : 1770000000000 + i;
+		s.instance.pace_percent = i % 5 == 0 ? 0 : 40 + i;
+	}
+	servermsg_encode(list, &bytes, &len);
+	ASSERT_EQ(servermsg_decode(bytes, len, out), STATUS_OK);
+	expectEqual(list, out);
+	free(bytes);
+	g_array_unref(list);
+	g_array_unref(out);
+}
