script_quota_leader_lost: asks wait long enough to be seen

It failed once, with the sanitisers beside other work: 'waited in vain' for four asks that wait. Traced: at one unit a second the queue holds four for some 4 s only, and the script looks at it by several calls each time, so that a slow machine misses it. The target and the callers' time are longer, so that it holds four for 14 s; what is checked stays. Passes plain (19 s) and with the sanitisers (20 s), beside other work.

--- a/test/script/quota_leader_lost.sh
+++ b/test/script/quota_leader_lost.sh
@@ -7,7 +7,7 @@
 deployment ""
 first_manifest '"k1"'
 manifest 6 '"k1"' |
-    sed 's/"timeout_ms": 2000, "target_latency_ms": 300/"timeout_ms": 60000, "target_latency_ms": 40000/' |
+    sed 's/"timeout_ms": 2000, "target_latency_ms": 300/"timeout_ms": 120000, "target_latency_ms": 90000/' |
     put 11 >/dev/null
 wait_for 200 ready 21
 wait_for 1 grep -c 'event=config.in_force version=6' gateway-21.log
@@ -26,8 +26,8 @@
 since=$(date +%s)
 callers=""
 for i in $(seq 30); do
-	status_of 21 /plain/a k1 -H "X-Acaciahinge-Deadline-Ms: 60000" \
-	    -m 40 >"status-$i" &
+	status_of 21 /plain/a k1 -H "X-Acaciahinge-Deadline-Ms: 120000" \
+	    -m 60 >"status-$i" &
 	callers="$callers $!"
 done
 some_wait() {
