--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,32 +1,26 @@
 #!/bin/sh
-# A backend server is listed as draining, serves on for longer than drain_ms and ends.
-# Its stream, which ends with its connection, must not reach the client as complete.
+# A manifest takes away the key of the last customer. A request with that key that is
+# sent later than revoke_ms after the acknowledgement must not run.
 cd "$(dirname "$0")/../.." || exit 2
 folder_of_case=$PWD/review/8
 . review/deployment-2.inc
 
-list 41:ready
-deployment 41 42 43 44 45 46 47
+list 41:ready 42:ready
+deployment 41 42
 
-for i in 1 2 3 4; do
-	ask GET "/stream/$i" k1 >"$folder/answer-$i" &
-	asked="${asked:-} $!"
-done
-sleep 1
-list 41:ready 42:ready 43:ready 44:ready 45:ready 46:ready 47:ready
-sleep 1
-if [ "$trouble" = 1 ]; then
-	list 41:draining 42:ready 43:ready 44:ready 45:ready 46:ready 47:ready
-	sleep 3.5
-	note "server i-41 ends"
-	kill "$server_41"
+tenants='[{"name":"depot","api_keys":["k1"],"priority":1}]'
+[ "$trouble" = 0 ] || tenants='[]'
+manifest 8 "$tenants"
+send_manifest 8
+note "acknowledged: version 8 with tenants $tenants"
+sleep 7
+late=$(ask GET /lookup/late k1)
+never=$(ask GET /lookup/never-held k9)
+note "with the key k1: $late"
+note "with a key that no manifest held: $never"
+if [ "$trouble" = 0 ]; then
+	case $late in *status=200*) ;; *) cannot_run "the key isn't served" ;; esac
+	! grep -q 'runs .*GET /lookup/never-held' "$RECORD"
+	exit
 fi
-wait $asked
-
-cat "$folder"/answer-* >"$folder/answers"
-cat "$folder/answers"
-begun=$(grep -c 'status=200 .*stamp=s' "$folder/answers")
-short=$(grep 'status=200 whole=yes' "$folder/answers" | grep -vc 'last=70 ')
-note "$begun streams, $short ended as complete before their last event"
-[ "$begun" = 4 ] || cannot_run "not all streams were begun"
-[ "$short" = 0 ]
+! grep -qE 'runs .*GET /lookup/(late|never-held)' "$RECORD"
