--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -13,11 +13,6 @@
 #include <unistd.h>
 
 #define REQUEST_ID "X-Acaciahinge-Request-Id"
-/// A plain response without a length: parts, their bytes, and the pause
-/// between.
-#define PLAIN_PARTS 10
-#define PLAIN_PART_BYTES 80
-#define PLAIN_PAUSE_MS 60
 /// A stream: events, and the pause between them.
 #define STREAM_EVENTS 70
 #define STREAM_PAUSE_MS 100
@@ -102,12 +97,12 @@
 }
 
 static bool
-begin_unframed(int fd, const char *id, const char *type)
+begin_stream(int fd, const char *id)
 {
 	return net_sendf(fd,
 	    "HTTP/1.1 200 OK\r\n" REQUEST_ID ": %s\r\n"
-	    "X-Acaciahinge-Server-Stamp: s\r\nContent-Type: %s\r\n\r\n",
-	    id, type);
+	    "X-Acaciahinge-Server-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n",
+	    id);
 }
 
 /// Sends a stream that ends with its connection.
@@ -117,7 +112,7 @@
 	char after[32] = "0";
 
 	(void)net_header(head, "Last-Event-Id", after, sizeof(after));
-	if (!begin_unframed(fd, id, "text/event-stream"))
+	if (!begin_stream(fd, id))
 		return;
 	for (long i = strtol(after, NULL, 10) + 1; i <= STREAM_EVENTS; i++) {
 		if (!net_sendf(fd, "id: %ld\ndata: piece %ld of %d\n\n", i, i,
@@ -127,22 +122,6 @@
 	}
 }
 
-/// Sends a plain response that ends with its connection.
-static void
-send_unframed(int fd, const char *id)
-{
-	char part[PLAIN_PART_BYTES];
-
-	memset(part, 'x', sizeof(part));
-	if (!begin_unframed(fd, id, "text/plain"))
-		return;
-	for (int i = 0; i < PLAIN_PARTS; i++) {
-		if (!net_send(fd, part, sizeof(part)))
-			return;
-		pause_ms(PLAIN_PAUSE_MS);
-	}
-}
-
 static bool
 send_framed(int fd, const char *id, bool to_head)
 {
@@ -201,10 +180,6 @@
 		send_stream(fd, id, m->head);
 		return false;
 	}
-	if (strstr(m->head, " /unframed/") != NULL) {
-		send_unframed(fd, id);
-		return false;
-	}
 	return send_framed(fd, id, to_head);
 }
 
