review: each script reads TROUBLE and names its record itself

Cause: both stood in the file that the scripts share, where a reader of a script, and a check of it, doesn't see them.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,7 +2,8 @@
 # A manifest takes away the key of the last customer. A request with that key that is
 # sent later than revoke_ms after the acknowledgement must not run.
 cd "$(dirname "$0")/../.." || exit 2
-folder_of_case=$PWD/review/8
+RECORD=$PWD/review/8/record.txt
+trouble=${TROUBLE:-1}
 . review/deployment-2.inc
 
 list 41:ready 42:ready
