An empty list of customers still requires API keys

A manifest that takes the last customer away is acknowledged, then requests run with the key that was taken away and with keys that never existed, and servers get the keys, on public routes too; the same after the gateway, or all processes, are started again. Cause: fleetcfg_n_customers() > 0 stood for "requests need a key" and for "Authorization is withheld". Ruled out: that the manifest isn't in force (its routes and version are, in the log), and an old one that comes back from a disk (no start is needed). Change: the configuration holds whether keys are required, by the presence of the list; one function decides for a route, one for the header.

--- a/src/cli/cli_check.c
+++ b/src/cli/cli_check.c
@@ -97,9 +97,10 @@
 	}
 	result->summary =
 	    g_strdup_printf("manifest of version %" G_GUINT64_FORMAT
-			    ", %zu routes, %zu services, %zu customers",
+			    ", %zu routes, %zu services, %zu customers%s",
 		fleetcfg_version(config), fleetcfg_n_routes(config),
-		fleetcfg_n_services(config), fleetcfg_n_customers(config));
+		fleetcfg_n_services(config), fleetcfg_n_customers(config),
+		fleetcfg_has_keys(config) ? "" : ", no API keys required");
 	fleetcfg_unref(config);
 }
 
--- a/src/fleet/fleetcfg.c
+++ b/src/fleet/fleetcfg.c
@@ -11,6 +11,7 @@
 struct fleetcfg {
 	gint refs;
 	uint64_t version;
+	bool requires_keys;
 	struct fleetcfg_limits limits;
 	GPtrArray *services;
 	GPtrArray *routes;
@@ -189,7 +190,15 @@
 	return STATUS_OK;
 }
 
-/// Adds a customer.
+/// Requires an API key of a customer for all routes that aren't public. Without
+/// customers no request has one.
+void
+fleetcfg_require_keys(struct fleetcfg *c)
+{
+	c->requires_keys = true;
+}
+
+/// Adds a customer, and requires API keys.
 ///
 /// @return the customer to be filled in; NULL when the name is taken, empty or
 ///         too long
@@ -204,6 +213,7 @@
 		    STATUS_INVALID, "customer '%.80s': unfit or twice", name);
 		return NULL;
 	}
+	fleetcfg_require_keys(c);
 	u = g_new0(struct fleetcfg_customer, 1);
 	(void)g_strlcpy(u->name, name, sizeof(u->name));
 	g_ptr_array_add(c->customers, u);
@@ -376,7 +386,23 @@
 	return g_ptr_array_index(c->routes, i);
 }
 
-/// Number of customers; 0: requests need no API key.
+/// Whether requests carry API keys of customers. If not, their Authorization
+/// header is meant for the backend servers.
+bool
+fleetcfg_has_keys(const struct fleetcfg *c)
+{
+	return c->requires_keys;
+}
+
+/// Whether a request of a route must carry the API key of a customer.
+bool
+fleetcfg_requires_key(const struct fleetcfg *c, const struct fleetcfg_route *r)
+{
+	return c->requires_keys && !r->no_auth;
+}
+
+/// Number of customers. Without any, keys may still be required, see
+/// fleetcfg_requires_key().
 size_t
 fleetcfg_n_customers(const struct fleetcfg *c)
 {
--- a/src/fleet/fleetcfg.h
+++ b/src/fleet/fleetcfg.h
@@ -131,6 +131,7 @@
     struct fleetcfg *c, const char *host, const char *prefix);
 enum status fleetcfg_add_split(struct fleetcfg *c, struct fleetcfg_route *r,
     const char *service, uint32_t weight);
+void fleetcfg_require_keys(struct fleetcfg *c);
 struct fleetcfg_customer *fleetcfg_add_customer(
     struct fleetcfg *c, const char *name);
 enum status fleetcfg_add_key(
@@ -148,6 +149,9 @@
 int fleetcfg_find_service(const struct fleetcfg *c, const char *name);
 size_t fleetcfg_n_routes(const struct fleetcfg *c);
 const struct fleetcfg_route *fleetcfg_route(const struct fleetcfg *c, size_t i);
+bool fleetcfg_has_keys(const struct fleetcfg *c);
+bool fleetcfg_requires_key(
+    const struct fleetcfg *c, const struct fleetcfg_route *r);
 size_t fleetcfg_n_customers(const struct fleetcfg *c);
 const struct fleetcfg_customer *fleetcfg_customer(
     const struct fleetcfg *c, size_t i);
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -78,7 +78,7 @@
 static int
 authenticate(struct gateway_request *q, const char **why)
 {
-	if (q->route->no_auth || fleetcfg_n_customers(q->config) == 0)
+	if (!fleetcfg_requires_key(q->config, q->route))
 		return 0;
 	if (q->call.has_key)
 		q->customer = fleetcfg_customer_by_key(q->config, q->call.key);
@@ -252,7 +252,7 @@
 	gateway_service_load(g, q->service->name)->arrived++;
 	hash_prompt(q);
 	q->headers = api_headers_from_request(
-	    g->callers, handle, fleetcfg_n_customers(q->config) > 0);
+	    g->callers, handle, fleetcfg_has_keys(q->config));
 	q->n_headers = api_headers_count(q->headers);
 	if (q->route->kind == FLEETCFG_STREAM) {
 		q->events = evstream_new();
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -236,9 +236,10 @@
 	gateway_accept_set_limits(g);
 	gateway_cold_on_config(g);
 	logger_event(LOGGER_INFO, "config.in_force",
-	    "version=%" PRIu64 " routes=%zu services=%zu customers=%zu",
+	    "version=%" PRIu64 " routes=%zu services=%zu customers=%zu keys=%s",
 	    version, fleetcfg_n_routes(config), fleetcfg_n_services(config),
-	    fleetcfg_n_customers(config));
+	    fleetcfg_n_customers(config),
+	    fleetcfg_has_keys(config) ? "required" : "unused");
 }
 
 static void
--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -51,6 +51,10 @@
 		    status_last());
 		return;
 	}
+	if (h->config != NULL && fleetcfg_has_keys(h->config) &&
+	    !fleetcfg_has_keys(config))
+		logger_event(LOGGER_WARN, "config.keys_unused",
+		    "version=%" PRIu64, fleetcfg_version(config));
 	fleetcfg_unref(h->config);
 	h->config = config;
 	logger_event(LOGGER_INFO, "config.changed", "version=%" PRIu64,
--- a/src/platform/api_manifest.c
+++ b/src/platform/api_manifest.c
@@ -416,6 +416,9 @@
 	st = first_failure(st,
 	    st == STATUS_OK ? read_list(c, root, "routes", true, read_route)
 			    : st);
+	// An empty list takes all keys away; without the field none are needed.
+	if (json_object_get(root, "tenants") != NULL)
+		fleetcfg_require_keys(c);
 	st = first_failure(st,
 	    st == STATUS_OK
 		? read_list(c, root, "tenants", false, read_customer)
--- /dev/null
+++ b/test/script/keys_removed.sh
@@ -0,0 +1,72 @@
+# Guards against a configuration with an empty list of customers being served as one
+# without customers: keys that were taken away ran, and the servers got them.
+. "$PWD/test/script/deployment.inc"
+
+# Prints a manifest with a public route: VERSION TENANTS. Without TENANTS it has no
+# list of customers.
+keyed() {
+	manifest "$1" '' | sed "s|\"name\": \"booking\",|& \"public\": true,|
+	    s|\"tenants\":.*|${2:+\"tenants\": $2,} \"limits\": {}}|"
+}
+
+# Puts a manifest in force at the gateway: VERSION TENANTS.
+change() {
+	keyed "$@" | put 11
+	wait_for 1 grep -c "event=config.in_force version=$1 " gateway-21.log
+}
+
+# Prints a request's status, and what the server got of its identity: PATH KEY.
+ask() {
+	got=$(call 21 "$1" "$2" | tr '\n' ' ')
+	echo "$1 $2: ${got##*status }$(echo "$got" | grep -o 'customer=.* hold' | sed 's/ hold//')"
+}
+
+# Requests with a key that was taken away, one that never existed, and the first at a
+# public route.
+ask_all() {
+	ask /plain/a k1
+	ask /plain/a k9
+	ask /booking/a k1
+}
+
+deployment ''
+first_manifest '"k1"'
+wait_for 200 ready 21
+wait_for 200 status_of 21 /plain/a k1
+
+echo "== a customer with a key"
+change 6 '[{"name": "depot", "api_keys": ["k1"]}]'
+ask_all
+
+echo "== no customers"
+change 7 '[]'
+ask_all
+
+echo "== the same after the gateway was killed"
+kill -9 "$gateway_21"
+gateway 21
+wait_for 200 ready 21
+ask_all
+
+echo "== the same after all were killed"
+kill -9 "$gateway_21" "$hub_11" "$hub_12" "$hub_13"
+for n in 11 12 13; do hub $n false; done
+gateway 21
+wait_for 200 ready 21
+ask_all
+
+echo "== the customer comes back"
+change 8 '[{"name": "depot", "api_keys": ["k1"]}]'
+ask_all
+
+echo "== the customer has no keys"
+change 9 '[{"name": "depot", "api_keys": []}]'
+ask_all
+
+echo "== no list of customers"
+change 10 ''
+ask_all
+
+echo "== no customers again"
+change 11 '[]'
+ask_all
--- a/test/unit/platform/test_api_manifest.cc
+++ b/test/unit/platform/test_api_manifest.cc
@@ -96,6 +96,34 @@
 	EXPECT_NE(strstr(status_last(), "line"), nullptr);
 }
 
+/// Guards against an empty list of customers being read as none: all keys were
+/// accepted once the last customer was gone.
+TEST(Manifest, EmptyListOfCustomersStillRequiresKeys)
+{
+	const std::string open_route =
+	    R"({"name":"r2","host":"a.example",)"
+	    R"("path_prefix":"/y/","kind":"idempotent","timeout_ms":4000,)"
+	    R"("service":"app","public":true})";
+	const std::string empty =
+	    manifest(std::string(route) + "," + open_route, "[]");
+	std::string missing = empty;
+	struct fleetcfg *c;
+
+	ASSERT_EQ(read(empty, &c), STATUS_OK) << status_last();
+	EXPECT_EQ(fleetcfg_n_customers(c), 0U);
+	EXPECT_TRUE(fleetcfg_requires_key(c, fleetcfg_route(c, 0)));
+	EXPECT_FALSE(fleetcfg_requires_key(c, fleetcfg_route(c, 1)));
+	EXPECT_TRUE(fleetcfg_has_keys(c));
+	EXPECT_EQ(fleetcfg_customer_by_key(c, "k1"), nullptr);
+	fleetcfg_unref(c);
+	missing.replace(missing.find(R"(,"tenants":[])"), 13, "");
+	ASSERT_EQ(read(missing, &c), STATUS_OK) << status_last();
+	EXPECT_FALSE(fleetcfg_requires_key(c, fleetcfg_route(c, 0)));
+	EXPECT_FALSE(fleetcfg_has_keys(c));
+	fleetcfg_unref(c);
+	EXPECT_EQ(read(manifest(route, "null"), &c), STATUS_INVALID);
+}
+
 TEST(List, InvalidEntriesAreCountedAndSkipped)
 {
 	const std::string valid =
