An empty list of allowed regions allows none

A manifest that takes the last region out of a route's or a customer's allowed_regions lets their requests run in every region. Cause: regions->n == 0 stood for "no list". Ruled out: that the platform sends empty lists for "all": its examples leave the field out. Change: a list that is there restricts; without entries no region is allowed and requests get 503 at once, as not run. Missing and null allow all, as before.

--- a/src/fleet/fleetcfg.c
+++ b/src/fleet/fleetcfg.c
@@ -237,6 +237,17 @@
 	return STATUS_OK;
 }
 
+/// Restricts a route or a customer to the regions added later; until then it
+/// allows none.
+///
+/// @param regions  of the route or customer; the first call makes them
+void
+fleetcfg_restrict_regions(struct fleetcfg_regions **regions)
+{
+	if (*regions == NULL)
+		*regions = g_new0(struct fleetcfg_regions, 1);
+}
+
 /// Adds a region to those that a route or a customer allows; a repeated one
 /// changes nothing.
 ///
@@ -246,13 +257,13 @@
 enum status
 fleetcfg_add_region(struct fleetcfg_regions **regions, const char *name)
 {
-	struct fleetcfg_regions *r = *regions;
+	struct fleetcfg_regions *r;
 
 	if (name[0] == '\0' || strlen(name) >= FLEETCFG_NAME_BYTES)
 		return status_fail(
 		    STATUS_INVALID, "region name '%.80s' is unfit", name);
-	if (r == NULL)
-		r = *regions = g_new0(struct fleetcfg_regions, 1);
+	fleetcfg_restrict_regions(regions);
+	r = *regions;
 	for (uint32_t i = 0; i < r->n; i++) {
 		if (strcmp(r->names[i], name) == 0)
 			return STATUS_OK;
@@ -266,7 +277,7 @@
 static bool
 names_region(const struct fleetcfg_regions *r, const char *region)
 {
-	if (r == NULL || r->n == 0)
+	if (r == NULL)
 		return true;
 	for (uint32_t i = 0; i < r->n; i++) {
 		if (strcmp(r->names[i], region) == 0)
--- a/src/fleet/fleetcfg.h
+++ b/src/fleet/fleetcfg.h
@@ -70,7 +70,7 @@
 
 /// Regions whose servers may get a request.
 struct fleetcfg_regions {
-	uint32_t n; ///< 0: all
+	uint32_t n; ///< 0: none
 	char names[FLEETCFG_MAX_REGIONS][FLEETCFG_NAME_BYTES];
 };
 
@@ -136,6 +136,7 @@
     struct fleetcfg *c, const char *name);
 enum status fleetcfg_add_key(
     struct fleetcfg *c, struct fleetcfg_customer *u, const char *key);
+void fleetcfg_restrict_regions(struct fleetcfg_regions **regions);
 enum status fleetcfg_add_region(
     struct fleetcfg_regions **regions, const char *name);
 struct fleetcfg_limits *fleetcfg_limits(struct fleetcfg *c);
--- a/src/platform/api_manifest.c
+++ b/src/platform/api_manifest.c
@@ -255,6 +255,7 @@
 		return STATUS_OK;
 	if (!json_is_array(list))
 		return invalid_field(p, key, "is not a list");
+	fleetcfg_restrict_regions(out);
 	json_array_foreach(list, i, region)
 	{
 		if (!json_is_string(region))
