API keys are compared in their whole length

A request whose key is a customer's key of 255 characters and one more runs as that customer's; a customer with a longer key gets 401 for all requests. Cause: the key was cut off at 255 characters, the size of a field, before it was looked up; the configuration's keys are not. Change: api_request_read() gives a pointer into the header, and the request owns a copy of it.

--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -80,11 +80,11 @@
 {
 	if (!fleetcfg_requires_key(q->config, q->route))
 		return 0;
-	if (q->call.has_key)
-		q->customer = fleetcfg_customer_by_key(q->config, q->call.key);
+	if (q->key != NULL)
+		q->customer = fleetcfg_customer_by_key(q->config, q->key);
 	if (q->customer != NULL)
 		return 0;
-	*why = q->call.has_key ? "unknown API key" : "no API key";
+	*why = q->key != NULL ? "unknown API key" : "no API key";
 	return 401;
 }
 
@@ -231,6 +231,8 @@
 	}
 	q = request_new(g, handle, req, arrived_us);
 	q->call = call;
+	q->key = g_strdup(call.key);
+	q->call.key = q->key;
 	q->route = route;
 	set_deadline(q);
 	status = authenticate(q, &why);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -192,6 +192,7 @@
 	const struct fleetcfg_customer
 	    *customer;           ///< NULL: the route needs no API key
 	struct api_request call; ///< fields of its headers
+	char *key;               ///< the caller's API key; NULL: none
 	char *method;
 	char *target; ///< path and query
 	uint8_t *body;
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -68,6 +68,7 @@
 		(void)g_string_free(q->error_body, TRUE);
 	evstream_free(q->events);
 	fleetcfg_unref(q->config);
+	g_free(q->key);
 	g_free(q->method);
 	g_free(q->target);
 	g_free(q->body);
--- a/src/platform/api_request.c
+++ b/src/platform/api_request.c
@@ -124,8 +124,7 @@
 
 	if (g_ascii_strncasecmp(text, bearer, strlen(bearer)) != 0)
 		return;
-	out->has_key = true;
-	(void)g_strlcpy(out->key, text + strlen(bearer), sizeof(out->key));
+	out->key = text + strlen(bearer);
 }
 
 /// Reads one header into a struct api_request; other headers are ignored.
@@ -181,7 +180,8 @@
 
 /// Reads the headers of a caller's request.
 ///
-/// @param out  overwritten; a malformed header sets `bad`
+/// @param out  overwritten; a malformed header sets `bad`; the key is valid as
+///             long as the caller's request
 void
 api_request_read(struct httpd *f, handle_t handle, struct api_request *out)
 {
--- a/src/platform/api_request.h
+++ b/src/platform/api_request.h
@@ -14,7 +14,6 @@
 
 #define API_ID_BYTES 128
 #define API_HOST_BYTES 256
-#define API_KEY_BYTES 256
 #define API_EVENT_ID_BYTES 32
 #define API_MAX_PROMPT_PARTS 16
 /// A larger number of tokens is read as this many: no server has as much
@@ -34,8 +33,8 @@
 struct api_request {
 	char id[API_ID_BYTES];     ///< "": the caller gave none
 	char host[API_HOST_BYTES]; ///< lower case, without a port
-	bool has_key;
-	char key[API_KEY_BYTES]; ///< bearer token, the customer's API key
+	const char *key; ///< bearer token, the customer's API key, within the
+			 ///< header; NULL: none
 	bool has_deadline;
 	uint32_t deadline_ms; ///< how long the caller waits
 	bool has_tokens;
--- a/test/script/keys_removed.sh
+++ b/test/script/keys_removed.sh
@@ -70,3 +70,12 @@
 echo "== no customers again"
 change 11 '[]'
 ask_all
+
+echo "== keys of 255 and of 300 characters, and longer ones that begin so"
+short=$(printf '%0255d' 0)
+long=$(printf '%0300d' 0)
+keyed 12 "[{\"name\": \"depot\", \"api_keys\": [\"1$long\"]}, {\"name\": \"hall\", \"api_keys\": [\"$short\"]}]" | put 11
+wait_for 1 grep -c "event=config.in_force version=12 " gateway-21.log
+for key in "$short" "${short}0" "1$long" "1${long}0" "1$short"; do
+	echo "${#key}: $(status_of 21 /plain/a "$key")"
+done
