Waiting requests whose key is taken away are refused

A request that waits for a server or a grant when its key is taken away is still sent to a server, up to its deadline after the change is in force. Cause: a request keeps the configuration under which it was admitted. Ruled out: admitting all waiting requests anew, which would change routes and services under requests that may have run; requests that wait since the gateway isn't ready, which are admitted under the newer configuration already. Change: when a configuration comes in force, requests that no server may have begun and whose key it doesn't hold get 401.

--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -88,6 +88,32 @@
 	return 401;
 }
 
+/// Whether a request may have run, or may run yet: it was given to a server
+/// that didn't refuse it.
+static bool
+may_run(const struct gateway_request *q)
+{
+	return q->call_handle != HANDLE_NONE || q->verdict != VERDICT_NOT_RUN;
+}
+
+/// Refuses the requests that wait for a grant or a server and whose API key the
+/// configuration in force doesn't have any more.
+void
+gateway_accept_check_keys(struct gateway *g)
+{
+	if (!fleetcfg_has_keys(g->config))
+		return;
+	for (handle_t handle = slotmap_next(g->requests, HANDLE_NONE);
+	     handle != HANDLE_NONE;
+	     handle = slotmap_next(g->requests, handle)) {
+		struct gateway_request *q = slotmap_get(g->requests, handle);
+
+		if (q->customer != NULL && !may_run(q) &&
+		    fleetcfg_customer_by_key(g->config, q->key) == NULL)
+			gateway_fail(q, 401, 0, "the API key was taken away");
+	}
+}
+
 static void
 set_deadline(struct gateway_request *q)
 {
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -298,6 +298,7 @@
 
 /// gateway_accept.c: new requests of callers
 enum status gateway_accept_start(struct gateway *g);
+void gateway_accept_check_keys(struct gateway *g);
 void gateway_accept_set_limits(struct gateway *g);
 void gateway_accept_request(struct gateway *g, handle_t handle,
     const struct httpd_request *req, uint64_t arrived_us, bool was_queued);
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -234,6 +234,7 @@
 	fleetcfg_unref(g->config);
 	g->config = config;
 	gateway_accept_set_limits(g);
+	gateway_accept_check_keys(g);
 	gateway_cold_on_config(g);
 	logger_event(LOGGER_INFO, "config.in_force",
 	    "version=%" PRIu64 " routes=%zu services=%zu customers=%zu keys=%s",
--- a/test/script/keys_removed.sh
+++ b/test/script/keys_removed.sh
@@ -79,3 +79,22 @@
 for key in "$short" "${short}0" "1$long" "1${long}0" "1$short"; do
 	echo "${#key}: $(status_of 21 /plain/a "$key")"
 done
+
+# Number of requests that the servers have run.
+runs() {
+	echo $(($(stat_of 41 runs) + $(stat_of 42 runs)))
+}
+
+echo "== a key is taken away from requests that wait for a server"
+change 13 '[{"name": "depot", "api_keys": ["k1"]}, {"name": "hall", "api_keys": ["k2"]}]'
+for n in 41 42; do set_standin $n '{"full": 1, "retry_after": "1"}'; done
+before=$(runs)
+status_of 21 /plain/a k1 >taken.out &
+taken=$!
+status_of 21 /plain/a k2 >kept.out &
+kept=$!
+wait_for 2 grep -c "event=request.waits" gateway-21.log
+change 14 '[{"name": "hall", "api_keys": ["k2"]}]'
+for n in 41 42; do set_standin $n '{"full": 0}'; done
+wait $taken $kept
+echo "taken $(cat taken.out), kept $(cat kept.out), runs $(($(runs) - before))"
