Asks for grants of a customer that is gone aren't granted

After a configuration takes a customer away the leader grants all asks that gateways with the last configuration still send for it, and doesn't withdraw those that waited. Cause: a customer that isn't there took the branch of one without a quota, before the kind of the ask was looked at. Ruled out: refusing these asks, which would refuse valid requests while a new leader is the one that is behind. Change: they aren't answered, so the gateway decides by its last share; withdrawals don't need the customer; ac_quota_unknown_customer_total counts them.

--- a/src/hub/hub_grants.c
+++ b/src/hub/hub_grants.c
@@ -200,8 +200,20 @@
 	}
 }
 
-/// Handles a gateway's ask for a grant. A process that isn't the leader doesn't
-/// answer; the gateway then decides by itself.
+/// Withdraws an ask, also that of a customer that is gone.
+static void
+withdraw(struct hub *h, handle_t link, const struct hubmsg_ask *ask)
+{
+	const struct hub_quota *q =
+	    g_hash_table_lookup(h->quotas->by_customer, ask->customer);
+
+	if (q != NULL && quota_queue_withdraw(q->queue, link, ask->tag))
+		h->quotas->n_withdrawn->value++;
+}
+
+/// Handles a gateway's ask for a grant. A process that isn't the leader, or
+/// whose configuration doesn't have the customer, doesn't answer; the gateway
+/// then decides by itself.
 void
 hub_grants_on_ask(struct hub *h, handle_t link, const struct wire_bytes *bytes)
 {
@@ -222,8 +234,16 @@
 		settle(h, &ask);
 		return;
 	}
+	if (ask.kind == HUBMSG_ASK_WITHDRAW) {
+		withdraw(h, link, &ask);
+		return;
+	}
 	c = fleetcfg_find_customer(h->config, ask.customer);
-	if (c == NULL || c->rate_per_s <= 0) {
+	if (c == NULL) {
+		h->quotas->n_unknown->value++;
+		return;
+	}
+	if (c->rate_per_s <= 0) {
 		struct hubmsg_answer answer = { .tag = ask.tag,
 			.granted = true };
 
@@ -232,11 +252,6 @@
 	}
 	limit = limit_of(h, c);
 	q = hub_quota_of(h, c);
-	if (ask.kind == HUBMSG_ASK_WITHDRAW) {
-		if (quota_queue_withdraw(q->queue, link, ask.tag))
-			h->quotas->n_withdrawn->value++;
-		return;
-	}
 	was_pressed = quota_bucket_is_pressed(&q->bucket, &limit);
 	quota_bucket_want(
 	    &q->bucket, loop_now_us(h->loop), (double)ask.refused);
@@ -291,6 +306,8 @@
 	    metrics_counter(registry, "ac_quota_refused_total", "");
 	all->n_late =
 	    metrics_counter(registry, "ac_quota_refused_after_wait_total", "");
+	all->n_unknown =
+	    metrics_counter(registry, "ac_quota_unknown_customer_total", "");
 	all->n_withdrawn =
 	    metrics_counter(registry, "ac_quota_withdrawn_total", "");
 	h->quotas = all;
--- a/src/hub/hub_quota.h
+++ b/src/hub/hub_quota.h
@@ -20,6 +20,7 @@
 	struct metrics_value *n_refused; ///< at once
 	struct metrics_value *n_late;    ///< refused after a wait
 	struct metrics_value *n_withdrawn;
+	struct metrics_value *n_unknown; ///< of customers that are gone
 };
 
 struct hub_quota *hub_quota_of(
