A lease that ends within an ask doesn't free the ask's quota

Cause: that hub leads, and its lease ends 0.25 to 0.35 s after the cut while gateways go on asking it for grants. hub_is_leader() reads the clock at each call: an ask checked it, took the customer's quota, queued the ask and ran the timer's function, which checked it again, found the lease ended and released all quotas; the ask went on with the released one. Ruled out: the HTTP client, the reader of the list and duties' calls, read again without a finding. Change: only the timer's callback releases quotas, an ask never does; the rule is in hub_quota.h. Result: Grants.TheLeaseMayEndWithinAnAsk ends the lease at 2,000 moments within asks: exit code 139 in three runs of three before, passes in three of three now.

--- a/src/hub/hub_grants.c
+++ b/src/hub/hub_grants.c
@@ -88,12 +88,12 @@
 	return quota_queue_wake_us(q->queue, &q->bucket, &limit, now);
 }
 
-/// Decides on what waits. Asks to a process that no longer leads are dropped:
-/// their gateways ask the new leader.
+/// Decides on what waits, and arms the timer for what can't be decided yet. A
+/// process that no longer leads decides on nothing: it may lose its lease at
+/// any moment, also while it handles an ask, whose quota must stay valid then.
 static void
-on_timer(void *arg, uint64_t now_us)
+decide_all(struct hub *h, uint64_t now_us)
 {
-	struct hub *h = arg;
 	uint64_t wake_us = UINT64_MAX;
 	uint64_t n_waiting = 0;
 	GHashTableIter it;
@@ -101,8 +101,7 @@
 	gpointer value;
 
 	if (!hub_is_leader(h) || h->config == NULL) {
-		g_hash_table_remove_all(h->quotas->by_customer);
-		h->quotas->n_waiting->value = 0;
+		timerq_arm(h->quotas->timer, now_us);
 		return;
 	}
 	g_hash_table_iter_init(&it, h->quotas->by_customer);
@@ -124,6 +123,21 @@
 		timerq_arm(h->quotas->timer, MAX(wake_us, now_us + 1));
 }
 
+/// Asks to a process that no longer leads are dropped: their gateways ask the
+/// new leader.
+static void
+on_timer(void *arg, uint64_t now_us)
+{
+	struct hub *h = arg;
+
+	if (hub_is_leader(h) && h->config != NULL) {
+		decide_all(h, now_us);
+		return;
+	}
+	g_hash_table_remove_all(h->quotas->by_customer);
+	h->quotas->n_waiting->value = 0;
+}
+
 /// Answers an ask of an older gateway, which can't wait.
 static void
 answer_at_once(struct hub *h, const struct fleetcfg_customer *c,
@@ -170,7 +184,7 @@
 
 	if (d.kind != QUOTA_NONE)
 		answer_decided(h, c, q, &d);
-	on_timer(h, loop_now_us(h->loop));
+	decide_all(h, loop_now_us(h->loop));
 	if (quota_queue_has(q->queue, link, ask->tag))
 		(void)send_answer(h, link, &waits, c->name, &q->bucket);
 }
--- a/src/hub/hub_quota.h
+++ b/src/hub/hub_quota.h
@@ -4,7 +4,9 @@
 #include "fleet/quota_queue.h"
 #include "hub/hub_internal.h"
 
-/// Quotas of customers at the leader.
+/// Quotas of customers at the leader. A pointer to a struct hub_quota is valid
+/// until the callback of the loop returns in which it was looked up: only the
+/// timer of struct hub_quotas and hub_quota_start() release them.
 
 struct hub_quota {
 	struct quota_bucket bucket;
--- a/test/unit/hub/test_grants.cc
+++ b/test/unit/hub/test_grants.cc
@@ -2,14 +2,50 @@
 
 extern "C" {
 #include "hub/hub_quota.h"
+#include "replog/replica_internal.h"
 }
 
+#include <malloc.h>
+#include <signal.h>
+#include <sys/time.h>
+
 namespace
 {
 
 const char depot[] =
     R"([{"name": "depot", "api_keys": ["k1"], "rate_per_s": 1, "burst": 5}])";
 
+struct replica *group;
+
+/// Ends the leader's lease, in the middle of whatever it does.
+void
+endLease(int)
+{
+	group->failed = true;
+}
+
+/// Lets the leader handle asks until its lease has ended.
+void
+askUntilTheLeaseEnds(struct hub *hub, int us)
+{
+	const struct itimerval when = { { 0, 0 }, { 0, us } };
+	struct hubmsg_ask a = {};
+	struct wire_bytes bytes = {};
+	uint8_t *encoded;
+
+	a.units = 1;
+	a.can_wait = true;
+	a.wait_us = a.left_us = USEC_PER_SEC;
+	g_strlcpy(a.customer, "depot", sizeof(a.customer));
+	hubmsg_ask_encode(&a, &encoded, &bytes.len);
+	bytes.data = encoded;
+	ASSERT_EQ(setitimer(ITIMER_REAL, &when, nullptr), 0);
+	while (!group->failed)
+		hub_grants_on_ask(hub, HANDLE_NONE, &bytes);
+	group->failed = false;
+	free(encoded);
+}
+
 } // namespace
 
 /// Guards against a customer without a quota being taken for one that is gone:
@@ -53,3 +89,23 @@
 					 ->queue),
 	    0U);
 }
+
+/// Guards against a leader whose lease ends while it handles an ask: it freed
+/// the quota that it had at hand, and ended on the freed memory.
+TEST(Grants, TheLeaseMayEndWithinAnAsk)
+{
+	TestHub hub;
+	struct sigaction action = {};
+
+	hub.configure(5, depot);
+	group = hub.hub->group;
+	action.sa_handler = endLease;
+	ASSERT_EQ(sigaction(SIGALRM, &action, nullptr), 0);
+	// Freed memory doesn't keep what it held.
+	ASSERT_EQ(mallopt(M_PERTURB, 0xa5), 1);
+	for (int i = 0; i < 2000; i++)
+		askUntilTheLeaseEnds(hub.hub, 1 + i % 200);
+	ASSERT_EQ(mallopt(M_PERTURB, 0), 1);
+	EXPECT_EQ(signal(SIGALRM, SIG_DFL), endLease);
+	EXPECT_TRUE(hub_is_leader(hub.hub));
+}
