Quotas outlast a lease that ends for a moment

Seen: while the end of a leader within an ask was traced. A leader whose lease lapses and is renewed before another process leads gives every customer whose asks waited a full quota again, and doesn't count what gateways report meanwhile. Cause: the timer of the queues released the buckets with the asks of a process without a lease; they are rebuilt only when a process becomes the leader. Reports without a lease replaced the last ones and weren't counted. Ruled out: rebuilding at each renewal, as a level that a gateway was told is lower than the bucket only if it was rebuilt from a full one. Change: without a lease only asks are dropped, and reports are counted until another process leads.

--- a/src/hub/hub_grants.c
+++ b/src/hub/hub_grants.c
@@ -123,8 +123,25 @@
 		timerq_arm(h->quotas->timer, MAX(wake_us, now_us + 1));
 }
 
+static void
+drop_asks(struct hub *h)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->quotas->by_customer);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hub_quota *q = value;
+
+		quota_queue_free(q->queue);
+		q->queue = quota_queue_new();
+	}
+	h->quotas->n_waiting->value = 0;
+}
+
 /// Asks to a process that no longer leads are dropped: their gateways ask the
-/// new leader.
+/// new leader. Its buckets stay: its lease may be renewed before another leads,
+/// and what it had granted still counts then.
 static void
 on_timer(void *arg, uint64_t now_us)
 {
@@ -134,8 +151,7 @@
 		decide_all(h, now_us);
 		return;
 	}
-	g_hash_table_remove_all(h->quotas->by_customer);
-	h->quotas->n_waiting->value = 0;
+	drop_asks(h);
 }
 
 /// Answers an ask of an older gateway, which can't wait.
--- a/src/hub/hub_quota.c
+++ b/src/hub/hub_quota.c
@@ -90,7 +90,8 @@
 {
 	const uint64_t now = loop_now_us(h->loop);
 
-	if (!hub_is_leader(h) || h->config == NULL)
+	// A leader counts on while its lease has ended and nobody else leads.
+	if (!h->was_leader || h->config == NULL)
 		return;
 	for (guint i = 0; i < quotas->len; i++) {
 		const struct hubmsg_quota *q =
--- a/src/hub/hub_quota.h
+++ b/src/hub/hub_quota.h
@@ -5,8 +5,8 @@
 #include "hub/hub_internal.h"
 
 /// Quotas of customers at the leader. A pointer to a struct hub_quota is valid
-/// until the callback of the loop returns in which it was looked up: only the
-/// timer of struct hub_quotas and hub_quota_start() release them.
+/// until the callback of the loop returns in which it was looked up: only
+/// hub_quota_start() releases them, and the timer their queues.
 
 struct hub_quota {
 	struct quota_bucket bucket;
--- a/test/unit/hub/test_grants.cc
+++ b/test/unit/hub/test_grants.cc
@@ -15,6 +15,9 @@
 const char depot[] =
     R"([{"name": "depot", "api_keys": ["k1"], "rate_per_s": 1, "burst": 5}])";
 
+const char fast[] =
+    R"([{"name": "depot", "api_keys": ["k1"], "rate_per_s": 100, "burst": 5}])";
+
 struct replica *group;
 
 /// Ends the leader's lease, in the middle of whatever it does.
@@ -46,6 +49,15 @@
 	free(encoded);
 }
 
+/// The level of the quota of customer `depot`.
+double
+level(TestHub &hub)
+{
+	return hub_quota_of(
+	    hub.hub, fleetcfg_find_customer(hub.hub->config, "depot"))
+	    ->bucket.level;
+}
+
 } // namespace
 
 /// Guards against a customer without a quota being taken for one that is gone:
@@ -109,3 +121,26 @@
 	EXPECT_EQ(signal(SIGALRM, SIG_DFL), endLease);
 	EXPECT_TRUE(hub_is_leader(hub.hub));
 }
+
+/// Guards against a leader that loses its lease for a moment: it forgot what
+/// had been granted, and each customer had a full quota again.
+TEST(Grants, AQuotaOutlastsALeaseThatEndsForAMoment)
+{
+	TestHub hub;
+	TestGateway gateway(hub);
+	const auto *waiting = hub.hub->quotas->n_waiting;
+
+	hub.configure(5, fast);
+	gateway.report(5, 1);
+	gateway.askGrant("depot", 30);
+	gateway.askGrant("depot", 1);
+	ASSERT_EQ(waiting->value, 1U);
+	hub.hub->group->failed = true;
+	gateway.report(5, 5001);
+	hub.run(500);
+	EXPECT_EQ(waiting->value, 0U);
+	hub.hub->group->failed = false;
+	EXPECT_LT(level(hub), -4000);
+	gateway.askGrant("depot", 1);
+	EXPECT_EQ(waiting->value, 1U);
+}
--- a/test/unit/hub/test_hub.h
+++ b/test/unit/hub/test_hub.h
@@ -162,8 +162,10 @@
 		free(bytes);
 	}
 
-	void report(uint64_t version)
+	/// @param spent  units of the quota of customer `depot`; 0: none
+	void report(uint64_t version, uint64_t spent = 0)
 	{
+		struct hubmsg_quota q = {};
 		struct hubmsg_report r;
 		uint8_t *bytes;
 		size_t len;
@@ -171,6 +173,10 @@
 		hubmsg_report_init(&r);
 		r.sent_us = 1;
 		r.version = version;
+		q.spent = spent;
+		g_strlcpy(q.customer, "depot", sizeof(q.customer));
+		if (spent > 0)
+			g_array_append_val(r.quotas, q);
 		hubmsg_report_encode(&r, &bytes, &len);
 		hubmsg_report_clear(&r);
 		sendPayload(WIRE_GATEWAY_REPORT, bytes, len);
