The release of a process ends, whatever was left behind

Cause, in part: loop_free() ran the queue until no callback is active, which never comes while an event that was left behind stays ready; nothing bounded or logged the release. Which event it was isn't shown. Ruled out: a freeze (none is drawn for a process that stops), a sync of a slow disk (the log is closed without one). Change: the queue is run a bounded number of times; events left then are logged with a dump (loop.events_left), always; a release of over two seconds ends the process (base/watchdog, process.release_overdue).

--- a/src/app/serve.c
+++ b/src/app/serve.c
@@ -9,6 +9,7 @@
 
 #include "base/fileio.h"
 #include "base/logger.h"
+#include "base/watchdog.h"
 #include "cli/exit_code.h"
 #include "cli/problems.h"
 #include "conf/settings.h"
@@ -27,6 +28,8 @@
 #define RELOAD_POLL_US (1 * USEC_PER_SEC)
 
 #define QUOTED_BYTES 256
+/// Release takes some milliseconds; whoever stops a process waits for its end.
+#define RELEASE_LIMIT_S 2
 
 enum role {
 	ROLE_ENTRY,
@@ -250,9 +253,11 @@
 	}
 	loop_run(p->loop);
 	code = loop_exit_code(p->loop);
+	watchdog_start(RELEASE_LIMIT_S, code);
 	timerq_timer_free(p->reload_timer);
 	release(p);
 	loop_free(p->loop);
+	watchdog_stop();
 	g_free(p->text);
 	return code;
 }
--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <inttypes.h>
 #include <signal.h>
+#include <stdio.h>
 #include <sys/random.h>
 #include <time.h>
 #include <unistd.h>
@@ -11,6 +12,9 @@
 #include "base/logger.h"
 
 #define LOOP_SIGNALS 3
+/// What is queued when a loop is released takes a few rounds. An event that
+/// stays ready would take rounds without end.
+#define LOOP_FREE_ROUNDS 64
 #define LOOP_SECOND_SIGNAL_EXIT 130
 /// Urgent events, such as due timers and links to control, have priority 0.
 /// All others have libevent's default, the middle one.
@@ -150,6 +154,26 @@
 	return l;
 }
 
+/// Runs the callbacks that are queued: connections that were freed with one
+/// queued are released only then. Whatever is left after that belongs to nobody
+/// who could end it.
+static void
+run_queued(struct event_base *base)
+{
+	int n_left;
+
+	for (int i = 0; i < LOOP_FREE_ROUNDS &&
+	     event_base_get_num_events(base, EVENT_BASE_COUNT_ACTIVE) > 0;
+	     i++)
+		(void)event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	n_left = event_base_get_num_events(
+	    base, EVENT_BASE_COUNT_ACTIVE | EVENT_BASE_COUNT_ADDED);
+	if (n_left == 0)
+		return;
+	logger_event(LOGGER_ERROR, "loop.events_left", "n=%d", n_left);
+	event_base_dump_events(base, stderr);
+}
+
 /// Releases a loop; NULL is allowed.
 void
 loop_free(struct loop *l)
@@ -160,13 +184,11 @@
 		if (l->signals[i] != NULL)
 			event_free(l->signals[i]);
 	}
+	event_free(l->wake);
+	run_queued(l->base);
 	timerq_free(l->timers);
 	metrics_free(l->counters);
 	rnd_free(l->random);
-	event_free(l->wake);
-	// Connections that were freed with a callback still queued are released
-	// only when the queue has run.
-	(void)event_base_loop(l->base, EVLOOP_NONBLOCK);
 	event_base_free(l->base);
 	g_free(l);
 }
--- a/test/unit/loop/test_loop.cc
+++ b/test/unit/loop/test_loop.cc
@@ -1,12 +1,16 @@
 #include <gtest/gtest.h>
 
 extern "C" {
+#include "base/watchdog.h"
 #include "loop/loop.h"
 }
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/event_struct.h>
+
+#include <unistd.h>
 
 namespace
 {
@@ -43,3 +47,40 @@
 	loop_free(l);
 	EXPECT_TRUE(released);
 }
+
+/// Guards against a process that doesn't end: the queue was run until it was
+/// empty, which it never is while an event that was left behind stays ready.
+TEST(Loop, FreeEndsThoughAnEventStaysReady)
+{
+	struct loop *l = loop_new(1);
+	struct event left;
+	int ends[2];
+
+	ASSERT_EQ(pipe(ends), 0);
+	ASSERT_EQ(write(ends[1], "x", 1), 1);
+	ASSERT_EQ(event_assign(
+		      &left, loop_event_base(l), ends[0], EV_READ | EV_PERSIST,
+		      [](evutil_socket_t, short, void *) {}, nullptr),
+	    0);
+	ASSERT_EQ(event_add(&left, nullptr), 0);
+	watchdog_start(10, 1);
+	loop_free(l);
+	watchdog_stop();
+	close(ends[0]);
+	close(ends[1]);
+}
+
+/// Guards against a release that hangs elsewhere.
+TEST(Watchdog, EndsAProcessWhoseReleaseHangs)
+{
+	EXPECT_EXIT(
+	    {
+		    watchdog_start(1, 7);
+		    for (;;)
+			    pause();
+	    },
+	    ::testing::ExitedWithCode(7), "process.release_overdue");
+	watchdog_start(1, 7);
+	watchdog_stop();
+	usleep(1200000);
+}
