Responses to HEAD, and with 204 and 304, have no body

The gateway's 401 to a HEAD has its reason as a body, and the next response on the kept connection can't be read. Cause: httpd_reply() sent the body that it was given, whatever the method and the status; so did the streamed responses. Every port uses them. Ruled out: forwarded responses of servers to HEAD, which have no body. Change: one place decides for complete and streamed responses; to HEAD the length is given that a GET would get.

--- a/src/front/httpd.c
+++ b/src/front/httpd.c
@@ -15,6 +15,9 @@
 /// Limits of a server until httpd_set_limits().
 #define HTTPD_MAX_HEAD_BYTES 65536
 #define HTTPD_HEAD_TIMEOUT_US 10000000
+#define HTTPD_STATUS_OK 200
+#define HTTPD_STATUS_NO_CONTENT 204
+#define HTTPD_STATUS_NOT_MODIFIED 304
 #define HTTPD_MAX_HELD_BYTES ((size_t)64 << 20)
 #define HTTPD_MAX_UNSENT_BYTES ((size_t)64 << 20)
 #define HTTPD_MAX_CONNECTIONS 4096
@@ -25,6 +28,7 @@
 	evhtp_request_t *req;
 	handle_t handle;
 	bool streaming;
+	bool drops_data; ///< the streamed response can't have a body
 	struct evbuffer *chunk;
 };
 
@@ -45,6 +49,21 @@
 	}
 }
 
+static bool
+is_head(const evhtp_request_t *req)
+{
+	return evhtp_request_get_method((evhtp_request_t *)req) ==
+	    htp_method_HEAD;
+}
+
+/// Whether responses of a status have no body, whatever the request.
+static bool
+is_bodiless(int status)
+{
+	return status < HTTPD_STATUS_OK || status == HTTPD_STATUS_NO_CONTENT ||
+	    status == HTTPD_STATUS_NOT_MODIFIED;
+}
+
 /// Releases an open request; its handle becomes invalid.
 static void
 release_open_request(struct httpd_open_request *open)
@@ -350,6 +369,15 @@
 	    req->headers_out, evhtp_header_new(name, value, 1, 1));
 }
 
+static void
+add_length(evhtp_request_t *req, size_t len)
+{
+	char text[24];
+
+	(void)g_snprintf(text, sizeof(text), "%zu", len);
+	add_header(req, "Content-Length", text);
+}
+
 static void
 add_headers(
     evhtp_request_t *req, const struct httpd_header *headers, const char *type)
@@ -438,7 +466,8 @@
 	return req;
 }
 
-/// Sends a complete response.
+/// Sends a complete response. One that can't have a body is sent without it;
+/// for HEAD with the length that it would have.
 ///
 /// @param headers  ended by a NULL name unless HTTPD_MAX_HEADERS long; or NULL
 /// @param type     content type, or NULL
@@ -452,12 +481,17 @@
 	if (req == NULL)
 		return;
 	add_headers(req, headers, type);
-	if (len > 0)
-		(void)evbuffer_add(req->buffer_out, body, len);
+	if (len > 0 && !is_bodiless(status)) {
+		if (is_head(req))
+			add_length(req, len);
+		else
+			(void)evbuffer_add(req->buffer_out, body, len);
+	}
 	evhtp_send_reply(req, (evhtp_res)status);
 }
 
-/// Starts a response in chunked encoding; parameters as in httpd_reply().
+/// Starts a response in chunked encoding; parameters as in httpd_reply(). One
+/// that can't have a body is sent without its chunks.
 void
 httpd_stream_start(struct httpd *f, handle_t handle, int status,
     const struct httpd_header *headers, const char *type)
@@ -468,6 +502,7 @@
 		return;
 	add_headers(open->req, headers, type);
 	open->streaming = true;
+	open->drops_data = is_head(open->req) || is_bodiless(status);
 	open->chunk = evbuffer_new();
 	evhtp_send_reply_chunk_start(open->req, (evhtp_res)status);
 }
@@ -482,6 +517,8 @@
 	if (open == NULL || len == 0)
 		return;
 	g_assert(open->streaming);
+	if (open->drops_data)
+		return;
 	(void)evbuffer_add(open->chunk, bytes, len);
 	evhtp_send_reply_chunk(open->req, open->chunk);
 	(void)evbuffer_drain(open->chunk, evbuffer_get_length(open->chunk));
