Grants.TheLeaseMayEndWithinAnAsk runs with sanitisers, too

Cause: mallopt() does nothing under AddressSanitizer and says so, which the test took for a failure: 78 of 79 tests passed in a run of the sanitised suite. Change: its result isn't checked; it only makes the failure certain without a sanitiser. What the test checks is unchanged.

--- a/test/unit/hub/test_grants.cc
+++ b/test/unit/hub/test_grants.cc
@@ -113,11 +113,12 @@
 	group = hub.hub->group;
 	action.sa_handler = endLease;
 	ASSERT_EQ(sigaction(SIGALRM, &action, nullptr), 0);
-	// Freed memory doesn't keep what it held.
-	ASSERT_EQ(mallopt(M_PERTURB, 0xa5), 1);
+	// Freed memory doesn't keep what it held; sanitisers see to it
+	// themselves.
+	(void)mallopt(M_PERTURB, 0xa5);
 	for (int i = 0; i < 2000; i++)
 		askUntilTheLeaseEnds(hub.hub, 1 + i % 200);
-	ASSERT_EQ(mallopt(M_PERTURB, 0), 1);
+	(void)mallopt(M_PERTURB, 0);
 	EXPECT_EQ(signal(SIGALRM, SIG_DFL), endLease);
 	EXPECT_TRUE(hub_is_leader(hub.hub));
 }
