A disk lost before the start doesn't keep the group from starting

A seed that loses its disk 0.1 s after the first start, and is back as not a first start, leaves the deployment without a leader for good, also after all are started again. Cause: that process became a joiner at once and said so; the others took a joiner for the sign of a started group and became joiners, too. first_start, which tells of a process, decided about the group. Ruled out: ignoring joiners without entries alone (the others wait for ever), starting without one voter (a later disk can't be told from a lost one), taking an empty disk for a first one (a second group beside the first). Change: a disk created after the first start says so (origin late) and takes part in the start only while a majority of the initial voters have their first disks and haven't started, so that no quorum ever has. Pinned disks are replaced by late ones only. The proofs say a first start only where it is one, and lose a disk before there is a leader in a third of the runs.

--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -175,8 +175,8 @@
 	free(bytes);
 }
 
-/// Makes the seeds the initial voters if this is the deployment's first start
-/// and this process is one of them; any other process joins as a learner.
+/// Makes the seeds the initial voters if this process is one of them; any other
+/// process joins as a learner.
 static void
 set_initial_voters(const struct hub *h, struct replica_config *config)
 {
@@ -189,7 +189,7 @@
 		if (slot == 0)
 			continue;
 		config->contacts[config->n_contacts++] = slot;
-		is_initial_voter |= s->first_start && slot == h->slot;
+		is_initial_voter |= slot == h->slot;
 	}
 	if (!is_initial_voter)
 		return;
--- a/src/replog/logstore.h
+++ b/src/replog/logstore.h
@@ -23,6 +23,9 @@
 	LOGSTORE_ORIGIN_INITIAL, ///< One of the disks that the group started
 				 ///< with.
 	LOGSTORE_ORIGIN_JOINED,  ///< Came later: a learner until promoted.
+	LOGSTORE_ORIGIN_LATE, ///< Not known yet, and the disk was created after
+			      ///< the first start of its process: an earlier
+			      ///< one was lost.
 };
 
 /// Identity of a disk, created and stored on its first use. A process that lost
--- a/src/replog/replica.c
+++ b/src/replog/replica.c
@@ -558,7 +558,8 @@
 	(void)g_strlcpy(wanted.node, config->node, sizeof(wanted.node));
 	wanted.id = config->self;
 	wanted.incarnation = rnd_u64(config->rnd);
-	wanted.origin = LOGSTORE_ORIGIN_UNKNOWN;
+	wanted.origin = config->group_started ? LOGSTORE_ORIGIN_LATE
+					      : LOGSTORE_ORIGIN_UNKNOWN;
 	wanted.initial.n_voters = config->n_voters;
 	memcpy(wanted.initial.voters, config->voters,
 	    config->n_voters * sizeof(config->voters[0]));
@@ -589,7 +590,7 @@
 	if (g->identity.disks[0] == 0 && !config->group_started &&
 	    g->identity.origin == LOGSTORE_ORIGIN_UNKNOWN)
 		g->identity.initial = wanted.initial;
-	if (g->identity.origin == LOGSTORE_ORIGIN_UNKNOWN)
+	if (replica_origin_is_open(g->identity.origin))
 		status = replica_join_start(g);
 	else
 		status = replica_start_core(g, &loaded);
--- a/src/replog/replica.h
+++ b/src/replog/replica.h
@@ -51,11 +51,13 @@
 	/// agree on the set of their disks, so that a process that returns with
 	/// an empty disk is recognized as a new member and not taken for the
 	/// voter that it was. A process that isn't among them joins as a
-	/// learner.
+	/// learner. See docs/design/members.md.
 	uint32_t n_voters;
 	uint32_t voters[RAFT_MAX_MEMBERS];
-	/// The group is known to have started: with an empty disk this process
-	/// joins it as a learner, even if it has the slot of an initial voter.
+	/// The group may have started before. An initial voter with an empty
+	/// disk then has lost one: it joins the group as a learner, unless a
+	/// majority of the initial voters have the disks of their first start
+	/// and haven't started the group.
 	bool group_started;
 	/// Slots to contact, besides the initial voters, while this process
 	/// knows no leader.
--- a/src/replog/replica_hello.c
+++ b/src/replog/replica_hello.c
@@ -55,7 +55,7 @@
 		numbers[i] = o->via.array.ptr[i].via.u64;
 	}
 	if (numbers[0] > UINT32_MAX || numbers[1] == 0 ||
-	    numbers[1] > UINT32_MAX || numbers[3] > LOGSTORE_ORIGIN_JOINED ||
+	    numbers[1] > UINT32_MAX || numbers[3] > LOGSTORE_ORIGIN_LATE ||
 	    numbers[4] > 1)
 		return false;
 	h->group = (uint32_t)numbers[0];
--- a/src/replog/replica_internal.h
+++ b/src/replog/replica_internal.h
@@ -63,6 +63,7 @@
 void replica_on_resume_timer(void *arg, uint64_t now_us);
 
 /* replica_join.c */
+bool replica_origin_is_open(enum logstore_origin origin);
 enum status replica_join_start(struct replica *g);
 void replica_on_join_timer(void *arg, uint64_t now_us);
 void replica_on_hello(struct replica *g, const uint8_t *bytes, size_t len);
--- a/src/replog/replica_join.c
+++ b/src/replog/replica_join.c
@@ -7,7 +7,10 @@
 /// How a process joins its group. A group starts only once all its initial
 /// voters have pinned the same set of disks. So a disk that isn't in that set
 /// can't have voted as an initial voter, and a process with such a disk is a
-/// new member, whatever its slot is.
+/// new member, whatever its slot is. A disk that is lost before the start is
+/// replaced in the set as long as a majority of the initial voters still have
+/// their first disks and haven't started: then nothing was committed. See
+/// docs/design/members.md.
 
 #define HELLO_INTERVAL_HEARTBEATS 2
 #define JOINER_RECENT_US (2 * USEC_PER_SEC)
@@ -18,6 +21,15 @@
 	return id & RAFT_SLOT_MASK;
 }
 
+/// Whether it isn't known yet if a disk is one of those that the group started
+/// with.
+bool
+replica_origin_is_open(enum logstore_origin origin)
+{
+	return origin == LOGSTORE_ORIGIN_UNKNOWN ||
+	    origin == LOGSTORE_ORIGIN_LATE;
+}
+
 /// Position of an id's slot among the initial voters, or -1.
 static int
 initial_voter_position(const struct replica *g, uint32_t id)
@@ -35,16 +47,13 @@
 	return g->identity.disks[0] != 0;
 }
 
-/// Origin to report in a hello. A process that isn't an initial voter, has no
-/// log entries and isn't configured to join a started group reports an unknown
-/// one: that it joined doesn't show that the group has started.
+/// Origin to report in a hello. A process that isn't an initial voter and has
+/// no log entries reports an unknown one: that it joined doesn't show that the
+/// group has started.
 static enum logstore_origin
 reported_origin(const struct replica *g)
 {
-	const bool group_start_unknown =
-	    initial_voter_position(g, g->self) < 0 && !g->config.group_started;
-
-	if (group_start_unknown &&
+	if (initial_voter_position(g, g->self) < 0 &&
 	    (g->core == NULL || raft_last_index(g->core) == 0))
 		return LOGSTORE_ORIGIN_UNKNOWN;
 	return g->identity.origin;
@@ -114,15 +123,53 @@
 	return true;
 }
 
+/// Whether a majority of the initial voters have their first disks and haven't
+/// started the group. Then no quorum of them ever has, and nothing that a lost
+/// disk held was committed.
+static bool
+most_disks_are_first(const struct replica *g)
+{
+	const uint32_t n = g->identity.initial.n_voters;
+	uint32_t n_first = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		const enum logstore_origin origin =
+		    g->identity.initial.voters[i] == slot_of(g->self)
+		    ? g->identity.origin
+		    : g->hellos[i].origin;
+
+		n_first += origin == LOGSTORE_ORIGIN_UNKNOWN;
+	}
+	return n_first > n / 2;
+}
+
+/// Incarnation of the disk that an initial voter has now. One that was pinned
+/// is replaced only by one that says of itself that it came later.
+static uint64_t
+current_disk(const struct replica *g, uint32_t position)
+{
+	const struct replica_hello *h = &g->hellos[position];
+
+	if (g->identity.initial.voters[position] == slot_of(g->self))
+		return g->identity.incarnation;
+	return has_pinned_disks(g) && h->origin != LOGSTORE_ORIGIN_LATE
+	    ? g->identity.disks[position]
+	    : h->incarnation;
+}
+
 /// Stores the disks that the initial voters have now as those of the group.
+///
+/// @return false if they can't be stored
 static bool
 pin_disks(struct replica *g)
 {
-	const int own_position = initial_voter_position(g, g->self);
+	uint64_t disks[RAFT_MAX_MEMBERS] = { 0 };
 
 	for (uint32_t i = 0; i < g->identity.initial.n_voters; i++)
-		g->identity.disks[i] = g->hellos[i].incarnation;
-	g->identity.disks[own_position] = g->identity.incarnation;
+		disks[i] = current_disk(g, i);
+	if (memcmp(disks, g->identity.disks, sizeof(disks)) == 0)
+		return true;
+	memcpy(g->identity.disks, disks, sizeof(disks));
 	return write_identity(g);
 }
 
@@ -145,8 +192,8 @@
 }
 
 /// Logs once why the group can't start, and the slot of the initial voter that
-/// prevents it: the voter lost its disk after it was pinned, or has another
-/// number of initial voters. The pinned set can't be changed.
+/// prevents it: the voter lost its disk after it was pinned and doesn't say so,
+/// or has another number of initial voters.
 static void
 log_start_blocked(struct replica *g)
 {
@@ -171,12 +218,32 @@
 	}
 }
 
+static void
+log_too_many_lost(struct replica *g)
+{
+	if (g->warned)
+		return;
+	g->warned = true;
+	logger_event(LOGGER_ERROR, "replog.start_blocked",
+	    "group=%u slot=%u reason=disks_lost_before_start", g->config.group,
+	    slot_of(g->self));
+}
+
 /// Pins the disks once all initial voters have sent a hello, and starts the
 /// group once all have pinned the same ones.
 static void
 try_start_group(struct replica *g)
 {
-	if (!has_pinned_disks(g) && (!has_hello_from_all(g) || !pin_disks(g)))
+	if (!has_hello_from_all(g)) {
+		if (has_pinned_disks(g))
+			log_start_blocked(g);
+		return;
+	}
+	if (!most_disks_are_first(g)) {
+		log_too_many_lost(g);
+		return;
+	}
+	if (!pin_disks(g))
 		return;
 	if (all_pinned_same(g))
 		set_origin(g, LOGSTORE_ORIGIN_INITIAL);
@@ -184,21 +251,33 @@
 		log_start_blocked(g);
 }
 
+/// Whether the group of a sender that is one of its initial voters started with
+/// the disk of this process.
+static bool
+started_with_own_disk(const struct replica *g, const struct replica_hello *h)
+{
+	const int own_position = initial_voter_position(g, g->self);
+
+	return h->n_disks == g->identity.initial.n_voters &&
+	    h->disks[own_position] == g->identity.incarnation;
+}
+
 /// Handles a hello while the origin of this disk is unknown. A sender with an
-/// origin shows that the group has started: this disk is an initial one if both
-/// have pinned the same disks, else a joined one. A joined sender decides
-/// nothing for a process that has pinned disks.
+/// origin shows that the group has started: this disk is an initial one if it
+/// is among those that an initial voter started with, else a joined one. A
+/// joined sender decides nothing for a process that has pinned disks.
 static void
 on_hello_without_origin(struct replica *g, const struct replica_hello *h)
 {
 	const int position = initial_voter_position(g, h->id);
 
-	if (h->origin == LOGSTORE_ORIGIN_UNKNOWN) {
+	if (replica_origin_is_open(h->origin)) {
 		if (position >= 0)
 			g->hellos[position] = *h;
 		try_start_group(g);
-	} else if (has_pinned_disks(g) &&
-	    h->origin == LOGSTORE_ORIGIN_INITIAL && same_disks(g, h)) {
+	} else if (h->origin == LOGSTORE_ORIGIN_INITIAL &&
+	    started_with_own_disk(g, h)) {
+		memcpy(g->identity.disks, h->disks, sizeof(h->disks));
 		set_origin(g, LOGSTORE_ORIGIN_INITIAL);
 	} else if (!has_pinned_disks(g) ||
 	    h->origin == LOGSTORE_ORIGIN_INITIAL) {
@@ -389,6 +468,19 @@
 		replace_members(g, now_us);
 }
 
+/// Whether the sender of a hello wants to join a started group. An initial
+/// voter that doesn't know the origin of its disk learns it from the reply, and
+/// has another id then.
+static bool
+is_joiner(const struct replica *g, const struct replica_hello *h)
+{
+	if (h->origin == LOGSTORE_ORIGIN_LATE)
+		return false;
+	return h->origin != LOGSTORE_ORIGIN_UNKNOWN ||
+	    initial_voter_position(g, h->id) < 0 ||
+	    h->id >> RAFT_SLOT_BITS != 0;
+}
+
 /// Handles a hello; one that is malformed or of another group is dropped.
 void
 replica_on_hello(struct replica *g, const uint8_t *bytes, size_t len)
@@ -400,8 +492,7 @@
 		return;
 	if (g->core == NULL)
 		on_hello_without_origin(g, &h);
-	else if (h.origin != LOGSTORE_ORIGIN_UNKNOWN ||
-	    initial_voter_position(g, h.id) < 0)
+	else if (is_joiner(g, &h))
 		record_joiner(g, &h);
 	if (!h.is_reply && !g->failed)
 		send_hello(g, slot_of(h.id), true);
--- a/test/proof/log_random.c
+++ b/test/proof/log_random.c
@@ -19,6 +19,9 @@
 #define SHORT_FAULT_US 30000
 #define SETTLE_US 1000000
 #define SETTLE_ROUNDS 40
+/// A disk lost at the start is lost, and comes back, within this time.
+#define EARLY_LOSS_US 1500000
+#define EARLY_LOSS_SEED 0x6c6f7373
 #define SETTLE_ROUND_US 100000
 #define FAULT_ONE_IN 3
 
@@ -145,7 +148,8 @@
 			return false;
 		replica_status(n->replica, &status);
 		if (status.self != id ||
-		    status.origin == LOGSTORE_ORIGIN_UNKNOWN)
+		    status.origin == LOGSTORE_ORIGIN_UNKNOWN ||
+		    status.origin == LOGSTORE_ORIGIN_LATE)
 			return false;
 	}
 	return true;
@@ -402,6 +406,30 @@
 	}
 }
 
+/// Sometimes loses the disk of one initial voter before there is a leader, and
+/// the power of another one. Drawn apart from the other faults.
+static void
+lose_disk_at_start(struct world *w)
+{
+	struct rnd *rnd = rnd_new(w->seed ^ EARLY_LOSS_SEED);
+	const uint32_t n = w->n_initial_voters;
+	const uint32_t slot = 1 + (uint32_t)rnd_below(rnd, n);
+	const uint32_t other = 1 + (uint32_t)rnd_below(rnd, n);
+
+	if (rnd_below(rnd, 3) == 0) {
+		world_run(w, rnd_below(rnd, EARLY_LOSS_US));
+		world_crash(w, slot, false);
+		log_disk_wipe(w->nodes[slot].disk);
+		w->n_wipes++;
+		if (other != slot)
+			world_crash(w, other, true);
+		world_run(w, rnd_below(rnd, EARLY_LOSS_US));
+		world_open(w, slot);
+		world_open(w, other);
+	}
+	rnd_free(rnd);
+}
+
 static void
 start_group(struct world *w)
 {
@@ -412,6 +440,7 @@
 	}
 	for (uint32_t slot = 1; slot <= w->n_initial_voters; slot++)
 		world_open(w, slot);
+	lose_disk_at_start(w);
 	for (int i = 0; i < SETTLE_ROUNDS && world_leader(w) == NULL; i++)
 		world_run(w, SETTLE_ROUND_US);
 }
--- a/test/proof/log_world.c
+++ b/test/proof/log_world.c
@@ -185,6 +185,7 @@
 		.deployment = "budapest",
 		.node = "control",
 		.n_voters = n->world->n_initial_voters,
+		.group_started = n->opened,
 		.election_us = n->world->election_us,
 		.heartbeat_us = n->world->election_us / 4,
 		.auto_replace = true,
--- a/test/unit/replog/cluster.h
+++ b/test/unit/replog/cluster.h
@@ -48,6 +48,7 @@
 	uint64_t snapshot_bytes = 0;
 	FaultyOs os_calls; ///< Of the nodes opened without `os`; none fails.
 	uint32_t n_voters = 3;
+	std::set<uint32_t> started_before; ///< Slots not in their first start.
 	struct raft_limits limits = {};
 	int chunks = 0; ///< Messages of more than 1000 bytes delivered.
 
@@ -145,6 +146,7 @@
 		c.deployment = "budapest";
 		c.node = "control";
 		c.n_voters = n_voters;
+		c.group_started = started_before.count(slot) > 0;
 		for (uint32_t i = 0; i < n_voters; i++)
 			c.voters[i] = i + 1;
 		c.election_us = 300000;
--- a/test/unit/replog/test_replica.cc
+++ b/test/unit/replog/test_replica.cc
@@ -163,6 +163,106 @@
 	EXPECT_EQ(cluster.status(3).origin, LOGSTORE_ORIGIN_INITIAL);
 }
 
+/// Restarts a process with an empty disk, as a platform does.
+static void
+restart_without_disk(Cluster &cluster, uint32_t slot)
+{
+	cluster.close(slot);
+	cluster.lose_disk(slot);
+	cluster.started_before.insert(slot);
+	ASSERT_EQ(cluster.open(slot), STATUS_OK);
+}
+
+/// Delivers a number of messages, as they come.
+static void
+deliver(Cluster &cluster, int n)
+{
+	for (int i = 0; i < n; i++) {
+		for (int ms = 0; ms < 1000 && cluster.queue.empty(); ms++) {
+			cluster.now += 1000;
+			timerq_run(cluster.timerq);
+		}
+		if (!cluster.queue.empty())
+			cluster.deliver();
+	}
+}
+
+/// Guards against a group that never starts: a process that had lost its disk
+/// before the start made all others wait for a group that nobody had started.
+TEST(Group, ADiskLostAtAnyPointBeforeTheStartIsReplaced)
+{
+	for (uint32_t slot = 1; slot <= 3; slot++) {
+		for (int n = 0; n < 30; n++) {
+			const uint32_t other = slot % 3 + 1;
+			Cluster cluster;
+
+			for (uint32_t i = 1; i <= 3; i++)
+				ASSERT_EQ(cluster.open(i), STATUS_OK);
+			deliver(cluster, n);
+			restart_without_disk(cluster, slot);
+			if (n % 2 == 1) {
+				cluster.close(other);
+				cluster.started_before.insert(other);
+				ASSERT_EQ(cluster.open(other), STATUS_OK);
+			}
+			cluster.run(5000000);
+			ASSERT_NE(cluster.leader(), 0U) << slot << " " << n;
+			EXPECT_EQ(
+			    cluster.propose(cluster.leader(), "first").status,
+			    STATUS_OK);
+		}
+	}
+}
+
+/// Guards against a second group beside the first: without a majority of first
+/// disks, nobody can know that there is none.
+TEST(Group, ProcessesThatLostTheirDisksStartNoGroup)
+{
+	Cluster cluster;
+
+	for (uint32_t i = 1; i <= 3; i++)
+		ASSERT_EQ(cluster.open(i), STATUS_OK);
+	restart_without_disk(cluster, 1);
+	restart_without_disk(cluster, 2);
+	cluster.run(5000000);
+	EXPECT_EQ(cluster.leader(), 0U);
+	EXPECT_EQ(cluster.status(3).origin, LOGSTORE_ORIGIN_UNKNOWN);
+}
+
+/// Guards against a second group beside one that started while one of its
+/// initial voters didn't hear of it: the voter that has lost its disk has to
+/// hear from all.
+TEST(Group, ADiskLostAfterTheStartFoundsNoSecondGroup)
+{
+	for (int n = 1; n < 30; n++) {
+		Cluster cluster;
+
+		for (uint32_t i = 1; i <= 3; i++)
+			ASSERT_EQ(cluster.open(i), STATUS_OK);
+		deliver(cluster, n);
+		cluster.isolated.insert(1);
+		cluster.run(3000000);
+		if (cluster.leader() == 0)
+			continue;
+		ASSERT_EQ(cluster.propose(cluster.leader(), "kept").status,
+		    STATUS_OK);
+		cluster.close(2);
+		restart_without_disk(cluster, 3);
+		cluster.isolated.clear();
+		cluster.run(3000000);
+		EXPECT_EQ(cluster.leader(), 0U);
+		EXPECT_NE(cluster.status(3).origin, LOGSTORE_ORIGIN_INITIAL);
+		ASSERT_EQ(cluster.open(2), STATUS_OK);
+		cluster.run(5000000);
+		ASSERT_NE(cluster.leader(), 0U);
+		EXPECT_EQ(cluster.status(3).origin, LOGSTORE_ORIGIN_JOINED);
+		EXPECT_EQ(cluster.propose(cluster.leader(), "next").status,
+		    STATUS_OK);
+		EXPECT_EQ(cluster.nodes[1]->state,
+		    (std::vector<std::string>{ "kept", "next" }));
+	}
+}
+
 /// A voter that lost its disk has forgotten what it acknowledged. If it kept
 /// its vote it could form a quorum with a member that lacks a committed entry.
 /// It must join as a new member that replaces the old one.
