proof log_full: a suspended replica doesn't count as repaired

Cause: the proof's own assumption. may_wipe() lets the next disk be lost once all voters run with the disks that they are members with; a replica whose disk is full is among them, though it votes for nobody and acknowledges nothing, so that the loss of another one is the second at a time, which three voters aren't promised to survive. Change: a suspended voter counts as not repaired. Nothing else that is drawn or checked changes.

--- a/test/proof/log_random.c
+++ b/test/proof/log_random.c
@@ -126,8 +126,8 @@
 }
 
 /// Whether another disk may be lost. The last loss must be repaired: all voters
-/// run with the disk that they are members with, and no change of members is
-/// under way.
+/// run with the disk that they are members with and that isn't full, and no
+/// change of members is under way.
 static bool
 may_wipe(struct world *w)
 {
@@ -147,7 +147,7 @@
 		if (n->replica == NULL)
 			return false;
 		replica_status(n->replica, &status);
-		if (status.self != id ||
+		if (status.self != id || status.suspended ||
 		    status.origin == LOGSTORE_ORIGIN_UNKNOWN ||
 		    status.origin == LOGSTORE_ORIGIN_LATE)
 			return false;
