Comments: what the quota reports, the queue's rest and a script's servers are

Cause: read through as a newcomer, three comments of the last changes said it in a way that needed their history. Change: reworded; no code changes. Result: the build has no warning, script_unframed_streams passes.

--- a/src/hub/hub_quota.c
+++ b/src/hub/hub_quota.c
@@ -90,7 +90,7 @@
 {
 	const uint64_t now = loop_now_us(h->loop);
 
-	// A leader counts on while its lease has ended and nobody else leads.
+	// Reports also count while the lease has lapsed and nobody else leads.
 	if (!h->was_leader || h->config == NULL)
 		return;
 	for (guint i = 0; i < quotas->len; i++) {
--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -155,8 +155,8 @@
 }
 
 /// Runs the callbacks that are queued: connections that were freed with one
-/// queued are released only then. Whatever is left after that belongs to nobody
-/// who could end it.
+/// queued are released only then. Events that are left after that have no owner
+/// any more, and would be released with the base unseen.
 static void
 run_queued(struct event_base *base)
 {
--- a/test/script/unframed_streams.sh
+++ b/test/script/unframed_streams.sh
@@ -35,7 +35,8 @@
 echo "== within an event"
 ask "\"${stream}id: 1\ndata: a\n\$CLOSE\", \"$stream$events\$CLOSE\", $ok"
 # A stream of a server that ends after the platform has shown it otherwise: NUMBER
-# LIST LOG-LINE. Other servers come back under other ids only.
+# LIST LOG-LINE. Each call needs a server of its own: one that was listed as draining
+# gets no requests under the same id again.
 ask_and_end() {
 	standin_at $1 "\"kind\": \"raw\", \"raw_address\": \"$net.$1:81\", \"responses\": [\"$stream$events\"]"
 	set_standin 31 "{\"instances\": [$(raw $1)]}"
