soak takes its loopback addresses by the lock of the scripts

Cause: both used 127.18.3. The soak's hubs couldn't listen there (in their logs), its callers got responses of the script's server i-41, and its operator's configurations went to the script's hub, with other keys. The scripts hold a lock for their network, the soak took one by its process id alone. Ruled out: a fault of the product: every response that the soak complains of was right for the script's deployment. Change: the soak takes the same lock. What it checks, and its draws, are unchanged.

--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -1,11 +1,13 @@
 #include "soak.h"
 
 #include <argtable2.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <unistd.h>
 
 #define READ_BACK_US (500 * USEC_PER_MSEC)
@@ -107,13 +109,31 @@
 	}
 }
 
+/// Takes loopback addresses that nobody else uses, by the lock of the scripts.
+/// The processes of the soak inherit it, so it is held until the last one ends.
+static void
+choose_net(struct soak *s)
+{
+	for (s->net = (uint32_t)getpid() + 1000;; s->net++) {
+		char *name = g_strdup_printf("/tmp/acaciahinge-127.%u.%u.lock",
+		    1 + s->net % 62, s->net / 62 % 4);
+		const int fd = open(name, O_RDWR | O_CREAT, 0666);
+
+		g_free(name);
+		if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0)
+			return;
+		if (fd >= 0)
+			(void)close(fd);
+	}
+}
+
 static int
 run_soak(struct soak *s, uint64_t seed, uint32_t seconds)
 {
 	char *folder = g_strdup_printf("%s/soak-XXXXXX", g_get_tmp_dir());
 
 	s->folder = g_mkdtemp(folder);
-	s->net = (uint32_t)getpid() + 1000;
+	choose_net(s);
 	s->loop = loop_new(seed);
 	s->timers = loop_timers(s->loop);
 	s->rnd = rnd_new(seed);
