The last requests of a planned stop are answered

Cause: an entry without requests at hand ended at its next check; what the kernel held unread (connections not yet accepted, requests on open ones) was reset. Entries and gateways also closed idle and new connections with something to read, dropped a request that met the draining, cut requests that had come in part, and never said `Connection: close`.

Ruled out: a listener closed at the signal (load balancers go on until their checks notice).

Change: httpd_finish() ends a server in steps; announce_close() adds the header; entries and gateways end when no connection is left, within 500 and 300 ms. The test's reader takes the header's name in any case, as the field is compared so.

Not shown: that the request seen went this way (inferred from the times).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -4,7 +4,8 @@
 
 #define ENTRY_TICK_US (20 * USEC_PER_MSEC)
 #define ENTRY_STOP_CHECK_US (20 * USEC_PER_MSEC)
-/// Time for the last bytes to be sent after the handoff of streams.
+/// Time for the last bytes to be sent after the handoff of streams, and for
+/// connections to be closed.
 #define ENTRY_FLUSH_US (500 * USEC_PER_MSEC)
 
 /// Whether this entry takes new requests.
@@ -68,10 +69,13 @@
 
 	if (late)
 		handoff_streams(e);
-	if (!idle && now_us < e->stop_us + drain_us + ENTRY_FLUSH_US) {
-		timerq_arm_in(e->stop_timer, ENTRY_STOP_CHECK_US);
+	timerq_arm_in(e->stop_timer, ENTRY_STOP_CHECK_US);
+	if (!idle && now_us < e->stop_us + drain_us + ENTRY_FLUSH_US)
+		return;
+	if (e->finish_us == 0)
+		e->finish_us = now_us;
+	if (!httpd_finish(e->callers) && now_us < e->finish_us + ENTRY_FLUSH_US)
 		return;
-	}
 	logger_event(LOGGER_INFO, "process.stopped", "role=entry left=%zu",
 	    slotmap_count(e->requests));
 	loop_exit(e->loop, 0);
--- a/src/entry/entry_callers.c
+++ b/src/entry/entry_callers.c
@@ -413,6 +413,8 @@
 	const struct spec_route *route;
 	const char *why;
 
+	if (e->stopping)
+		httpd_close_after_response(e->callers, caller);
 	if (strcmp(req->path, "/healthz") == 0) {
 		reply_health(e, caller);
 		return;
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -96,6 +96,7 @@
 	struct timerq_timer *stop_timer; ///< ends a graceful stop
 	bool stopping;
 	uint64_t stop_us;
+	uint64_t finish_us; ///< no request is left to serve; 0: not yet
 	uint64_t next_migrate_us;
 	struct metrics_value *n_migrated;
 	struct metrics_value *n_requests;
--- a/src/front/httpd.c
+++ b/src/front/httpd.c
@@ -2,8 +2,10 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/listener.h>
 #include <netinet/tcp.h>
 #include <openssl/crypto.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,6 +13,8 @@
 #include "base/metrics.h"
 
 #define HTTPD_BACKLOG 1024
+/// A draining server waits this long for the first byte on a connection.
+#define HTTPD_FIRST_BYTE_US 100000
 #define HTTPD_MAX_KEEPALIVE_REQUESTS 0 ///< no limit
 /// Limits of a server until httpd_set_limits().
 #define HTTPD_MAX_HEAD_BYTES 65536
@@ -284,7 +288,8 @@
 	return STATUS_OK;
 }
 
-/// Accepts no more connections; open ones are kept.
+/// Accepts no more connections; open ones are kept, those that wait to be
+/// accepted are reset.
 void
 httpd_stop_listening(struct httpd *f)
 {
@@ -294,8 +299,41 @@
 	f->listening = false;
 }
 
+/// Whether a socket has something to read, or a listener a connection to
+/// accept.
+static bool
+is_readable(evutil_socket_t fd)
+{
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+
+	return poll(&p, 1, 0) > 0;
+}
+
+/// Accepts no more connections once none waits to be accepted.
+///
+/// @return false: some do; call it again when they are accepted
+bool
+httpd_stop_accepting(struct httpd *f)
+{
+	if (f->listening && is_readable(evconnlistener_get_fd(f->http->server)))
+		return false;
+	httpd_stop_listening(f);
+	return true;
+}
+
+/// Whether a caller loses nothing if its connection is closed now.
+static bool
+is_closable(const struct httpd_conn *hc)
+{
+	// A caller that has just connected is about to send.
+	if (!hc->served &&
+	    httpd_room_now_us() - hc->moved_us < HTTPD_FIRST_BYTE_US)
+		return false;
+	return httpd_input_is_idle(hc) && !is_readable(hc->evhtp->sock);
+}
+
 /// Closes the idle connections now, and each other one after the response in
-/// progress.
+/// progress. Connections that are left may become idle: call it again.
 void
 httpd_drain(struct httpd *f)
 {
@@ -307,12 +345,46 @@
 
 		if (hc->evhtp->request != NULL)
 			evhtp_request_set_keepalive(hc->evhtp->request, 0);
-		else if (httpd_input_is_idle(hc))
+		else if (is_closable(hc))
 			evhtp_connection_free(hc->evhtp);
 	}
 	g_list_free(all);
 }
 
+/// Refuses the requests that have come in part and of which nothing more is
+/// there to be read.
+static void
+refuse_unfinished(struct httpd *f)
+{
+	GList *all = g_hash_table_get_values(f->connections);
+
+	for (const GList *l = all; l != NULL; l = l->next) {
+		struct httpd_conn *hc = l->data;
+
+		if (httpd_input_is_unfinished(hc) &&
+		    !is_readable(hc->evhtp->sock))
+			httpd_input_refuse(hc, 503, "stopping");
+	}
+	g_list_free(all);
+}
+
+/// Takes the next step of the end of a server whose owner refuses requests by
+/// now: connections are accepted until none waits, requests that have arrived
+/// are passed on, those that have come in part are refused, and connections
+/// are closed. Call it again, with time for events between, until it returns
+/// true.
+///
+/// @return whether no connection is left
+bool
+httpd_finish(struct httpd *f)
+{
+	httpd_drain(f);
+	if (!httpd_stop_accepting(f))
+		return false;
+	refuse_unfinished(f);
+	return g_hash_table_size(f->connections) == 0;
+}
+
 /// Value of a request's header, or NULL; valid until the handle ends.
 const char *
 httpd_header(struct httpd *f, handle_t handle, const char *name)
@@ -390,6 +462,20 @@
 		add_header(req, headers[i].name, headers[i].value);
 }
 
+/// Closes the connection after the response. The caller is told, unless the
+/// head is sent: it would use the connection again, and its next request be
+/// lost.
+static void
+announce_close(const struct httpd_open_request *open)
+{
+	evhtp_request_t *req = open->req;
+
+	evhtp_request_set_keepalive(req, 0);
+	if (!open->streaming &&
+	    evhtp_header_find(req->headers_out, "Connection") == NULL)
+		add_header(req, "Connection", "close");
+}
+
 /// Adds a header to a response that has not been started.
 void
 httpd_add_header(
@@ -408,7 +494,7 @@
 	const struct httpd_open_request *open = slotmap_get(f->open, handle);
 
 	if (open != NULL)
-		evhtp_request_set_keepalive(open->req, 0);
+		announce_close(open);
 }
 
 /// Closes the connection of a request, so that the caller can't take a partial
@@ -457,7 +543,7 @@
 	req = open->req;
 	hc = g_hash_table_lookup(f->connections, req->conn);
 	if (f->closing_keepalive || (hc != NULL && hc->is_last))
-		evhtp_request_set_keepalive(req, 0);
+		announce_close(open);
 	(void)evhtp_request_unset_hook(req, evhtp_hook_on_request_fini);
 	(void)evhtp_request_set_hook(
 	    req, evhtp_hook_on_request_fini, (evhtp_hook)on_sent, f);
@@ -501,6 +587,8 @@
 	if (open == NULL)
 		return;
 	add_headers(open->req, headers, type);
+	if (f->closing_keepalive)
+		announce_close(open);
 	open->streaming = true;
 	open->drops_data = is_head(open->req) || is_bodiless(status);
 	open->chunk = evbuffer_new();
--- a/src/front/httpd.h
+++ b/src/front/httpd.h
@@ -79,7 +79,9 @@
 size_t httpd_held_bytes(const struct httpd *f);
 size_t httpd_total_unsent_bytes(const struct httpd *f);
 void httpd_stop_listening(struct httpd *f);
+bool httpd_stop_accepting(struct httpd *f);
 void httpd_drain(struct httpd *f);
+bool httpd_finish(struct httpd *f);
 /// Called once for each header, in the order received.
 typedef void (*httpd_header_cb)(void *arg, const char *name, const char *value);
 
--- a/src/front/httpd_input.c
+++ b/src/front/httpd_input.c
@@ -240,12 +240,6 @@
 		httpd_room_count_held(hc, len);
 		return false;
 	}
-	// The caller may have sent it just as the connection was to be closed
-	// for being idle.
-	if (f->closing_keepalive && hc->served) {
-		evhtp_connection_free(hc->evhtp);
-		return false;
-	}
 	len = (size_t)end.pos + 2;
 	text = g_malloc(len + 1);
 	(void)evbuffer_remove(in, text, len);
@@ -510,3 +504,11 @@
 	    evbuffer_get_length(input_of(hc)) == 0 &&
 	    evbuffer_get_length(hc->pending) == 0;
 }
+
+/// Whether a request has come in part.
+bool
+httpd_input_is_unfinished(const struct httpd_conn *hc)
+{
+	return hc->begun_us != 0 &&
+	    (hc->state == HTTPD_CONN_HEAD || hc->state == HTTPD_CONN_BODY);
+}
--- a/src/front/httpd_internal.h
+++ b/src/front/httpd_internal.h
@@ -66,6 +66,7 @@
 void httpd_input_on_response(struct httpd *f, evhtp_connection_t *conn);
 void httpd_input_stop(struct httpd *f, evhtp_connection_t *conn);
 bool httpd_input_is_idle(const struct httpd_conn *hc);
+bool httpd_input_is_unfinished(const struct httpd_conn *hc);
 void httpd_input_refuse(struct httpd_conn *hc, int status, const char *why);
 void httpd_input_drop_pending(struct httpd_conn *hc);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -15,7 +15,8 @@
 #define GATEWAY_STOP_LISTENING_US (2500 * USEC_PER_MSEC)
 /// Requests that remain this long before the end of the grace period fail.
 #define GATEWAY_STOP_MARGIN_US (700 * USEC_PER_MSEC)
-/// For how long the process then waits until their responses are written.
+/// For how long the process then waits until their responses are written and
+/// their connections closed.
 #define GATEWAY_STOP_FLUSH_US (300 * USEC_PER_MSEC)
 /// A list that is older than this is logged: servers on it may have been
 /// removed.
@@ -145,16 +146,18 @@
 		httpd_drain(g->callers);
 	if (now_us < g->stop_us + MIN(GATEWAY_STOP_LISTENING_US, grace_us / 2))
 		return;
-	httpd_stop_listening(g->callers);
 	g->refuses_new = true;
+	(void)httpd_stop_accepting(g->callers);
 	if (!idle && now_us < last_us)
 		return;
 	if (!idle && !g->failed_remaining) {
 		fail_remaining_requests(g);
 		g->failed_remaining = true;
 	}
-	if (httpd_unfinished_count(g->callers) > 0 &&
-	    now_us < last_us + GATEWAY_STOP_FLUSH_US)
+	if (g->finish_us == 0)
+		g->finish_us = now_us;
+	if (!httpd_finish(g->callers) &&
+	    now_us < g->finish_us + GATEWAY_STOP_FLUSH_US)
 		return;
 	logger_event(LOGGER_INFO, "process.stopped", "role=gateway left=%zu",
 	    slotmap_count(g->requests));
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -99,6 +99,7 @@
 	uint64_t started_us;
 	bool stopping;
 	uint64_t stop_us;
+	uint64_t finish_us;    ///< no request is left to serve; 0: not yet
 	bool refuses_new;      ///< the stop is too far on for more requests
 	bool failed_remaining; ///< the requests left have got their responses
 
--- a/test/unit/front/test_httpd.cc
+++ b/test/unit/front/test_httpd.cc
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <event2/event.h>
+#include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -133,7 +134,8 @@
 		    !line.empty()) {
 			if (line.rfind("Content-Length: ", 0) == 0)
 				len = std::stoul(line.substr(16));
-			closing |= line == "Connection: close\r";
+			closing |= g_ascii_strcasecmp(line.c_str(),
+				       "Connection: close\r") == 0;
 		}
 		for (; len > 0; len--) {
 			char byte;
@@ -335,6 +337,64 @@
 	close(busy);
 }
 
+/// Guards against requests that a server which ends resets unread: on a
+/// connection that waits to be accepted, on a new one, and on an idle one.
+TEST(Httpd, LastRequestsBeforeTheEndAreAnswered)
+{
+	static const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+	Server s;
+	const int idle = s.Connect();
+	const int fresh = s.Connect();
+	int queued;
+	int rounds = 0;
+
+	s.Run();
+	s.Send(idle, request);
+	EXPECT_EQ(s.ReadResponse(idle), "HTTP/1.1 200 OK");
+	queued = s.Connect();
+	for (const int fd : { idle, queued })
+		ASSERT_EQ(
+		    send(fd, request.data(), request.size(), MSG_NOSIGNAL),
+		    (ssize_t)request.size());
+	EXPECT_FALSE(httpd_finish(s.f));
+	s.Run();
+	EXPECT_FALSE(httpd_finish(s.f));
+	s.Send(fresh, request);
+	for (const int fd : { idle, fresh, queued }) {
+		EXPECT_EQ(s.ReadResponse(fd), "HTTP/1.1 200 OK") << fd;
+		EXPECT_TRUE(s.closing) << fd;
+	}
+	while (!httpd_finish(s.f) && rounds++ < 200)
+		s.Run();
+	EXPECT_EQ(httpd_connection_count(s.f), 0U);
+	for (const int fd : { idle, fresh, queued })
+		close(fd);
+}
+
+/// Guards against a server that ends while a request has come in part: its
+/// caller is told, and a silent connection doesn't hold the end up.
+TEST(Httpd, PartsOfRequestsAreRefusedAtTheEnd)
+{
+	Server s;
+	const int part = s.Connect();
+	const int silent = s.Connect();
+	const gint64 begin_us = g_get_monotonic_time();
+
+	s.Run();
+	s.Send(
+	    part, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1");
+	EXPECT_FALSE(httpd_finish(s.f));
+	EXPECT_EQ(s.ReadResponse(part), "HTTP/1.1 503 Service Unavailable");
+	EXPECT_TRUE(s.closing);
+	close(part);
+	while (!httpd_finish(s.f) &&
+	    g_get_monotonic_time() - begin_us < G_USEC_PER_SEC)
+		s.Run();
+	EXPECT_EQ(httpd_connection_count(s.f), 0U);
+	EXPECT_EQ(s.seen.size(), 0U);
+	close(silent);
+}
+
 /// Requests sent ahead behind one that is served: the connection is read no
 /// further, and the caller's leaving is seen all the same.
 TEST(Httpd, LeaverBehindRequestsSentAhead)
