Control closes links on which a peer replies to nothing

Cause: what lies between them acknowledges a link's bytes and drops them. A hub sends over the link that it dialled as long as it is up, and nothing above TCP checks that.

Change: after two seconds of messages of the replicated log without one from the peer, both links with it are closed and dialled again (peer.silent). It doesn't count as a close after an unanswered ask for the list.

--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -34,6 +34,9 @@
 	bool asked;      ///< for its list of servers, and it hasn't answered
 	uint32_t closes; ///< links closed since an ask, without an answer
 	char data_centre[FLEETCFG_NAME_BYTES];
+	uint64_t sent_us;       ///< last message of the replicated log to it
+	uint64_t unanswered_us; ///< first one without any of its own since; 0:
+				///< none
 	uint64_t silent_since_us; ///< since when it is inactive as a member of
 				  ///< the replicated log; 0: active
 };
@@ -169,6 +172,8 @@
 /// hub_links.c: links to peers and gateways
 enum status hub_links_start(struct hub *h);
 struct hub_peer *hub_peer(struct hub *h, uint32_t slot);
+void hub_peer_send_raft(
+    struct hub *h, uint32_t slot, const struct wire_msg *msg);
 void hub_links_tick(struct hub *h, uint64_t now_us);
 void hub_push_begin(struct hub *h);
 void hub_push_slice(void *arg, uint64_t now_us);
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -9,6 +9,10 @@
 #define HUB_MAX_QUEUE_BYTES (16UL << 20)
 /// Gateways that are sent a changed state in one run of the timer.
 #define HUB_PUSH_SLICE 8
+/// The links with a peer that is sent messages of the replicated log, and sends
+/// none, are closed after this time; a pause begins it anew.
+#define HUB_SILENT_US (2 * USEC_PER_SEC)
+#define HUB_PAUSE_US (1 * USEC_PER_SEC)
 /// The entry of a dead gateway is kept for this long, so that the usage that it
 /// counted can still be finalized.
 #define HUB_GATEWAY_RETENTION_US (60 * USEC_PER_SEC)
@@ -36,6 +40,55 @@
 	return p;
 }
 
+/// Closes the links with a peer that has sent nothing for a while, though it
+/// replies to each message of the replicated log. TCP can't tell: what lies
+/// between may acknowledge what it drops. Both ends dial again.
+static void
+close_silent(struct hub *h, struct hub_peer *p)
+{
+	const handle_t dialled = p->dialled;
+	const handle_t accepted = p->accepted;
+
+	logger_event(LOGGER_WARN, "peer.silent", "slot=%" PRIu32, p->slot);
+	p->unanswered_us = 0;
+	// It isn't the ask that made the peer close the link.
+	p->asked = false;
+	transport_close(h->links, dialled);
+	transport_close(h->links, accepted);
+}
+
+/// Sends a message of the replicated log; it is lost if the peer can't be
+/// reached.
+void
+hub_peer_send_raft(struct hub *h, uint32_t slot, const struct wire_msg *msg)
+{
+	const uint64_t now_us = loop_now_us(h->loop);
+	struct hub_peer *p = hub_peer(h, slot);
+
+	if (p == NULL)
+		return;
+	if (!transport_send(h->links, p->dialled, msg) &&
+	    (p->accepted == HANDLE_NONE ||
+		!transport_send(h->links, p->accepted, msg)))
+		return;
+	if (p->unanswered_us == 0 || now_us - p->sent_us > HUB_PAUSE_US)
+		p->unanswered_us = now_us;
+	p->sent_us = now_us;
+	if (now_us - p->unanswered_us >= HUB_SILENT_US)
+		close_silent(h, p);
+}
+
+static void
+on_raft(
+    struct hub *h, const struct wire_hello *hello, const struct wire_raft *raft)
+{
+	struct hub_peer *p = hub_peer(h, hello->id);
+
+	if (p != NULL)
+		p->unanswered_us = 0;
+	replica_receive(h->group, hello->id, raft->bytes.data, raft->bytes.len);
+}
+
 /// The entry of the gateway process that sent `hello`; the first call adds it.
 static struct hub_gateway *
 find_or_add_gateway(struct hub *h, const struct wire_hello *hello)
@@ -274,8 +327,7 @@
 	switch (msg->kind) {
 	case WIRE_RAFT:
 		if (hello->role == WIRE_ROLE_CONTROL && h->group != NULL)
-			replica_receive(h->group, hello->id,
-			    msg->raft.bytes.data, msg->raft.bytes.len);
+			on_raft(h, hello, &msg->raft);
 		break;
 	case WIRE_GATEWAY_REPORT:
 		if (hello->role == WIRE_ROLE_ENTRY && h->group != NULL)
--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -18,18 +18,12 @@
 static void
 on_send(void *arg, uint32_t to, const uint8_t *bytes, size_t len)
 {
-	struct hub *h = arg;
-	const struct hub_peer *p = hub_peer(h, to & RAFT_SLOT_MASK);
 	const struct wire_msg msg = {
 		.kind = WIRE_RAFT,
 		.raft = { .group = HUB_GROUP, .bytes = { bytes, len } },
 	};
 
-	if (p == NULL)
-		return;
-	if (!transport_send(h->links, p->dialled, &msg) &&
-	    p->accepted != HANDLE_NONE)
-		(void)transport_send(h->links, p->accepted, &msg);
+	hub_peer_send_raft(arg, to & RAFT_SLOT_MASK, &msg);
 }
 
 /// Parses the state's configuration again if its version has changed. At a
--- a/test/unit/hub/test_hub.h
+++ b/test/unit/hub/test_hub.h
@@ -20,14 +20,14 @@
 #include <filesystem>
 #include <string>
 
-/// A control process that leads by itself.
+/// A control process. It leads by itself, unless there is another seed.
 struct TestHub {
 	struct loop *loop = loop_new(1);
 	std::filesystem::path folder;
 	uint16_t port = free_port();
 	struct hub *hub = nullptr;
 
-	TestHub()
+	explicit TestHub(const std::string &seed = "")
 	{
 		std::string name =
 		    std::filesystem::temp_directory_path() / "hub-XXXXXX";
@@ -43,14 +43,16 @@
 		    "tolerated_vms": 0, "duties": [], "zones": {},
 		    "data_folder": ")" +
 		    folder.string() + R"(", "operators": ")" + operators +
-		    R"(", "seeds": [")" + operators + R"("], "peer_port": )" +
-		    std::to_string(port) + "}";
+		    R"(", "seeds": [")" + operators + R"(")" + seed +
+		    R"(], "peer_port": )" + std::to_string(port) + "}";
 		EXPECT_EQ(bootstrap_parse(
 			      text.data(), text.size(), &settings, &problems),
 		    STATUS_OK)
 		    << (problems.n > 0 ? problems.items[0].path : "");
 		spec_problems_free(&problems);
 		EXPECT_EQ(hub_start(loop, &settings, &hub), STATUS_OK);
+		if (!seed.empty())
+			return;
 		for (int i = 0; i < 5000 && !hub_is_leader(hub); i++)
 			run(1);
 		EXPECT_TRUE(hub_is_leader(hub));
--- /dev/null
+++ b/test/unit/hub/test_silent_peer.cc
@@ -0,0 +1,70 @@
+#include "test_hub.h"
+
+namespace
+{
+
+/// A seed whose links are up, and which reads all and sends nothing.
+struct SilentSeed {
+	struct transport *links;
+	handle_t dialled;
+	int lostDialled = 0;
+	int lostAccepted = 0;
+
+	explicit SilentSeed(const TestHub &hub)
+	{
+		struct transport_config config = {};
+
+		config.base = loop_event_base(hub.loop);
+		config.timers = loop_timers(hub.loop);
+		config.self.role = WIRE_ROLE_CONTROL;
+		config.self.id = 2;
+		config.self.incarnation = 1;
+		g_strlcpy(config.self.deployment, "fleet", WIRE_NAME_BYTES);
+		g_strlcpy(config.self.node, "core-2", WIRE_NAME_BYTES);
+		config.max_queue_bytes = 1 << 20;
+		config.callbacks.up = [](void *, handle_t,
+					  const struct wire_hello *) {};
+		config.callbacks.message = [](void *, handle_t,
+					       const struct wire_hello *,
+					       const struct wire_msg *) {};
+		config.callbacks.down = onDown;
+		config.callbacks.arg = this;
+		links = transport_new(&config);
+		EXPECT_EQ(
+		    transport_listen(links, "127.0.0.2", hub.port), STATUS_OK);
+		dialled = transport_dial(links, "127.0.0.1", hub.port);
+	}
+
+	~SilentSeed()
+	{
+		transport_free(links);
+	}
+
+	static void onDown(void *arg, handle_t link, const struct wire_hello *)
+	{
+		auto *s = static_cast<SilentSeed *>(arg);
+
+		(link == s->dialled ? s->lostDialled : s->lostAccepted)++;
+	}
+};
+
+} // namespace
+
+/// Guards against control processes that keep to a link on which nothing
+/// passes, though TCP takes it for sound: two that need each other elect no
+/// leader any more.
+TEST(SilentPeer, ItsLinksAreClosedAndDialledAgain)
+{
+	TestHub hub(R"(, "127.0.0.2:7001")");
+	SilentSeed seed(hub);
+
+	hub.run(500);
+	EXPECT_TRUE(transport_is_up(seed.links, seed.dialled));
+	for (int i = 0;
+	     i < 5000 && (seed.lostDialled == 0 || seed.lostAccepted == 0); i++)
+		hub.run(1);
+	EXPECT_EQ(seed.lostDialled, 1);
+	EXPECT_EQ(seed.lostAccepted, 1);
+	hub.run(500);
+	EXPECT_TRUE(transport_is_up(seed.links, seed.dialled));
+}
