A plain response without a length is checked before it counts as complete

Cause: a killed server's connections end as those of one that has sent all. Only streams had their server checked before such an end counted.

Ruled out: refusing such responses (HTTP/1.0 servers); passing on and breaking off.

Change: is_complete() decides for both kinds; a plain response is kept for the round trip of the check. stream_lost() and gateway_stream_checked() are named after responses now, and the script too. Responses with a length aren't touched.

Result: the new sections of script_unframed_responses gave 200 "hal" on the sources before, 502 and the other server's response now; eight scripts of faulty servers pass, lint clean.

--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -94,7 +94,7 @@
 		    g->requests, g_array_index(crash->waiting, handle_t, i));
 
 		if (q != NULL)
-			gateway_stream_checked(q, crashed);
+			gateway_response_checked(q, crashed);
 	}
 	g_array_set_size(crash->waiting, 0);
 }
@@ -242,7 +242,7 @@
 
 /// The connection of a request's attempt ended where its response may be
 /// complete, or cut off by the end of the server. Checks whether that has
-/// ended; gateway_stream_checked() is called with the result, unless the
+/// ended; gateway_response_checked() is called with the result, unless the
 /// request has ended by then. One that is paused or limited, and isn't about to
 /// end, isn't checked.
 enum gateway_server_end
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -184,7 +184,7 @@
 /// One request of a caller.
 /// Whether a server has ended with the connection of an attempt.
 enum gateway_server_end {
-	GATEWAY_SERVER_CHECKED, ///< gateway_stream_checked() will tell
+	GATEWAY_SERVER_CHECKED, ///< gateway_response_checked() will tell
 	GATEWAY_SERVER_LIVES,   ///< no sign of it
 	GATEWAY_SERVER_UNKNOWN, ///< it may have, and can't be checked
 };
@@ -247,7 +247,7 @@
 	bool protocol_error;     ///< the attempt's stream is malformed
 	bool not_sent;           ///< no server can have received the attempt
 	struct api_headers *response_headers;
-	GString *error_body; ///< of a response that isn't a stream
+	GString *kept_body; ///< of a response that isn't a stream
 	uint64_t last_event_us;
 };
 
@@ -427,7 +427,7 @@
 
 /// gateway_send.c: attempts at backend servers
 void gateway_send(struct gateway_request *q);
-void gateway_stream_checked(struct gateway_request *q, bool crashed);
+void gateway_response_checked(struct gateway_request *q, bool crashed);
 bool gateway_try_send(struct gateway_request *q);
 void gateway_cancel_attempt(
     struct gateway_request *q, enum balancer_outcome how);
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -64,8 +64,8 @@
 	timerq_timer_free(q->timer);
 	api_headers_free(q->headers);
 	api_headers_free(q->response_headers);
-	if (q->error_body != NULL)
-		(void)g_string_free(q->error_body, TRUE);
+	if (q->kept_body != NULL)
+		(void)g_string_free(q->kept_body, TRUE);
 	evstream_free(q->events);
 	fleetcfg_unref(q->config);
 	g_free(q->key);
@@ -288,17 +288,17 @@
 		l->tokens_per_ms *= 1 - GATEWAY_LEARN_DOWN;
 }
 
-/// Collects the body of a response that should be a stream and isn't.
+/// Keeps the body of a response that should be a stream and isn't.
 static void
-collect_error_body(struct gateway_request *q, const uint8_t *bytes, size_t len)
+keep_body(struct gateway_request *q, const uint8_t *bytes, size_t len)
 {
-	if (q->error_body == NULL)
-		q->error_body = g_string_new(NULL);
-	if (q->error_body->len + len <= GATEWAY_MAX_ERROR_BYTES) {
+	if (q->kept_body == NULL)
+		q->kept_body = g_string_new(NULL);
+	if (q->kept_body->len + len <= GATEWAY_MAX_ERROR_BYTES) {
 		(void)g_string_append_len(
-		    q->error_body, (const char *)bytes, (gssize)len);
+		    q->kept_body, (const char *)bytes, (gssize)len);
 		httpc_set_retained(
-		    q->gateway->http, q->call_handle, q->error_body->len);
+		    q->gateway->http, q->call_handle, q->kept_body->len);
 		return;
 	}
 	// A part of it must not be forwarded as the whole.
@@ -316,7 +316,7 @@
 	const uint32_t before = evstream_n_events(q->events);
 
 	if (!q->is_stream) {
-		collect_error_body(q, bytes, len);
+		keep_body(q, bytes, len);
 		return;
 	}
 	if (q->protocol_error)
@@ -393,7 +393,7 @@
 }
 
 static void
-stream_lost(struct gateway_request *q, const char *why)
+response_lost(struct gateway_request *q, const char *why)
 {
 	gateway_crashes_on_lost(q);
 	attempt_failed(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN, why);
@@ -410,62 +410,107 @@
 	gateway_stream_end(q);
 }
 
-/// Decides whether a stream that has ended is complete. Where it ended with its
-/// connection, that of a server that has crashed or stopped looks the same, so
-/// the server is checked first; one that can't be checked isn't trusted.
+/// Whether a response that ended with its connection is complete. That of a
+/// server which has crashed or stopped looks the same, so the server is checked
+/// first; one that can't be checked isn't trusted.
+///
+/// @return false if it isn't, and the attempt has failed, or if
+///         gateway_response_checked() will tell
+static bool
+is_complete(struct gateway_request *q)
+{
+	if (gateway_evac_covers_attempt(q)) {
+		response_lost(q, "it may be cut off, by an evacuated server");
+		return false;
+	}
+	switch (gateway_crashes_wait(q)) {
+	case GATEWAY_SERVER_CHECKED:
+		timerq_disarm(q->timer);
+		return false;
+	case GATEWAY_SERVER_UNKNOWN:
+		response_lost(q,
+		    "it may be cut off, by a server that can't be "
+		    "checked");
+		return false;
+	case GATEWAY_SERVER_LIVES:
+		break;
+	}
+	return true;
+}
+
+/// Decides what follows a stream that has ended.
 static void
 finish_stream(struct gateway_request *q, bool until_close)
 {
-	enum gateway_server_end end = GATEWAY_SERVER_LIVES;
-
 	if (evstream_has_partial(q->events)) {
-		stream_lost(q, "the stream ended within an event");
+		response_lost(q, "the stream ended within an event");
 		return;
 	}
 	if (until_close && evstream_n_events(q->events) == 0 &&
 	    !q->call.resumes) {
-		stream_lost(q, "the stream ended before its first event");
-		return;
-	}
-	if (until_close && gateway_evac_covers_attempt(q)) {
-		stream_lost(q, "it may be cut off, by an evacuated server");
+		response_lost(q, "the stream ended before its first event");
 		return;
 	}
-	if (until_close)
-		end = gateway_crashes_wait(q);
-	switch (end) {
-	case GATEWAY_SERVER_CHECKED:
-		timerq_disarm(q->timer);
-		break;
-	case GATEWAY_SERVER_LIVES:
+	if (!until_close || is_complete(q))
 		stream_complete(q);
-		break;
-	case GATEWAY_SERVER_UNKNOWN:
-		stream_lost(q,
-		    "it may be cut off, by a server that can't be "
-		    "checked");
-		break;
+}
+
+/// Forwards a plain response that is complete, or sends another attempt.
+static void
+plain_complete(struct gateway_request *q, const uint8_t *body, size_t len)
+{
+	if (should_retry_failure(q)) {
+		if (q->response_headers == NULL)
+			q->response_headers = api_headers_from_response(
+			    q->gateway->http, q->call_handle);
+		record_failure(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN,
+		    "the server responded with an error");
+		if (gateway_retry(q))
+			return;
 	}
+	if (q->kept_body != NULL) {
+		body = (const uint8_t *)q->kept_body->str;
+		len = q->kept_body->len;
+	}
+	forward_response(q, body, len);
 }
 
-/// The server of a stream that ended with its connection was checked.
+/// Decides what follows a plain response that has ended.
+static void
+finish_plain(struct gateway_request *q, const struct httpc_result *result)
+{
+	if (!result->until_close) {
+		plain_complete(q, result->body, result->len);
+		return;
+	}
+	// The call ends now, a check of the server later.
+	if (q->kept_body == NULL)
+		q->kept_body = g_string_new_len(
+		    (const char *)result->body, (gssize)result->len);
+	if (q->response_headers == NULL)
+		q->response_headers =
+		    api_headers_from_response(q->gateway->http, q->call_handle);
+	if (is_complete(q))
+		plain_complete(q, NULL, 0);
+}
+
+/// The server of a response that ended with its connection was checked.
 void
-gateway_stream_checked(struct gateway_request *q, bool crashed)
+gateway_response_checked(struct gateway_request *q, bool crashed)
 {
 	if (crashed)
 		attempt_failed(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN,
-		    "the server ended during the stream");
-	else
+		    "the server ended during the response");
+	else if (q->is_stream)
 		stream_complete(q);
+	else
+		plain_complete(q, NULL, 0);
 }
 
-/// Decides what follows a response that has come in full.
+/// Decides what follows a response that has come to its end.
 static void
 finish_response(struct gateway_request *q, const struct httpc_result *result)
 {
-	const uint8_t *body = result->body;
-	size_t len = result->len;
-
 	if (q->protocol_error) {
 		attempt_failed(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN,
 		    "the response can't be read");
@@ -490,20 +535,7 @@
 		    "the server didn't resume the stream");
 		return;
 	}
-	if (should_retry_failure(q)) {
-		if (q->response_headers == NULL)
-			q->response_headers = api_headers_from_response(
-			    q->gateway->http, q->call_handle);
-		record_failure(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN,
-		    "the server responded with an error");
-		if (gateway_retry(q))
-			return;
-	}
-	if (q->error_body != NULL) {
-		body = (const uint8_t *)q->error_body->str;
-		len = q->error_body->len;
-	}
-	forward_response(q, body, len);
+	finish_plain(q, result);
 }
 
 static const char *
@@ -604,9 +636,9 @@
 	q->is_stream = false;
 	q->protocol_error = false;
 	q->status = 0;
-	if (q->error_body != NULL)
-		(void)g_string_free(q->error_body, TRUE);
-	q->error_body = NULL;
+	if (q->kept_body != NULL)
+		(void)g_string_free(q->kept_body, TRUE);
+	q->kept_body = NULL;
 	if (q->events != NULL)
 		evstream_restart(q->events, 0);
 	if (!q->head_sent) {
--- a/test/script/unframed_streams.sh
+++ b/test/script/unframed_responses.sh
@@ -1,4 +1,4 @@
-# Guards against a stream without a length or chunks that was cut off by the crash of
+# Guards against a response without a length or chunks that was cut off by the crash of
 # its server reaching the caller as complete.
 . "$PWD/test/script/deployment.inc"
 
@@ -34,6 +34,29 @@
 ask "\"$stream\$CLOSE\", \"$stream$events\$CLOSE\", $ok"
 echo "== within an event"
 ask "\"${stream}id: 1\ndata: a\n\$CLOSE\", \"$stream$events\$CLOSE\", $ok"
+plain="${head}Content-Type: text/plain\r\n\r\n"
+echo "== a plain response, the server lives"
+set_standin 41 "{\"responses\": [\"${plain}all\$CLOSE\", $ok]}"
+call 21 /plain/a k1
+echo "== it crashes behind a part of it"
+standin_at 44 "\"kind\": \"raw\", \"raw_address\": \"$net.44:81\", \"responses\": [\"${plain}hal\$EXIT\"]"
+set_standin 31 "{\"instances\": [$(raw 44)]}"
+wait_for 1 grep -c "event=server.listed server=i-44" gateway-21.log
+wait_for 1 grep -c "event=server.gone server=i-41" gateway-21.log
+call 21 /plain/a k1 | sed 's/.*status/status/'
+echo "== the same, and another server is there"
+standin_at 45 "\"kind\": \"raw\", \"raw_address\": \"$net.45:81\", \"responses\": [\"${plain}hal\$EXIT\"]"
+set_standin 31 "{\"instances\": [$(raw 45), $(raw 41)]}"
+wait_for 1 grep -c "event=server.listed server=i-45" gateway-21.log
+cut='event=attempt.failed.*server=i-45.*reason="the server ended during the response"'
+for i in $(seq 50); do
+	call 21 /plain/a k1
+	grep -q "$cut" gateway-21.log && break
+done | sort -u
+grep -c "$cut" gateway-21.log
+set_standin 31 "{\"instances\": [$(raw 41)]}"
+wait_for 200 status_of 21 /plain/a k1
+
 # A stream of a server that ends after the platform has shown it otherwise: NUMBER
 # LIST LOG-LINE. Each call needs a server of its own: one that was listed as draining
 # gets no requests under the same id again.
