A service that a route names beside a traffic_split must exist

Cause: with a traffic_split the service isn't used and wasn't read.

Ruled out: the check wherever manifests are read; what an earlier version accepted has to be readable after an update (Manifest.WhatWasAcceptedIsStillRead).

Change: api_manifest_check() reads a manifest that is sent, for control and `check`.

--- a/src/cli/cli_check.c
+++ b/src/cli/cli_check.c
@@ -91,7 +91,7 @@
 	struct fleetcfg *config;
 
 	result->kind = "manifest";
-	if (api_manifest_read(text, len, &config) != STATUS_OK) {
+	if (api_manifest_check(text, len, &config) != STATUS_OK) {
 		problem_add(&result->problems, "$", 1, "%s", status_last());
 		return;
 	}
--- a/src/hub/hub_operators.c
+++ b/src/hub/hub_operators.c
@@ -100,7 +100,7 @@
 	char quoted[256];
 	size_t len;
 
-	if (api_manifest_read((const char *)req->body, req->len, &config) !=
+	if (api_manifest_check((const char *)req->body, req->len, &config) !=
 	    STATUS_OK) {
 		h->n_invalid_requests->value++;
 		logger_event(LOGGER_INFO, "order.invalid", "reason=%s",
--- a/src/platform/api_manifest.c
+++ b/src/platform/api_manifest.c
@@ -433,7 +433,46 @@
 	return st;
 }
 
-/// Reads a manifest, the operator's whole configuration, and checks it.
+/// Checks the service that a route names beside a traffic_split, which doesn't
+/// use it.
+static enum status
+check_unused_services(const json_t *root, const struct fleetcfg *c)
+{
+	struct json_item p = { .list = "routes" };
+
+	json_array_foreach(json_object_get(root, "routes"), p.index, p.object)
+	{
+		const json_t *service = json_object_get(p.object, "service");
+
+		if (service == NULL || json_is_null(service))
+			continue;
+		if (!json_is_string(service))
+			return invalid_field(&p, "service", "is no text");
+		if (fleetcfg_find_service(c, json_string_value(service)) < 0)
+			return invalid_field(&p, "service", "names no service");
+	}
+	return STATUS_OK;
+}
+
+/// Parses a manifest's text.
+///
+/// @return NULL with the problem in status_last(), else released by the caller
+static json_t *
+parse(const char *text, size_t len)
+{
+	json_error_t error;
+	json_t *root = json_loadb(text, len, JSON_REJECT_DUPLICATES, &error);
+
+	if (json_is_object(root))
+		return root;
+	(void)status_fail(STATUS_INVALID, "line %d, column %d: %s", error.line,
+	    error.column, root == NULL ? error.text : "no object");
+	json_decref(root);
+	return NULL;
+}
+
+/// Reads a manifest that was accepted, by this version of the program or an
+/// earlier one that checked less.
 ///
 /// @param out  receives the configuration with one reference; unchanged after a
 ///             failure
@@ -441,17 +480,35 @@
 enum status
 api_manifest_read(const char *text, size_t len, struct fleetcfg **out)
 {
-	json_error_t error;
-	json_t *root = json_loadb(text, len, JSON_REJECT_DUPLICATES, &error);
+	json_t *root = parse(text, len);
 	enum status st;
 
-	if (!json_is_object(root)) {
-		json_decref(root);
-		return status_fail(STATUS_INVALID, "line %d, column %d: %s",
-		    error.line, error.column,
-		    root == NULL ? error.text : "no object");
-	}
+	if (root == NULL)
+		return STATUS_INVALID;
 	st = read_manifest(root, out);
 	json_decref(root);
 	return st;
 }
+
+/// Reads a new manifest, the operator's whole configuration, and checks it.
+/// Parameters and result as of api_manifest_read().
+enum status
+api_manifest_check(const char *text, size_t len, struct fleetcfg **out)
+{
+	json_t *root = parse(text, len);
+	struct fleetcfg *c;
+	enum status st;
+
+	if (root == NULL)
+		return STATUS_INVALID;
+	st = read_manifest(root, &c);
+	if (st == STATUS_OK) {
+		st = check_unused_services(root, c);
+		if (st == STATUS_OK)
+			*out = c;
+		else
+			fleetcfg_unref(c);
+	}
+	json_decref(root);
+	return st;
+}
--- a/src/platform/api_manifest.h
+++ b/src/platform/api_manifest.h
@@ -5,5 +5,7 @@
 
 enum status api_manifest_read(
     const char *text, size_t len, struct fleetcfg **out);
+enum status api_manifest_check(
+    const char *text, size_t len, struct fleetcfg **out);
 
 #endif
--- a/test/unit/platform/test_api_manifest.cc
+++ b/test/unit/platform/test_api_manifest.cc
@@ -96,6 +96,83 @@
 	EXPECT_NE(strstr(status_last(), "line"), nullptr);
 }
 
+/// One fault put into a valid manifest.
+struct Fault {
+	const char *text;   ///< a part of the manifest
+	const char *fault;  ///< in its place
+	const char *reason; ///< part of what is told
+};
+
+/// Guards against an invalid manifest that is acknowledged: each fault alone is
+/// refused, and what is wrong is told. The last one was accepted, as nothing
+/// uses the name.
+TEST(Manifest, EachFaultAloneIsRefused)
+{
+	static const Fault faults[] = {
+		{ R"("version":7)", R"("version":"7")", "version" },
+		{ R"("services":[)", R"("servers":[)", "services" },
+		{ R"("routes":[)", R"("routes":[1,)", "routes[0]" },
+		{ R"("tenants":[)", R"("tenants":{"a":[)", "column" },
+		{ R"("service":"llm")", R"("service":"l")",
+		    "names no service" },
+		{ R"("service":"llm")", R"("service":7)", "service" },
+		{ R"("service":"app","weight")", R"("service":"p","weight")",
+		    "names no service" },
+		{ R"("weight":1)", R"("weight":0)", "weight" },
+		{ R"("weight":1)", R"("weight":-1)", "weight" },
+		{ R"("timeout_ms":4000)", R"("timeout_ms":0)", "time-out" },
+		{ R"("timeout_ms":4000)", R"("timeout_ms":"4000")",
+		    "timeout_ms" },
+		{ R"("kind":"idempotent")", R"("kind":"any")", "kind" },
+		{ R"("path_prefix":"/y/")", R"("path_prefix":"/x/")",
+		    "host and prefix" },
+		{ R"("api_keys":["k1","k2"])", R"("api_keys":["k1","k1"])",
+		    "key" },
+		{ R"("api_keys":["k1","k2"])", R"("api_keys":"k1")",
+		    "api_keys" },
+		{ R"("traffic_split":[{)",
+		    R"("service":"no","traffic_split":[{)",
+		    "routes[1].service: names no service" },
+	};
+	const std::string split =
+	    R"({"name":"r2","host":"a.example","path_prefix":"/y/",)"
+	    R"("kind":"idempotent","timeout_ms":4000,)"
+	    R"("traffic_split":[{"service":"app","weight":1}]})";
+	const std::string valid = manifest(std::string(route) + "," + split);
+	struct fleetcfg *c;
+
+	ASSERT_EQ(api_manifest_check(valid.data(), valid.size(), &c), STATUS_OK)
+	    << status_last();
+	fleetcfg_unref(c);
+	for (const Fault &f : faults) {
+		std::string text = valid;
+
+		ASSERT_NE(text.find(f.text), std::string::npos) << f.text;
+		text.replace(text.find(f.text), strlen(f.text), f.fault);
+		EXPECT_EQ(api_manifest_check(text.data(), text.size(), &c),
+		    STATUS_INVALID)
+		    << f.fault;
+		EXPECT_NE(strstr(status_last(), f.reason), nullptr)
+		    << f.fault << ": " << status_last();
+	}
+}
+
+/// Guards against an update after which a configuration in force can't be read
+/// any more, as an earlier version checked less of it.
+TEST(Manifest, WhatWasAcceptedIsStillRead)
+{
+	std::string text = route;
+	struct fleetcfg *c;
+
+	text.replace(text.find("\"service\":\"llm\""), 15,
+	    R"("service":"no","traffic_split":[{"service":"llm","weight":1}])");
+	text = manifest(text);
+	EXPECT_EQ(
+	    api_manifest_check(text.data(), text.size(), &c), STATUS_INVALID);
+	ASSERT_EQ(read(text, &c), STATUS_OK) << status_last();
+	fleetcfg_unref(c);
+}
+
 /// Guards against an empty list of customers being read as none: all keys were
 /// accepted once the last customer was gone.
 TEST(Manifest, EmptyListOfCustomersStillRequiresKeys)
