A caller's target reaches the server as it was sent

Cause: the gateway put path and query, as the library had parsed them, together again.

Ruled out: refusing such targets; callers that are served now would notice.

Change: the reader of heads keeps the target, httpd passes it on, and so does the queue of requests that wait for a gateway to be ready.

--- a/src/front/httpd.c
+++ b/src/front/httpd.c
@@ -112,11 +112,8 @@
 
 /// Adds the header fields that were kept from evhtp.
 static void
-add_kept_fields(const struct httpd *f, evhtp_request_t *req)
+add_kept_fields(const struct httpd_conn *hc, evhtp_request_t *req)
 {
-	const struct httpd_conn *hc =
-	    g_hash_table_lookup(f->connections, req->conn);
-
 	for (guint i = 0; i < hc->head.kept_fields->len; i++) {
 		const struct reqhead_field *field = &g_array_index(
 		    hc->head.kept_fields, struct reqhead_field, i);
@@ -134,6 +131,7 @@
 	struct httpd *f = arg;
 	struct httpd_request out = { .query = "" };
 	struct httpd_open_request *open;
+	const struct httpd_conn *hc;
 	void *item;
 	handle_t handle;
 
@@ -145,12 +143,14 @@
 	(void)evhtp_request_set_hook(
 	    req, evhtp_hook_on_request_fini, (evhtp_hook)on_fini, open);
 	set_no_delay(req);
-	add_kept_fields(f, req);
+	hc = g_hash_table_lookup(f->connections, req->conn);
+	add_kept_fields(hc, req);
 	out.method = get_method(req);
 	out.method_name = htparser_get_methodstr(req->conn->parser);
 	out.path = req->uri->path->full;
 	if (req->uri->query_raw != NULL)
 		out.query = (const char *)req->uri->query_raw;
+	out.target = hc->head.target;
 	out.len = evbuffer_get_length(req->buffer_in);
 	out.body = evbuffer_pullup(req->buffer_in, -1);
 	f->config.on_request(f->config.arg, handle, &out);
--- a/src/front/httpd.h
+++ b/src/front/httpd.h
@@ -34,6 +34,9 @@
 	const char *method_name;
 	const char *path;
 	const char *query; ///< "" when none
+	/// As the caller sent it: path and query leave out what has no meaning
+	/// to a server, such as a fragment.
+	const char *target;
 	const uint8_t *body;
 	size_t len; ///< of the body, in bytes
 };
--- a/src/front/reqhead.c
+++ b/src/front/reqhead.c
@@ -50,6 +50,7 @@
 void
 reqhead_clear(struct reqhead *h)
 {
+	g_free(h->target);
 	(void)g_string_free(h->text, TRUE);
 	g_array_unref(h->kept_fields);
 }
@@ -87,6 +88,7 @@
 	else if (!p->is_http_1_0 && strcmp(version, " HTTP/1.1") != 0)
 		refuse(h, 505, "the HTTP version isn't served");
 	g_string_append_printf(h->text, "%s\r\n", line);
+	h->target = g_strndup(target + 1, (gsize)(version - target - 1));
 }
 
 static void
--- a/src/front/reqhead.h
+++ b/src/front/reqhead.h
@@ -18,6 +18,7 @@
 };
 
 struct reqhead {
+	char *target;    ///< as the caller sent it
 	int refusal;     ///< HTTP status to refuse the request with; 0: none
 	const char *why; ///< it is refused, a static string
 	bool is_chunked;
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -158,9 +158,7 @@
 	q->arrived_us = arrived_us;
 	q->verdict = VERDICT_NOT_RUN;
 	q->method = g_strdup(req->method_name);
-	q->target = req->query[0] == '\0'
-	    ? g_strdup(req->path)
-	    : g_strconcat(req->path, "?", req->query, NULL);
+	q->target = g_strdup(req->target);
 	q->body = g_memdup2(req->body, req->len);
 	q->len = req->len;
 	q->timer = timerq_timer_new(loop_timers(g->loop), on_request_timer, q);
--- a/src/gateway/gateway_waitq.c
+++ b/src/gateway/gateway_waitq.c
@@ -16,6 +16,7 @@
 	char *method;
 	char *path;
 	char *query;
+	char *target;
 	uint8_t *body;
 };
 
@@ -26,6 +27,7 @@
 	g_free(w->method);
 	g_free(w->path);
 	g_free(w->query);
+	g_free(w->target);
 	g_free(w->body);
 	g_free(w);
 }
@@ -66,6 +68,7 @@
 	w->req.method_name = w->method = g_strdup(req->method_name);
 	w->req.path = w->path = g_strdup(req->path);
 	w->req.query = w->query = g_strdup(req->query);
+	w->req.target = w->target = g_strdup(req->target);
 	w->req.body = w->body = g_memdup2(req->body, req->len);
 	g->waiting_bytes += req->len;
 	g_queue_push_tail(&g->wait_queue, w);
--- a/test/unit/front/test_httpd.cc
+++ b/test/unit/front/test_httpd.cc
@@ -24,6 +24,7 @@
 	struct httpd *f;
 	uint16_t port = 0;
 	std::vector<std::string> seen;
+	std::string target;  ///< of the last request
 	std::string headers; ///< of the last requests
 	bool replies = true;
 	bool streams = false;
@@ -61,6 +62,7 @@
 		auto *s = static_cast<Server *>(arg);
 
 		s->last = handle;
+		s->target = req->target;
 		s->seen.push_back(std::string(req->method_name) + " " +
 		    req->path + " " + req->query + " " +
 		    std::string(
@@ -395,6 +397,23 @@
 	close(silent);
 }
 
+/// Guards against a target that is put together again from its parts, without
+/// an empty query or a fragment.
+TEST(Httpd, TargetsStayAsTheyWereSent)
+{
+	Server s;
+	const int fd = s.Connect();
+
+	s.Run();
+	for (const std::string target : { "/a", "/a?", "/a?b=c", "/a?b#c",
+		 "/a#b", "/a?b?c", "/%2e/a//b?%20", "/a?#" }) {
+		s.Send(fd, "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+		EXPECT_EQ(s.ReadResponse(fd), "HTTP/1.1 200 OK") << target;
+		EXPECT_EQ(s.target, target);
+	}
+	close(fd);
+}
+
 /// Requests sent ahead behind one that is served: the connection is read no
 /// further, and the caller's leaving is seen all the same.
 TEST(Httpd, LeaverBehindRequestsSentAhead)
