Long responses aren't cut by limits of the HTTP libraries

Cause: the limit for idle callers went on while a caller waited for its response; the client library's limit of 50 s between two bytes stood beside each call's own.

Ruled out: larger limits (idle connections hold memory, and the next longer budget is cut).

Change: nothing has to come from a caller that waits; calls have their own limits alone, and idle connections to servers keep the 50 s.

Result: Httpd.WaitingForAResponseIsNotIdle was cut, Client.OnlyIdleConnectionsHaveTheLibrarysLimit had 50 s on the sources before; both pass, as do unit_front, unit_back and six scripts of slow, endless and faulty responses.

--- a/src/back/httpc_conn.c
+++ b/src/back/httpc_conn.c
@@ -11,6 +11,10 @@
 #include <sys/socket.h>
 
 #define HTTPC_MAX_IDLE_PER_ADDRESS 64
+/// Idle connections are closed after this.
+#define HTTPC_IDLE_S 50
+/// Calls have limits of their own, which are shorter.
+#define HTTPC_CALL_S (24 * 60 * 60)
 /// An idle connection is not reused from this time before the end that the
 /// server announced (Keep-Alive: timeout): it could be closed while the request
 /// is in flight.
@@ -108,6 +112,13 @@
 		G_USEC_PER_SEC;
 }
 
+/// Replaces the library's limit on the time between two bytes.
+static void
+limit_silence(struct httpc_conn *conn, int s)
+{
+	evhttp_connection_set_timeout(conn->evcon, s);
+}
+
 /// Returns a connection to the pool after a complete response, or closes it if
 /// it can't be used again.
 void
@@ -122,6 +133,7 @@
 		httpc_conn_free_later(conn);
 		return;
 	}
+	limit_silence(conn, HTTPC_IDLE_S);
 	g_queue_push_head(q, conn);
 }
 
@@ -173,6 +185,7 @@
 	}
 	if (conn != NULL) {
 		g_free(key);
+		limit_silence(conn, HTTPC_CALL_S);
 		return conn;
 	}
 	c->n_opened++;
@@ -187,6 +200,7 @@
 	}
 	evhttp_connection_set_max_headers_size(
 	    conn->evcon, RESPSCAN_MAX_HEAD_BYTES);
+	limit_silence(conn, HTTPC_CALL_S);
 	return conn;
 }
 
--- a/src/front/httpd_input.c
+++ b/src/front/httpd_input.c
@@ -143,6 +143,21 @@
 	stop_reading(hc);
 }
 
+/// Sets the time limits of a connection: nothing has to come from a caller that
+/// waits for its response.
+static void
+limit_silence(struct httpd_conn *hc, bool is_waiting)
+{
+	const uint32_t ms = hc->owner->config.idle_ms;
+	const struct timeval idle = {
+		.tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000,
+	};
+
+	bufferevent_set_timeouts(
+	    hc->evhtp->bev, is_waiting ? NULL : &idle, &idle);
+}
+
 /// Passes the request that was read to evhtp: alone, and with a length.
 static void
 serve(struct httpd_conn *hc)
@@ -152,6 +167,7 @@
 	struct evbuffer *request = evbuffer_new();
 
 	(void)event_del(hc->timer);
+	limit_silence(hc, true);
 	hc->state = HTTPD_CONN_SERVING;
 	hc->served = true;
 	if (len > 0)
@@ -410,6 +426,7 @@
 	(void)fd;
 	(void)what;
 	(void)event_del(hc->closed);
+	limit_silence(hc, false);
 	if (hc->is_last) {
 		// What follows isn't the begin of a request.
 		hc->state = HTTPD_CONN_CLOSING;
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -1,13 +1,16 @@
 #include <gtest/gtest.h>
 
 extern "C" {
-#include "back/httpc.h"
+#include "back/httpc_internal.h"
 }
 
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstring>
+#include <event2/bufferevent.h>
+#include <event2/bufferevent_struct.h>
 #include <event2/event.h>
+#include <event2/http.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <string>
@@ -552,6 +555,29 @@
 	}
 }
 
+/// Guards against the library's limit of 50 s between two bytes, which ended
+/// calls that may take longer. It stays for idle connections.
+TEST(Client, OnlyIdleConnectionsHaveTheLibrarysLimit)
+{
+	Peer p;
+
+	p.get(false, 0, 100 * G_USEC_PER_SEC);
+	(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+	const int fd = accept(p.listener, nullptr, nullptr);
+	const auto *call = static_cast<const struct httpc_active *>(
+	    slotmap_get(p.client->calls, p.handle));
+	ASSERT_NE(call, nullptr);
+	const struct bufferevent *bev =
+	    evhttp_connection_get_bufferevent(call->conn->evcon);
+	p.run();
+	EXPECT_GT(bev->timeout_read.tv_sec, 100);
+	p.answer(fd, "yes");
+	p.run();
+	EXPECT_EQ(p.n_ends, 1);
+	EXPECT_EQ(bev->timeout_read.tv_sec, 50);
+	close(fd);
+}
+
 /// A call for which no descriptor is left isn't started: its owner is told so
 /// by httpc_send() alone. A callback as well had ended it twice.
 TEST(Client, CallWithoutADescriptorHasNoCallback)
--- a/test/unit/front/test_httpd.cc
+++ b/test/unit/front/test_httpd.cc
@@ -33,13 +33,13 @@
 	handle_t last = HANDLE_NONE;
 	int n_gone = 0;
 
-	Server()
+	explicit Server(uint32_t idleMs = 10000)
 	{
 		struct httpd_config config = {};
 
 		config.base = base;
 		config.max_body_bytes = 1 << 20;
-		config.idle_ms = 10000;
+		config.idle_ms = idleMs;
 		config.on_request = on_request;
 		config.on_disconnect = on_gone;
 		config.arg = this;
@@ -397,6 +397,31 @@
 	close(silent);
 }
 
+/// Guards against a caller that is taken for idle while it waits for its
+/// response: a stream over 75 s was cut.
+TEST(Httpd, WaitingForAResponseIsNotIdle)
+{
+	Server s(100);
+	const int fd = s.Connect();
+
+	s.replies = false;
+	s.Run();
+	s.Send(fd, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+	for (int i = 0; i < 30; i++) {
+		(void)usleep(10000);
+		s.Run();
+	}
+	EXPECT_EQ(s.n_gone, 0);
+	httpd_reply(s.f, s.last, 200, nullptr, "text/plain", "ok", 2);
+	EXPECT_EQ(s.ReadResponse(fd), "HTTP/1.1 200 OK");
+	for (int i = 0; i < 30 && httpd_connection_count(s.f) > 0; i++) {
+		(void)usleep(10000);
+		s.Run();
+	}
+	EXPECT_EQ(httpd_connection_count(s.f), 0U);
+	close(fd);
+}
+
 /// Guards against a target that is put together again from its parts, without
 /// an empty query or a fragment.
 TEST(Httpd, TargetsStayAsTheyWereSent)
