--- a/src/platform/api_manifest.c
+++ b/src/platform/api_manifest.c
@@ -496,7 +496,7 @@
 api_manifest_check(const char *text, size_t len, struct fleetcfg **out)
 {
 	json_t *root = parse(text, len);
-	struct fleetcfg *c;
+	struct fleetcfg *c = NULL;
 	enum status st;
 
 	if (root == NULL)
