Control processes run at any IPv4 address

Cause: a member is known by its slot alone, 16 bits cut from the address, and nothing else told an address.

Ruled out: wider ids (in every entry and message: no upgrade process by process); slots given out by the group (a process needs one to ask).

Change: each address has a slot, the old one where it fits, else a hash. hosttable knows the addresses that slots don't imply; they come by hello, the replicated state, the state sent to gateways, and hosts.json for a group that starts again. Slots that another address has are refused. What is sent and stored is unchanged where all addresses fit.

--- /dev/null
+++ b/src/fleet/hosttable.h
@@ -0,0 +1,29 @@
+#ifndef FLEET_HOSTTABLE_H
+#define FLEET_HOSTTABLE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "fleet/instance.h"
+
+/// Known addresses of control processes, by their slots.
+
+struct hosttable;
+
+/// A slot and its address, as processes tell each other.
+struct hosttable_entry {
+	uint32_t slot;
+	char host[INSTANCE_HOST_BYTES];
+};
+
+struct hosttable *hosttable_new(const char *own);
+void hosttable_free(struct hosttable *t);
+bool hosttable_set(struct hosttable *t, uint32_t slot, const char *host);
+bool hosttable_fits(const struct hosttable *t, uint32_t slot, const char *host);
+void hosttable_get(
+    const struct hosttable *t, uint32_t slot, char out[INSTANCE_HOST_BYTES]);
+bool hosttable_is_implied(const struct hosttable *t, const char *host);
+GArray *hosttable_not_implied(const struct hosttable *t);
+
+#endif
--- a/src/fleet/hubmsg.c
+++ b/src/fleet/hubmsg.c
@@ -96,6 +96,13 @@
 	codec_u64(m, &v->sequence);
 }
 
+static void
+code_host(struct codec *m, struct hosttable_entry *e)
+{
+	codec_u32(m, &e->slot);
+	codec_str(m, e->host, sizeof(e->host));
+}
+
 static void
 code_state(struct codec *m, struct hubmsg_state *s)
 {
@@ -117,11 +124,19 @@
 	for (guint i = 0; i < s->rollouts->len; i++)
 		code_rollout(
 		    m, &g_array_index(s->rollouts, struct hubmsg_rollout, i));
-	// Left out while nothing was ever evacuated: older gateways refuse a
-	// state with more.
-	if (codec_is_writer(m) ? s->evacuations.revision == 0 : codec_at_end(m))
+	// What follows is left out while it says nothing: older gateways refuse
+	// a state with more.
+	if (codec_is_writer(m)
+		? s->evacuations.revision == 0 && s->hosts->len == 0
+		: codec_at_end(m))
 		return;
 	evacset_code(m, &s->evacuations);
+	if (codec_is_writer(m) ? s->hosts->len == 0 : codec_at_end(m))
+		return;
+	code_length(m, s->hosts);
+	for (guint i = 0; i < s->hosts->len; i++)
+		code_host(
+		    m, &g_array_index(s->hosts, struct hosttable_entry, i));
 }
 
 /// Makes an empty report, to be released with hubmsg_report_clear().
@@ -355,6 +370,8 @@
 		.quotas = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_quota)),
 		.rollouts =
 		    g_array_new(FALSE, TRUE, sizeof(struct hubmsg_rollout)),
+		.hosts =
+		    g_array_new(FALSE, TRUE, sizeof(struct hosttable_entry)),
 	};
 }
 
@@ -365,6 +382,7 @@
 	g_array_unref(s->members);
 	g_array_unref(s->quotas);
 	g_array_unref(s->rollouts);
+	g_array_unref(s->hosts);
 }
 
 /// Encodes a state.
--- a/src/fleet/hubmsg.h
+++ b/src/fleet/hubmsg.h
@@ -5,6 +5,7 @@
 
 #include "fleet/evacset.h"
 #include "fleet/fleetcfg.h"
+#include "fleet/hosttable.h"
 #include "fleet/instance.h"
 
 /// Messages between gateways and control. Their arrays are made by
@@ -152,6 +153,9 @@
 	/// The evacuated data centres. Revision 0: there never were any, or the
 	/// sender is of an older version.
 	struct evacset evacuations;
+	/// Addresses of `members` that their slots don't imply: struct
+	/// hosttable_entry.
+	GArray *hosts;
 };
 
 void hubmsg_report_init(struct hubmsg_report *r);
--- a/src/fleet/slotaddr.c
+++ b/src/fleet/slotaddr.c
@@ -1,6 +1,10 @@
 #include "fleet/slotaddr.h"
 
 #include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "fleet/instance.h"
 
 /// Bits of a slot for the second, third and last byte of the address.
 #define SECOND_BITS 6
@@ -17,23 +21,39 @@
 	char end;
 
 	return sscanf(host, "%3u.%3u.%3u.%3u%c", &n[0], &n[1], &n[2], &n[3],
-		   &end) == 4;
+		   &end) == 4 &&
+	    n[0] <= MASK(8) && n[1] <= MASK(8) && n[2] <= MASK(8) &&
+	    n[3] <= MASK(8);
+}
+
+/// Slot of an address that no slot implies. Two of them may have the same one,
+/// but rarely do.
+static uint32_t
+hashed_slot(const unsigned n[4])
+{
+	const uint8_t bytes[] = { (uint8_t)n[0], (uint8_t)n[1], (uint8_t)n[2],
+		(uint8_t)n[3] };
+	const uint32_t bits = SECOND_BITS + THIRD_BITS + LAST_BITS;
+	const uint32_t slot =
+	    (uint32_t)XXH64(bytes, sizeof(bytes), 0) & MASK(bits);
+
+	return slot != 0 ? slot : 1;
 }
 
-/// Slot of an IPv4 address; 0 when it is no address or has bytes too large for
-/// a slot.
+/// Slot of an IPv4 address; 0 when it is none.
 uint32_t
 slotaddr_from_host(const char *host)
 {
 	unsigned n[4];
 
-	if (!parse_ipv4(host, n) || n[1] > MASK(SECOND_BITS) ||
-	    n[2] > MASK(THIRD_BITS) || n[3] > MASK(LAST_BITS))
+	if (!parse_ipv4(host, n))
 		return 0;
+	if (n[1] > MASK(SECOND_BITS) || n[2] > MASK(THIRD_BITS))
+		return hashed_slot(n);
 	return n[1] << (THIRD_BITS + LAST_BITS) | n[2] << LAST_BITS | n[3];
 }
 
-/// Address of a slot.
+/// Address that a slot implies.
 ///
 /// @param own   any address of the deployment; gives the first byte
 /// @param size  of `out` in bytes
@@ -47,3 +67,14 @@
 	    slot >> (THIRD_BITS + LAST_BITS) & MASK(SECOND_BITS),
 	    slot >> LAST_BITS & MASK(THIRD_BITS), slot & MASK(LAST_BITS));
 }
+
+/// Whether a process at `own` derives `host` from its slot.
+bool
+slotaddr_is_implied(const char *own, const char *host)
+{
+	char implied[INSTANCE_HOST_BYTES];
+
+	slotaddr_to_host(
+	    own, slotaddr_from_host(host), implied, sizeof(implied));
+	return strcmp(implied, host) == 0;
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -231,6 +231,7 @@
 	g->http = httpc_new(loop_event_base(loop));
 	httpc_set_max_held(
 	    g->http, bootstrap_memory_share(settings, GATEWAY_RESPONSES_SHARE));
+	g->hosts = hosttable_new(settings->host);
 	g->hubs =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	g->servers =
@@ -324,6 +325,7 @@
 	rollout_entry_free(g->rollout_entry);
 	g_hash_table_destroy(g->rollouts);
 	g_hash_table_destroy(g->hubs);
+	hosttable_free(g->hosts);
 	g_hash_table_destroy(g->servers);
 	g_hash_table_destroy(g->quotas);
 	g_hash_table_destroy(g->loads);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -104,6 +104,7 @@
 	bool failed_remaining; ///< the requests left have got their responses
 
 	/// Contact with control (gateway_links.c).
+	struct hosttable *hosts;    ///< addresses of control processes
 	GHashTable *hubs;           ///< slot -> struct gateway_hub
 	uint32_t leader;            ///< slot; 0: unknown
 	uint64_t leader_contact_us; ///< when the leader's state came last
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -43,7 +43,7 @@
 		return h;
 	h = g_new0(struct gateway_hub, 1);
 	h->slot = slot;
-	slotaddr_to_host(g->settings.host, slot, host, sizeof(host));
+	hosttable_get(g->hosts, slot, host);
 	h->link = transport_dial(g->links, host, g->settings.peer_port);
 	(void)g_hash_table_insert(g->hubs, GUINT_TO_POINTER(slot), h);
 	logger_event(LOGGER_INFO, "control.known", "host=%s", host);
@@ -53,9 +53,36 @@
 static void
 dial_seeds(struct gateway *g)
 {
-	for (uint32_t i = 0; i < g->settings.n_seeds; i++)
-		(void)find_or_dial_hub(
-		    g, slotaddr_from_host(g->settings.seeds[i].host));
+	for (uint32_t i = 0; i < g->settings.n_seeds; i++) {
+		const char *host = g->settings.seeds[i].host;
+		const uint32_t slot = slotaddr_from_host(host);
+
+		if (slot == 0)
+			continue;
+		(void)hosttable_set(g->hosts, slot, host);
+		(void)find_or_dial_hub(g, slot);
+	}
+}
+
+/// Takes the addresses of control processes that their slots don't imply. One
+/// that was dialled at another address is dialled again.
+static void
+set_hosts(struct gateway *g, const GArray *hosts)
+{
+	for (guint i = 0; i < hosts->len; i++) {
+		const struct hosttable_entry *e =
+		    &g_array_index(hosts, struct hosttable_entry, i);
+		struct gateway_hub *h =
+		    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(e->slot));
+		handle_t old;
+
+		if (!hosttable_set(g->hosts, e->slot, e->host) || h == NULL)
+			continue;
+		old = h->link;
+		h->link =
+		    transport_dial(g->links, e->host, g->settings.peer_port);
+		transport_remove(g->links, old);
+	}
 }
 
 static char *
@@ -336,6 +363,7 @@
 	struct gateway_hub *h = find_or_dial_hub(g, sender_slot);
 	uint64_t until_us;
 
+	set_hosts(g, s->hosts);
 	for (guint i = 0; i < s->members->len; i++)
 		(void)find_or_dial_hub(
 		    g, g_array_index(s->members, uint32_t, i));
--- a/src/gateway/gateway_status.c
+++ b/src/gateway/gateway_status.c
@@ -2,8 +2,6 @@
 
 #include <jansson.h>
 
-#include "fleet/slotaddr.h"
-
 static json_t *
 server_json(
     const struct gateway *g, const struct gateway_server *s, uint64_t now_us)
@@ -61,8 +59,7 @@
 	const bool in_service = gateway_is_ready(g, &why);
 
 	if (g->leader != 0)
-		slotaddr_to_host(
-		    g->settings.host, g->leader, leader, sizeof(leader));
+		hosttable_get(g->hosts, g->leader, leader);
 	return json_pack(
 	    "{s:s, s:s, s:s, s:b, s:s, s:I, s:s, s:I, s:I, s:I, s:I, s:o, s:o}",
 	    "role", "gateway", "name", g->settings.node, "data_centre",
--- /dev/null
+++ b/src/hub/hub_hosts.c
@@ -0,0 +1,191 @@
+#include "hub/hub_internal.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "fleet/slotaddr.h"
+
+/// File of the data folder with the addresses that slots don't imply. After a
+/// restart the group needs them before it has a leader, and the replicated
+/// state is known only after that.
+#define HUB_HOSTS_FILE "hosts.json"
+
+static char *
+hosts_file(const struct hub *h)
+{
+	return g_build_filename(h->settings.data_folder, HUB_HOSTS_FILE, NULL);
+}
+
+static void
+load_hosts(struct hub *h)
+{
+	char *file = hosts_file(h);
+	json_t *all = json_load_file(file, 0, NULL);
+	const char *host;
+	json_t *v;
+
+	json_object_foreach(all, host, v)
+	{
+		const uint32_t slot = slotaddr_from_host(host);
+
+		if (slot != 0)
+			(void)hosttable_set(h->hosts, slot, host);
+	}
+	json_decref(all);
+	g_free(file);
+}
+
+/// Saves the addresses that slots don't imply, if one was learned.
+static void
+save_hosts(struct hub *h, const GArray *hosts)
+{
+	json_t *all = json_object();
+	char *file = hosts_file(h);
+	GError *error = NULL;
+	char *text;
+
+	for (guint i = 0; i < hosts->len; i++) {
+		const struct hosttable_entry *e =
+		    &g_array_index(hosts, struct hosttable_entry, i);
+
+		(void)json_object_set_new(all, e->host, json_integer(e->slot));
+	}
+	text = json_dumps(all, JSON_COMPACT | JSON_SORT_KEYS);
+	if (!g_file_set_contents_full(file, text, -1,
+		G_FILE_SET_CONTENTS_CONSISTENT | G_FILE_SET_CONTENTS_DURABLE,
+		0600, &error)) {
+		logger_event(LOGGER_ERROR, "hosts.unsaved", "reason=\"%s\"",
+		    error->message);
+		g_error_free(error);
+	}
+	free(text);
+	json_decref(all);
+	g_free(file);
+}
+
+/// Knows this process's address and those of the seeds.
+///
+/// @return STATUS_OK, or STATUS_INVALID if an address has no slot, or two have
+///         the same one
+enum status
+hub_hosts_start(struct hub *h)
+{
+	const struct bootstrap_settings *s = &h->settings;
+
+	h->slot = slotaddr_from_host(s->host);
+	h->hosts = hosttable_new(s->host);
+	load_hosts(h);
+	if (h->slot == 0)
+		return status_fail(STATUS_INVALID,
+		    "can't derive a slot from address %s", s->host);
+	for (uint32_t i = 0; i < s->n_seeds; i++) {
+		const char *host = s->seeds[i].host;
+		const uint32_t slot = slotaddr_from_host(host);
+
+		if (slot == 0)
+			continue;
+		for (uint32_t k = 0; k < i; k++) {
+			if (slotaddr_from_host(s->seeds[k].host) == slot &&
+			    strcmp(s->seeds[k].host, host) != 0)
+				return status_fail(STATUS_INVALID,
+				    "seeds %s and %s have the same slot",
+				    s->seeds[k].host, host);
+		}
+		(void)hosttable_set(h->hosts, slot, host);
+	}
+	return STATUS_OK;
+}
+
+/// Sets the address of a slot. A peer that was dialled at another one is
+/// dialled again.
+static void
+set_host(struct hub *h, uint32_t slot, const char *host)
+{
+	struct hub_peer *p =
+	    g_hash_table_lookup(h->peers, GUINT_TO_POINTER(slot));
+	handle_t old;
+
+	if (!hosttable_set(h->hosts, slot, host) || p == NULL)
+		return;
+	old = p->dialled;
+	p->dialled = transport_dial(h->links, host, h->settings.peer_port);
+	transport_remove(h->links, old);
+}
+
+/// Takes the address of a control process from its hello.
+///
+/// @return false if the process can't be a member: its slot is another one's
+bool
+hub_hosts_on_hello(struct hub *h, const struct wire_hello *hello)
+{
+	char host[INSTANCE_HOST_BYTES];
+
+	if (hello->host[0] != '\0')
+		(void)g_strlcpy(host, hello->host, sizeof(host));
+	else
+		slotaddr_to_host(
+		    h->settings.host, hello->id, host, sizeof(host));
+	if (slotaddr_from_host(host) == hello->id &&
+	    hosttable_fits(h->hosts, hello->id, host)) {
+		set_host(h, hello->id, host);
+		return true;
+	}
+	logger_event(LOGGER_ERROR, "peer.slot_taken", "peer=%s host=%s slot=%u",
+	    hello->node, host, hello->id);
+	return false;
+}
+
+/// Takes the addresses that the replicated state has.
+void
+hub_hosts_on_applied(struct hub *h)
+{
+	const GArray *hosts = hubstate_hosts(h->state);
+
+	for (guint i = 0; i < hosts->len; i++) {
+		const struct hosttable_entry *e =
+		    &g_array_index(hosts, struct hosttable_entry, i);
+
+		set_host(h, e->slot, e->host);
+	}
+}
+
+static void
+on_recorded(void *arg, enum status status, const uint8_t *result, size_t len)
+{
+	struct hub *h = arg;
+
+	(void)status;
+	(void)result;
+	(void)len;
+	h->recording_host = false;
+}
+
+/// Records an address that the replicated state doesn't have.
+static void
+record_host(struct hub *h, const GArray *hosts)
+{
+	struct hubstate_command c = { .kind = HUBSTATE_HOST };
+
+	for (guint i = 0; i < hosts->len && !h->recording_host; i++) {
+		c.host = g_array_index(hosts, struct hosttable_entry, i);
+		if (hubstate_has_host(h->state, c.host.slot, c.host.host))
+			continue;
+		h->recording_host = true;
+		hub_propose(h, &c, on_recorded, h);
+	}
+}
+
+/// Keeps the addresses that slots don't imply: in the data folder, and as the
+/// leader in the replicated state.
+void
+hub_hosts_tick(struct hub *h)
+{
+	GArray *hosts = hosttable_not_implied(h->hosts);
+
+	if (hosts->len > h->n_saved_hosts)
+		save_hosts(h, hosts);
+	h->n_saved_hosts = hosts->len;
+	if (hub_is_leader(h))
+		record_host(h, hosts);
+	g_array_unref(hosts);
+}
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -82,8 +82,11 @@
 	struct replica *group; ///< of the replicated log
 	struct hubstate *state;
 	struct fleetcfg
-	    *config;       ///< read from the state's manifest; NULL: none yet
-	GHashTable *peers; ///< slot -> struct hub_peer
+	    *config; ///< read from the state's manifest; NULL: none yet
+	struct hosttable *hosts;   ///< addresses of all control processes known
+	guint n_saved_hosts;       ///< of those that their slots don't imply
+	bool recording_host;       ///< one is being committed
+	GHashTable *peers;         ///< slot -> struct hub_peer
 	GHashTable *gateways;      ///< name -> struct hub_gateway
 	struct hub_fleet *fleet;   ///< figures over all of them
 	struct hub_quotas *quotas; ///< kept by the leader (hub_quota.h)
@@ -178,6 +181,12 @@
 void hub_push_begin(struct hub *h);
 void hub_push_slice(void *arg, uint64_t now_us);
 
+/// hub_hosts.c: addresses of the control processes
+enum status hub_hosts_start(struct hub *h);
+bool hub_hosts_on_hello(struct hub *h, const struct wire_hello *hello);
+void hub_hosts_on_applied(struct hub *h);
+void hub_hosts_tick(struct hub *h);
+
 /// hub_fleet.c: figures over all gateways
 void hub_fleet_start(struct hub *h);
 void hub_fleet_stop(struct hub *h);
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -34,7 +34,7 @@
 	p = g_new0(struct hub_peer, 1);
 	p->slot = slot;
 	(void)g_hash_table_insert(h->peers, GUINT_TO_POINTER(slot), p);
-	slotaddr_to_host(h->settings.host, slot, host, sizeof(host));
+	hosttable_get(h->hosts, slot, host);
 	p->dialled = transport_dial(h->links, host, h->settings.peer_port);
 	logger_event(LOGGER_INFO, "peer.known", "host=%s", host);
 	return p;
@@ -124,8 +124,12 @@
 }
 
 static void
-fill_members(const struct replica_status *st, struct hubmsg_state *s)
+fill_members(const struct hub *h, const struct replica_status *st,
+    struct hubmsg_state *s)
 {
+	const GArray *hosts = hubstate_hosts(h->state);
+
+	g_array_append_vals(s->hosts, hosts->data, hosts->len);
 	for (uint32_t i = 0; i < st->members.n_voters; i++) {
 		const uint32_t slot = st->members.voters[i] & RAFT_SLOT_MASK;
 
@@ -176,7 +180,7 @@
 	if (s.is_leader)
 		hub_crashes_send_blocked(h, g);
 	s.leader = st.leader & RAFT_SLOT_MASK;
-	fill_members(&st, &s);
+	fill_members(h, &st, &s);
 	fill_config(h, g, &s);
 	if (s.is_leader) {
 		s.evacuations = *hubstate_evacuations(h->state);
@@ -284,6 +288,10 @@
 	logger_event(LOGGER_INFO, "link.up", "peer=%s", hello->node);
 	if (hello->role != WIRE_ROLE_CONTROL)
 		return;
+	if (!hub_hosts_on_hello(h, hello)) {
+		transport_close(h->links, link);
+		return;
+	}
 	p = hub_peer(h, hello->id);
 	if (p == NULL)
 		return;
@@ -413,6 +421,8 @@
 	(void)g_strlcpy(config.self.node, s->node, WIRE_NAME_BYTES);
 	(void)g_strlcpy(
 	    config.self.data_centre, s->data_centre, WIRE_NAME_BYTES);
+	if (!hosttable_is_implied(h->hosts, s->host))
+		(void)g_strlcpy(config.self.host, s->host, WIRE_NAME_BYTES);
 	h->links = transport_new(&config);
 	for (uint32_t i = 0; i < s->n_seeds; i++)
 		(void)hub_peer(h, slotaddr_from_host(s->seeds[i].host));
--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -120,8 +120,7 @@
 	char host[INSTANCE_HOST_BYTES] = "-";
 
 	if (leader != 0)
-		slotaddr_to_host(h->settings.host, leader & RAFT_SLOT_MASK,
-		    host, sizeof(host));
+		hosttable_get(h->hosts, leader & RAFT_SLOT_MASK, host);
 	logger_event(LOGGER_INFO, "group.role",
 	    "role=%s leader=%s term=%" PRIu64 " ready=%s", role_name(role),
 	    host, term, hub_is_leader(h) ? "yes" : "no");
--- a/src/hub/hub_operators.c
+++ b/src/hub/hub_operators.c
@@ -55,8 +55,7 @@
 		reply(h, handle, 503, "no leader at the moment");
 		return;
 	}
-	slotaddr_to_host(
-	    h->settings.host, st.leader & RAFT_SLOT_MASK, host, sizeof(host));
+	hosttable_get(h->hosts, st.leader & RAFT_SLOT_MASK, host);
 	location = g_strdup_printf(
 	    "http://%s:%u%s", host, h->settings.operators.port, req->path);
 	httpd_add_header(h->operators, handle, "Location", location);
--- a/src/hub/hub_status.c
+++ b/src/hub/hub_status.c
@@ -2,7 +2,6 @@
 
 #include <jansson.h>
 
-#include "fleet/slotaddr.h"
 #include "members/roster.h"
 
 static json_t *
@@ -11,7 +10,7 @@
 	char host[INSTANCE_HOST_BYTES] = "";
 
 	if (slot != 0)
-		slotaddr_to_host(h->settings.host, slot, host, sizeof(host));
+		hosttable_get(h->hosts, slot, host);
 	return json_string(host);
 }
 
--- a/src/hub/hubstate.c
+++ b/src/hub/hubstate.c
@@ -10,12 +10,16 @@
 /// Parts of prompts that are known to crash servers; the one whose block ends
 /// first makes room for another.
 #define HUBSTATE_MAX_BLOCKS 256
+/// Control processes that were replaced; the oldest one makes room for another.
+#define HUBSTATE_MAX_HOSTS 64
 /// Formats of a snapshot. It is written in the first one that holds what it
 /// has, so that older processes can read it as long as possible.
 #define HUBSTATE_FORMAT 1
 #define HUBSTATE_FORMAT_BLOCKS 2
 /// Has blocked parts, and evacuations after them.
 #define HUBSTATE_FORMAT_EVACUATIONS 3
+/// Has addresses of control processes after all of these.
+#define HUBSTATE_FORMAT_HOSTS 4
 
 struct hubstate {
 	uint64_t version;
@@ -28,6 +32,7 @@
 	GArray *blocks;           ///< struct hubstate_block
 	uint64_t blocks_revision; ///< log index of their last change; 0: none
 	struct evacset evacuations;
+	GArray *hosts;           ///< struct hosttable_entry, newest last
 	uint64_t gateways_index; ///< see hubstate_gateways_index(); not saved
 };
 
@@ -56,6 +61,7 @@
 	s->needs = g_array_new(FALSE, TRUE, sizeof(struct service_need));
 	s->rollouts = g_array_new(FALSE, TRUE, sizeof(struct hubstate_rollout));
 	s->blocks = g_array_new(FALSE, TRUE, sizeof(struct hubstate_block));
+	s->hosts = g_array_new(FALSE, TRUE, sizeof(struct hosttable_entry));
 	return s;
 }
 
@@ -69,6 +75,7 @@
 	g_array_unref(s->needs);
 	g_array_unref(s->rollouts);
 	g_array_unref(s->blocks);
+	g_array_unref(s->hosts);
 	g_free(s->manifest);
 	g_free(s);
 }
@@ -125,6 +132,13 @@
 	codec_u32(m, &b->n_blocks);
 }
 
+static void
+code_host(struct codec *m, struct hosttable_entry *e)
+{
+	codec_u32(m, &e->slot);
+	codec_str(m, e->host, sizeof(e->host));
+}
+
 static void
 code_command(struct codec *m, struct hubstate_command *c)
 {
@@ -155,6 +169,9 @@
 		codec_str(m, c->evacuation.zone, sizeof(c->evacuation.zone));
 		codec_u64(m, &c->evacuation.since_us);
 		break;
+	case HUBSTATE_HOST:
+		code_host(m, &c->host);
+		break;
 	case HUBSTATE_N_KINDS:
 		codec_fail(m);
 		break;
@@ -304,6 +321,43 @@
 	g_array_append_val(s->blocks, *new);
 }
 
+static void
+set_host(struct hubstate *s, const struct hosttable_entry *new)
+{
+	for (guint i = 0; i < s->hosts->len; i++) {
+		if (g_array_index(s->hosts, struct hosttable_entry, i).slot ==
+		    new->slot) {
+			g_array_remove_index(s->hosts, i);
+			break;
+		}
+	}
+	if (s->hosts->len >= HUBSTATE_MAX_HOSTS)
+		g_array_remove_index(s->hosts, 0);
+	g_array_append_val(s->hosts, *new);
+}
+
+/// Addresses of control processes that their slots don't imply: struct
+/// hosttable_entry. Valid until the next change of `s`.
+const GArray *
+hubstate_hosts(const struct hubstate *s)
+{
+	return s->hosts;
+}
+
+/// Whether an address is recorded for a slot.
+bool
+hubstate_has_host(const struct hubstate *s, uint32_t slot, const char *host)
+{
+	for (guint i = 0; i < s->hosts->len; i++) {
+		const struct hosttable_entry *e =
+		    &g_array_index(s->hosts, struct hosttable_entry, i);
+
+		if (e->slot == slot)
+			return strcmp(e->host, host) == 0;
+	}
+	return false;
+}
+
 /// What is known of a part of prompts that crashed servers; NULL if it never
 /// did. Valid until the next change of `s`.
 const struct hubstate_block *
@@ -372,6 +426,7 @@
 	case HUBSTATE_CONFIG:
 	case HUBSTATE_ROLLOUT:
 	case HUBSTATE_BLOCK:
+	case HUBSTATE_HOST:
 		return true;
 	case HUBSTATE_EVACUATE: // Only if it changes the set.
 	case HUBSTATE_RESTORE:
@@ -442,6 +497,9 @@
 				&s->evacuations, index, c.evacuation.zone))
 				s->gateways_index = index;
 			break;
+		case HUBSTATE_HOST:
+			set_host(s, &c.host);
+			break;
 		case HUBSTATE_N_KINDS:
 			break;
 		}
@@ -469,9 +527,27 @@
 		    m, &g_array_index(s->blocks, struct hubstate_block, i));
 }
 
+static void
+code_hosts(struct codec *m, struct hubstate *s)
+{
+	uint32_t n = s->hosts->len;
+
+	codec_u32(m, &n);
+	if (!codec_is_writer(m)) {
+		if (n > HUBSTATE_MAX_HOSTS)
+			codec_fail(m);
+		g_array_set_size(s->hosts, codec_failed(m) ? 0 : n);
+	}
+	for (guint i = 0; i < s->hosts->len; i++)
+		code_host(
+		    m, &g_array_index(s->hosts, struct hosttable_entry, i));
+}
+
 static uint32_t
 format_for(const struct hubstate *s)
 {
+	if (s->hosts->len > 0)
+		return HUBSTATE_FORMAT_HOSTS;
 	if (s->evacuations.revision > 0)
 		return HUBSTATE_FORMAT_EVACUATIONS;
 	return s->blocks->len > 0 ? HUBSTATE_FORMAT_BLOCKS : HUBSTATE_FORMAT;
@@ -484,7 +560,7 @@
 	uint32_t n = g_queue_get_length(s->usage);
 
 	codec_u32(m, &format);
-	if (format < HUBSTATE_FORMAT || format > HUBSTATE_FORMAT_EVACUATIONS)
+	if (format < HUBSTATE_FORMAT || format > HUBSTATE_FORMAT_HOSTS)
 		codec_fail(m);
 	codec_u64(m, &s->version);
 	codec_bytes(m, manifest, &s->manifest_len);
@@ -532,6 +608,8 @@
 		code_blocks(m, s);
 	if (format >= HUBSTATE_FORMAT_EVACUATIONS)
 		evacset_code(m, &s->evacuations);
+	if (format >= HUBSTATE_FORMAT_HOSTS)
+		code_hosts(m, s);
 }
 
 /// Encodes the whole state for a snapshot.
--- a/src/hub/hubstate.h
+++ b/src/hub/hubstate.h
@@ -5,13 +5,15 @@
 
 #include "fleet/crashlog.h"
 #include "fleet/evacset.h"
+#include "fleet/hosttable.h"
 #include "fleet/hubmsg.h"
 #include "rollout/rollout.h"
 
 /// Replicated state of a deployment: the configuration in force, the holder of
 /// the duties, final usage, the size of services, their rollouts and blocked
-/// parts of prompts, and evacuated data centres. Has no I/O; the same commands
-/// applied in the same order give the same state.
+/// parts of prompts, evacuated data centres, and addresses of control processes
+/// that their slots don't imply. Has no I/O; the same commands applied in the
+/// same order give the same state.
 
 struct hubstate;
 
@@ -24,6 +26,7 @@
 	HUBSTATE_BLOCK,    ///< Prompts with a part crash servers.
 	HUBSTATE_EVACUATE, ///< A data centre's servers get no requests.
 	HUBSTATE_RESTORE,  ///< They get requests again.
+	HUBSTATE_HOST,     ///< The address of a slot that doesn't imply it.
 	HUBSTATE_N_KINDS,
 };
 
@@ -66,6 +69,7 @@
 	struct hubstate_rollout rollout;
 	struct hubstate_block block;
 	struct evacset_entry evacuation; ///< HUBSTATE_RESTORE: only the zone
+	struct hosttable_entry host;
 };
 
 /// The process that may make the calls of the duties, and their fencing number.
@@ -102,6 +106,9 @@
     const struct hubstate *s, size_t i);
 uint64_t hubstate_blocks_revision(const struct hubstate *s);
 const struct evacset *hubstate_evacuations(const struct hubstate *s);
+const GArray *hubstate_hosts(const struct hubstate *s);
+bool hubstate_has_host(
+    const struct hubstate *s, uint32_t slot, const char *host);
 const struct hubstate_usage *hubstate_usage(
     const struct hubstate *s, uint64_t window);
 
--- a/src/wire/transport.c
+++ b/src/wire/transport.c
@@ -538,6 +538,25 @@
 	close_link(link);
 }
 
+/// Closes a link and dials it no more. Calls the `down` callback if it was up.
+void
+transport_remove(struct transport *t, handle_t h)
+{
+	struct transport_link *link = slotmap_get(t->links, h);
+	struct wire_hello hello;
+	bool was_up;
+
+	if (link == NULL)
+		return;
+	was_up = link->up;
+	hello = link->hello;
+	release_connection(link);
+	timerq_timer_free(link->retry_timer);
+	slotmap_remove(t->links, h);
+	if (was_up)
+		t->config.callbacks.down(t->config.callbacks.arg, h, &hello);
+}
+
 /// Messages of a kind so far.
 struct transport_traffic
 transport_traffic(const struct transport *t, enum wire_kind kind)
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -52,6 +52,7 @@
 size_t transport_queued(const struct transport *t, handle_t link);
 bool transport_is_up(const struct transport *t, handle_t link);
 void transport_close(struct transport *t, handle_t link);
+void transport_remove(struct transport *t, handle_t link);
 struct transport_traffic transport_traffic(
     const struct transport *t, enum wire_kind kind);
 uint64_t transport_bytes_sent(const struct transport *t);
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -37,13 +37,15 @@
 static void
 put_hello(msgpack_packer *p, const struct wire_hello *h)
 {
-	put_kind(p, WIRE_HELLO, 6);
+	put_kind(p, WIRE_HELLO, h->host[0] != '\0' ? 7 : 6);
 	put_u64(p, h->role);
 	put_u64(p, h->id);
 	put_u64(p, h->incarnation);
 	put_str(p, h->deployment);
 	put_str(p, h->node);
 	put_str(p, h->data_centre);
+	if (h->host[0] != '\0')
+		put_str(p, h->host);
 }
 
 static void
@@ -245,6 +247,8 @@
 	get_str(r, h->deployment, sizeof(h->deployment));
 	get_str(r, h->node, sizeof(h->node));
 	get_str(r, h->data_centre, sizeof(h->data_centre));
+	if (!r->failed && r->next < r->array->size)
+		get_str(r, h->host, sizeof(h->host));
 }
 
 static void
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -70,6 +70,9 @@
 	char deployment[WIRE_NAME_BYTES];
 	char node[WIRE_NAME_BYTES];
 	char data_centre[WIRE_NAME_BYTES];
+	/// Address of a control process whose `id` doesn't imply it, else
+	/// empty and not sent: versions before it refuse a longer hello.
+	char host[WIRE_NAME_BYTES];
 };
 
 struct wire_raft {
--- a/test/unit/hub/test_hubstate.cc
+++ b/test/unit/hub/test_hubstate.cc
@@ -289,6 +289,31 @@
 	EXPECT_EQ(hubstate_evacuations(s)->revision, 3U);
 }
 
+// Guards against members that are lost with the log's oldest entries: their
+// addresses are in no other place for a process that joins.
+TEST_F(State, ASnapshotHoldsTheAddressesOfSlots)
+{
+	struct hubstate_command c = {};
+
+	c.kind = HUBSTATE_HOST;
+	c.host.slot = 7;
+	strcpy(c.host.host, "10.64.0.1");
+	Apply(c);
+	EXPECT_EQ(hubstate_gateways_index(s), 1U);
+	Reload();
+	EXPECT_TRUE(hubstate_has_host(s, 7, "10.64.0.1"));
+	strcpy(c.host.host, "10.65.0.1");
+	Apply(c);
+	EXPECT_FALSE(hubstate_has_host(s, 7, "10.64.0.1"));
+	EXPECT_EQ(hubstate_hosts(s)->len, 1U);
+	for (c.host.slot = 8; c.host.slot < 200; c.host.slot++)
+		Apply(c);
+	EXPECT_EQ(hubstate_hosts(s)->len, 64U);
+	EXPECT_TRUE(hubstate_has_host(s, 199, "10.65.0.1"));
+	Reload();
+	EXPECT_EQ(hubstate_hosts(s)->len, 64U);
+}
+
 // A process that starts from a snapshot, after compaction or with an empty
 // disk, must know the evacuations, and the revision of the last one to end:
 // gateways ignore a set with a lower revision.
--- a/test/unit/wire/test_wire.cc
+++ b/test/unit/wire/test_wire.cc
@@ -45,6 +45,28 @@
 	EXPECT_EQ(out.lease.echo_us, 123456U);
 }
 
+/// Guards against a hello that versions before the address refuse: it is left
+/// out where the slot implies it.
+TEST(Frames, AHelloTellsAnAddressOnlyIfThereIsOne)
+{
+	struct wire_msg m = {};
+	struct wire_msg out;
+
+	m.kind = WIRE_HELLO;
+	m.hello.role = WIRE_ROLE_CONTROL;
+	m.hello.id = 7;
+	strcpy(m.hello.node, "core-7");
+	std::vector<uint8_t> frame = encode_frame(m);
+	EXPECT_EQ(frame[0], 0x97); // an array of the kind and six fields
+	ASSERT_EQ(wire_decode(frame.data(), frame.size(), &out), STATUS_OK);
+	EXPECT_STREQ(out.hello.host, "");
+	strcpy(m.hello.host, "10.64.0.1");
+	frame = encode_frame(m);
+	ASSERT_EQ(wire_decode(frame.data(), frame.size(), &out), STATUS_OK);
+	EXPECT_STREQ(out.hello.host, "10.64.0.1");
+	EXPECT_STREQ(out.hello.node, "core-7");
+}
+
 /// Guards against a truncated frame being accepted and against a crash or an
 /// out-of-bounds read when any bit of a frame is flipped.
 TEST(Frames, TruncatedIsRejectedAndBitFlipsAreHarmless)
