Messages about one reading of the list don't make it usually old

Cause: when a list was read is worked out from messages, and differs by their delay. A shorter delay counted as a newer reading at the age of the old one, which raised the age at which lists are looked for elsewhere to up to twice its value.

Evidence: feed.chosen, a new log line: sources were left at 3,431 and 4,019 ms, with limits of 2,000, though the leader had read the list once.

Ruled out: the random pause before own readings, and their pace.

Change: less than 100 ms apart is the same reading; they are 700 ms apart.

--- a/src/fleet/listview.c
+++ b/src/fleet/listview.c
@@ -7,6 +7,9 @@
 #define AGE_DECAY 0.95
 /// An older list is that of an outage, and not usual.
 #define USUAL_MOST_US (3 * USEC_PER_SEC)
+/// Readings are further apart. Smaller differences are those of the delays of
+/// messages about one reading.
+#define SAME_READING_US (100 * USEC_PER_MSEC)
 /// A list is old when its age is this many times the usual one.
 #define OLD_FACTOR 2
 /// Bound on what a large list is allowed, in times of a small one.
@@ -57,14 +60,17 @@
 {
 	const uint64_t decayed =
 	    (uint64_t)((double)v->usual_age_us * AGE_DECAY);
+	const uint64_t last_us = v->fresh_us;
 	uint64_t age_us;
 
-	if (fresh_us <= v->fresh_us)
+	if (fresh_us <= last_us)
 		return;
-	age_us = v->fresh_us == 0 ? 0 : now_us - v->fresh_us;
+	v->fresh_us = fresh_us;
+	if (last_us != 0 && fresh_us - last_us < SAME_READING_US)
+		return;
+	age_us = last_us == 0 ? 0 : now_us - last_us;
 	v->usual_age_us =
 	    age_us > decayed && age_us < USUAL_MOST_US ? age_us : decayed;
-	v->fresh_us = fresh_us;
 }
 
 /// Says what to do with an update. After LISTVIEW_CHANGE and LISTVIEW_REPLACE
--- a/src/gateway/gateway_feed.c
+++ b/src/gateway/gateway_feed.c
@@ -1,5 +1,6 @@
 #include "gateway/gateway_internal.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -95,6 +96,10 @@
 	best = choose_hub(g, now_us);
 	if (best == NULL)
 		allow_avoided(g);
+	if (best != NULL && best != h)
+		logger_event(LOGGER_INFO, "feed.chosen",
+		    "slot=%u last=%u list_age_ms=%" PRIu64, best->slot,
+		    g->feed.slot, timerq_ms_since(now_us, g->list_fresh_us));
 	if (best == NULL || best != h || !is_usable(g, h, now_us))
 		feedsource_choose(
 		    &g->feed, best != NULL ? best->slot : 0, now_us);
