script_quota_leader_lost waits for the word on the quota

Cause: of the test: the configuration comes to the gateway before the customer's quota, and the callers began between the two.

Change: a request that passes is waited for first; what the test wants is unchanged. The unit that it takes isn't in the time that the quota is checked for.

--- a/test/script/quota_leader_lost.sh
+++ b/test/script/quota_leader_lost.sh
@@ -11,6 +11,8 @@
     put 11 >/dev/null
 wait_for 200 ready 21
 wait_for 1 grep -c 'event=config.in_force version=6' gateway-21.log
+# The word on the customer's quota comes after the configuration.
+wait_for 200 status_of 21 /plain/a k1 -H "X-Acaciahinge-Deadline-Ms: 120000"
 
 metric() {
 	curl -s -m 1 "http://$net.$1:9464/metrics" | sed -n "s/^$2{} //p"
