What comes from backend servers has a file of its own

It keeps what is sent; gateway_receive.c has heads, data, ends, and what follows them. Functions that both use are named gateway_attempt_*; nothing else is changed.

--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -426,9 +426,20 @@
 uint64_t gateway_attempt_deadline_us(
     const struct gateway_request *q, uint64_t now_us);
 
+/// gateway_receive.c: responses of backend servers
+void gateway_on_head(void *arg, int http_status);
+void gateway_on_data(void *arg, const uint8_t *bytes, size_t len);
+void gateway_on_end(void *arg, const struct httpc_result *result);
+void gateway_response_checked(struct gateway_request *q, bool crashed);
+void gateway_arm_stall_timer(struct gateway_request *q);
+
 /// gateway_send.c: attempts at backend servers
 void gateway_send(struct gateway_request *q);
-void gateway_response_checked(struct gateway_request *q, bool crashed);
+void gateway_attempt_end(struct gateway_request *q, enum balancer_outcome how);
+void gateway_attempt_record_failure(struct gateway_request *q,
+    enum balancer_outcome how, enum verdict verdict, const char *why);
+void gateway_attempt_failed(struct gateway_request *q,
+    enum balancer_outcome how, enum verdict verdict, const char *why);
 bool gateway_try_send(struct gateway_request *q);
 void gateway_cancel_attempt(
     struct gateway_request *q, enum balancer_outcome how);
