A peer that stays silent gets more time before its links are closed again

Change: the time doubles with each end, from 2 s to 32 s, until the peer is heard of.

Result: Peers.LinksThatPassNothingAreClosedAndDialledAgain now also wants no second end within 2.5 s more; it passes.

--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -37,6 +37,7 @@
 	uint64_t sent_us;       ///< last message of the replicated log to it
 	uint64_t unanswered_us; ///< first one without any of its own since; 0:
 				///< none
+	uint64_t patience_us;   ///< from that to the links' end
 	uint64_t silent_since_us; ///< since when it is inactive as a member of
 				  ///< the replicated log; 0: active
 };
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -10,8 +10,10 @@
 /// Gateways that are sent a changed state in one run of the timer.
 #define HUB_PUSH_SLICE 8
 /// The links with a peer that is sent messages of the replicated log, and sends
-/// none, are closed after this time; a pause begins it anew.
+/// none, are closed after this time; a pause begins it anew. It doubles each
+/// time: a peer whose disk is full is silent for as long as that lasts.
 #define HUB_SILENT_US (2 * USEC_PER_SEC)
+#define HUB_SILENT_MAX_US (32 * USEC_PER_SEC)
 #define HUB_PAUSE_US (1 * USEC_PER_SEC)
 /// The entry of a dead gateway is kept for this long, so that the usage that it
 /// counted can still be finalized.
@@ -33,6 +35,7 @@
 		return p;
 	p = g_new0(struct hub_peer, 1);
 	p->slot = slot;
+	p->patience_us = HUB_SILENT_US;
 	(void)g_hash_table_insert(h->peers, GUINT_TO_POINTER(slot), p);
 	hosttable_get(h->hosts, slot, host);
 	p->dialled = transport_dial(h->links, host, h->settings.peer_port);
@@ -49,8 +52,10 @@
 	const handle_t dialled = p->dialled;
 	const handle_t accepted = p->accepted;
 
-	logger_event(LOGGER_WARN, "peer.silent", "slot=%" PRIu32, p->slot);
+	logger_event(LOGGER_WARN, "peer.silent", "slot=%" PRIu32 " ms=%" PRIu64,
+	    p->slot, p->patience_us / USEC_PER_MSEC);
 	p->unanswered_us = 0;
+	p->patience_us = MIN(2 * p->patience_us, HUB_SILENT_MAX_US);
 	// It isn't the ask that made the peer close the link.
 	p->asked = false;
 	transport_close(h->links, dialled);
@@ -74,7 +79,7 @@
 	if (p->unanswered_us == 0 || now_us - p->sent_us > HUB_PAUSE_US)
 		p->unanswered_us = now_us;
 	p->sent_us = now_us;
-	if (now_us - p->unanswered_us >= HUB_SILENT_US)
+	if (now_us - p->unanswered_us >= p->patience_us)
 		close_silent(h, p);
 }
 
@@ -84,8 +89,10 @@
 {
 	struct hub_peer *p = hub_peer(h, hello->id);
 
-	if (p != NULL)
+	if (p != NULL) {
 		p->unanswered_us = 0;
+		p->patience_us = HUB_SILENT_US;
+	}
 	replica_receive(h->group, hello->id, raft->bytes.data, raft->bytes.len);
 }
 
--- a/test/unit/hub/test_peers.cc
+++ b/test/unit/hub/test_peers.cc
@@ -69,6 +69,10 @@
 	EXPECT_EQ(seed.lostAccepted, 1);
 	hub.run(500);
 	EXPECT_TRUE(transport_is_up(seed.links, seed.dialled));
+	// It may have a reason to be silent: it gets more time from now on.
+	hub.run(2500);
+	EXPECT_EQ(seed.lostDialled, 1);
+	EXPECT_EQ(seed.lostAccepted, 1);
 }
 
 /// Guards against two processes with one slot: messages of the replicated log
