Only addresses of processes that run are recorded

Found by reading: the state holds 64 addresses and the oldest one makes room, while a hub knows those of all processes since its start. With more than that, the leader would record the dropped ones again and again, and the log grow without an end. A process whose slot is that of a seed at another address is refused at its start, as are two such seeds.

--- a/src/hub/hub_hosts.c
+++ b/src/hub/hub_hosts.c
@@ -84,6 +84,9 @@
 
 		if (slot == 0)
 			continue;
+		if (slot == h->slot && strcmp(s->host, host) != 0)
+			return status_fail(STATUS_INVALID,
+			    "%s and seed %s have the same slot", s->host, host);
 		for (uint32_t k = 0; k < i; k++) {
 			if (slotaddr_from_host(s->seeds[k].host) == slot &&
 			    strcmp(s->seeds[k].host, host) != 0)
@@ -160,6 +163,20 @@
 	h->recording_host = false;
 }
 
+/// Whether a process runs at an address. Those of replaced ones are known for
+/// as long as this process runs, and would take the places of others.
+static bool
+is_up(const struct hub *h, uint32_t slot)
+{
+	const struct hub_peer *p =
+	    g_hash_table_lookup(h->peers, GUINT_TO_POINTER(slot));
+
+	return slot == h->slot ||
+	    (p != NULL &&
+		(transport_is_up(h->links, p->dialled) ||
+		    transport_is_up(h->links, p->accepted)));
+}
+
 /// Records an address that the replicated state doesn't have.
 static void
 record_host(struct hub *h, const GArray *hosts)
@@ -168,7 +185,8 @@
 
 	for (guint i = 0; i < hosts->len && !h->recording_host; i++) {
 		c.host = g_array_index(hosts, struct hosttable_entry, i);
-		if (hubstate_has_host(h->state, c.host.slot, c.host.host))
+		if (!is_up(h, c.host.slot) ||
+		    hubstate_has_host(h->state, c.host.slot, c.host.host))
 			continue;
 		h->recording_host = true;
 		hub_propose(h, &c, on_recorded, h);
--- a/test/unit/hub/test_peers.cc
+++ b/test/unit/hub/test_peers.cc
@@ -1,5 +1,9 @@
 #include "test_hub.h"
 
+extern "C" {
+#include "fleet/slotaddr.h"
+}
+
 namespace
 {
 
@@ -89,3 +93,18 @@
 	EXPECT_GT(other.lostDialled, 0);
 	EXPECT_EQ(peer->incarnation, 0U);
 }
+
+/// Guards against a log that grows without an end, when the addresses of all
+/// processes that ever ran don't fit the replicated state.
+TEST(Peers, AddressesOfProcessesThatAreGoneAreNotRecorded)
+{
+	TestHub hub;
+	const uint32_t gone = slotaddr_from_host("10.64.0.1");
+
+	(void)hosttable_set(hub.hub->hosts, gone, "10.64.0.1");
+	hub.run(500);
+	EXPECT_FALSE(hubstate_has_host(hub.hub->state, gone, "10.64.0.1"));
+	// A process at that address couldn't derive this one's.
+	EXPECT_TRUE(
+	    hubstate_has_host(hub.hub->state, hub.hub->slot, "127.0.0.1"));
+}
