--- a/src/back/httpc_conn.c
+++ b/src/back/httpc_conn.c
@@ -11,7 +11,7 @@
 #include <sys/socket.h>
 
 #define HTTPC_MAX_IDLE_PER_ADDRESS 64
-/// Idle connections are closed after this.
+/// Idle connections are closed after this, the default of evhttp.
 #define HTTPC_IDLE_S 50
 /// Calls have limits of their own, which are shorter.
 #define HTTPC_CALL_S (24 * 60 * 60)
--- a/src/front/httpd.c
+++ b/src/front/httpd.c
@@ -13,7 +13,7 @@
 #include "base/metrics.h"
 
 #define HTTPD_BACKLOG 1024
-/// A draining server waits this long for the first byte on a connection.
+/// A draining server waits this long, many round trips, for a first byte.
 #define HTTPD_FIRST_BYTE_US 100000
 #define HTTPD_MAX_KEEPALIVE_REQUESTS 0 ///< no limit
 /// Limits of a server until httpd_set_limits().
@@ -462,9 +462,9 @@
 		add_header(req, headers[i].name, headers[i].value);
 }
 
-/// Closes the connection after the response. The caller is told, unless the
-/// head is sent: it would use the connection again, and its next request be
-/// lost.
+/// Closes the connection after the response, and says so in the head unless
+/// that is sent. A caller that isn't told may send its next request on the
+/// connection and lose it.
 static void
 announce_close(const struct httpd_open_request *open)
 {
--- a/src/front/httpd.h
+++ b/src/front/httpd.h
@@ -34,8 +34,8 @@
 	const char *method_name;
 	const char *path;
 	const char *query; ///< "" when none
-	/// As the caller sent it: path and query leave out what has no meaning
-	/// to a server, such as a fragment.
+	/// As the caller sent it. `path` and `query` leave out a fragment, and
+	/// don't tell an empty query from none.
 	const char *target;
 	const uint8_t *body;
 	size_t len; ///< of the body, in bytes
--- a/src/hub/hub_hosts.c
+++ b/src/hub/hub_hosts.c
@@ -65,8 +65,8 @@
 
 /// Knows this process's address and those of the seeds.
 ///
-/// @return STATUS_OK, or STATUS_INVALID if an address has no slot, or two have
-///         the same one
+/// @return STATUS_OK, or STATUS_INVALID if this process's address has no slot,
+///         or two addresses have the same one
 enum status
 hub_hosts_start(struct hub *h)
 {
--- a/src/hub/hubstate.c
+++ b/src/hub/hubstate.c
@@ -10,7 +10,7 @@
 /// Parts of prompts that are known to crash servers; the one whose block ends
 /// first makes room for another.
 #define HUBSTATE_MAX_BLOCKS 256
-/// Control processes that were replaced; the oldest one makes room for another.
+/// Addresses that are kept, far more than run; the oldest one makes room.
 #define HUBSTATE_MAX_HOSTS 64
 /// Formats of a snapshot. It is written in the first one that holds what it
 /// has, so that older processes can read it as long as possible.
