Logs say which event a stream goes on after, and how many its caller has

A request whose caller resumes looked like any other, and a failed attempt didn't say whether events had been delivered before it.

Change: attempt.sent has after, the last event that the server is told; attempt.failed, request.done and request.failed have events, the number that the caller has; stream.broken has a reason, which evstream keeps. No decision is changed.

--- a/src/fleet/evstream.c
+++ b/src/fleet/evstream.c
@@ -11,6 +11,7 @@
 	uint64_t last_id;     ///< of the newest event delivered; 0: none
 	uint64_t response_id; ///< newest id in the current response; 0: none
 	uint32_t n_events;    ///< delivered, with an id
+	const char *error;    ///< why a response is invalid; NULL: none was
 };
 
 /// Makes a reader of one request's stream; to be released with evstream_free().
@@ -98,6 +99,13 @@
 	return false;
 }
 
+static enum evstream_status
+refuse(struct evstream *s, const char *why)
+{
+	s->error = why;
+	return EVSTREAM_INVALID;
+}
+
 /// Delivers a complete event unless an earlier response had it already.
 static enum evstream_status
 deliver_event(
@@ -111,12 +119,12 @@
 		return EVSTREAM_OK;
 	}
 	if (s->response_id != 0 && id <= s->response_id)
-		return EVSTREAM_INVALID;
+		return refuse(s, "an event comes twice");
 	s->response_id = id;
 	if (id <= s->last_id)
 		return EVSTREAM_OK;
 	if (s->last_id != 0 && id != s->last_id + 1)
-		return EVSTREAM_INVALID;
+		return refuse(s, "an event is missing");
 	s->last_id = id;
 	s->n_events++;
 	cb(arg, text, len);
@@ -146,8 +154,16 @@
 		at += n;
 	}
 	(void)g_string_erase(s->partial, 0, (gssize)at);
-	return s->partial->len > MAX_EVENT_BYTES ? EVSTREAM_INVALID
-						 : EVSTREAM_OK;
+	return s->partial->len > MAX_EVENT_BYTES
+	    ? refuse(s, "an event is too long")
+	    : EVSTREAM_OK;
+}
+
+/// Why a response was invalid, a static string; NULL if none was.
+const char *
+evstream_error(const struct evstream *s)
+{
+	return s->error;
 }
 
 /// Whether bytes of an incomplete event are left.
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -436,6 +436,7 @@
 /// gateway_send.c: attempts at backend servers
 void gateway_send(struct gateway_request *q);
 void gateway_attempt_end(struct gateway_request *q, enum balancer_outcome how);
+uint32_t gateway_events_delivered(const struct gateway_request *q);
 void gateway_attempt_record_failure(struct gateway_request *q,
     enum balancer_outcome how, enum verdict verdict, const char *why);
 void gateway_attempt_failed(struct gateway_request *q,
--- a/src/gateway/gateway_receive.c
+++ b/src/gateway/gateway_receive.c
@@ -155,8 +155,9 @@
 		// The connection works; the stream's data is malformed.
 		q->protocol_error = true;
 		logger_event(LOGGER_WARN, "stream.broken",
-		    "request=%s server=%s after=%" PRIu64, q->call.id,
-		    q->server, evstream_last_id(q->events));
+		    "request=%s server=%s after=%" PRIu64 " reason=\"%s\"",
+		    q->call.id, q->server, evstream_last_id(q->events),
+		    evstream_error(q->events));
 		timerq_arm_in(q->timer, 0);
 		return;
 	}
--- a/src/gateway/gateway_response.c
+++ b/src/gateway/gateway_response.c
@@ -57,13 +57,14 @@
 
 	logger_event(LOGGER_INFO, event,
 	    "request=%s route=%s service=%s customer=%s config=%" PRIu64
-	    " status=%d verdict=\"%s\" attempts=%u server=%s reason=\"%s\" "
-	    "ms=%" PRIu64,
+	    " status=%d verdict=\"%s\" attempts=%u events=%u server=%s "
+	    "reason=\"%s\" ms=%" PRIu64,
 	    q->call.id, q->route->name,
 	    q->service != NULL ? q->service->name : "-",
 	    q->customer != NULL ? q->customer->name : "-",
 	    fleetcfg_version(q->config), status, verdict_name(q->verdict),
-	    q->n_sent, q->server[0] != '\0' ? q->server : "-", why,
+	    q->n_sent, gateway_events_delivered(q),
+	    q->server[0] != '\0' ? q->server : "-", why,
 	    (now - q->arrived_us) / USEC_PER_MSEC);
 }
 
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -32,8 +32,7 @@
 	q->call_handle = HANDLE_NONE;
 	if (q->dispatch != HANDLE_NONE)
 		balancer_end(g->balancer, now, q->dispatch, how,
-		    q->events != NULL ? evstream_n_events(q->events) : 0,
-		    UINT32_MAX);
+		    gateway_events_delivered(q), UINT32_MAX);
 	q->dispatch = HANDLE_NONE;
 }
 
@@ -130,11 +129,18 @@
 	q->call_handle = HANDLE_NONE;
 	if (q->dispatch != HANDLE_NONE)
 		balancer_end(g->balancer, now, q->dispatch, how,
-		    q->events != NULL ? evstream_n_events(q->events) : 0,
-		    UINT32_MAX);
+		    gateway_events_delivered(q), UINT32_MAX);
 	q->dispatch = HANDLE_NONE;
 }
 
+/// Number of events of a stream that were passed on to the caller; 0 for other
+/// requests.
+uint32_t
+gateway_events_delivered(const struct gateway_request *q)
+{
+	return q->events != NULL ? evstream_n_events(q->events) : 0;
+}
+
 /// Records that the attempt in flight gave no response to forward.
 void
 gateway_attempt_record_failure(struct gateway_request *q,
@@ -148,8 +154,10 @@
 	}
 	q->verdict = verdict_merge(q->verdict, verdict);
 	logger_event(LOGGER_INFO, "attempt.failed",
-	    "request=%s attempt=%u server=%s verdict=\"%s\" reason=\"%s\"",
-	    q->call.id, q->n_sent, q->server, verdict_name(verdict), why);
+	    "request=%s attempt=%u server=%s verdict=\"%s\" events=%u "
+	    "reason=\"%s\"",
+	    q->call.id, q->n_sent, q->server, verdict_name(verdict),
+	    gateway_events_delivered(q), why);
 }
 
 /// Records a failed attempt, and schedules another one or fails the request.
@@ -183,6 +191,18 @@
 		    s->instance.host, s->instance.port);
 }
 
+/// Whether the next attempt's server is told an event to go on after.
+///
+/// @param after  receives its id; 0 if there is none
+static bool
+resumes_after(const struct gateway_request *q, uint64_t *after)
+{
+	*after = q->events != NULL ? evstream_last_id(q->events) : 0;
+	if (*after == 0 && q->call.resumes)
+		*after = q->call.last_event;
+	return *after > 0 || q->call.resumes;
+}
+
 /// Sets this gateway's own headers of an attempt, after those of the caller.
 static void
 set_headers(
@@ -194,6 +214,7 @@
 	    : q->deadline_us;
 	const uint64_t left_ms =
 	    until_us > now_us ? (until_us - now_us) / USEC_PER_MSEC : 0;
+	uint64_t after;
 
 	api_headers_truncate(h, q->n_headers);
 	api_headers_addf(h, API_HDR_DEADLINE, "%" PRIu64, MAX(left_ms, 1));
@@ -201,12 +222,8 @@
 	if (q->customer != NULL)
 		api_headers_add(h, API_HDR_CUSTOMER, q->customer->name);
 	set_fetch(q);
-	if (q->events != NULL && evstream_last_id(q->events) > 0)
-		api_headers_addf(h, API_HDR_LAST_EVENT, "%" PRIu64,
-		    evstream_last_id(q->events));
-	else if (q->call.resumes)
-		api_headers_addf(
-		    h, API_HDR_LAST_EVENT, "%" PRIu64, q->call.last_event);
+	if (resumes_after(q, &after))
+		api_headers_addf(h, API_HDR_LAST_EVENT, "%" PRIu64, after);
 }
 
 /// Registers an attempt with the balancer and the retry budget, and resets the
@@ -265,15 +282,18 @@
 		.arg = q,
 	};
 	char parts[GATEWAY_PARTS_TEXT_BYTES];
+	uint64_t after;
 
 	set_headers(q, s, now_us);
 	gateway_parts_text(q, parts, sizeof(parts));
 	call.extra_headers = api_headers_array(q->headers);
 	call.n_extra_headers = api_headers_count(q->headers);
+	(void)resumes_after(q, &after);
 	logger_event(LOGGER_INFO, "attempt.sent",
-	    "request=%s attempt=%u server=%s recompute=%u queue=%.0f parts=%s",
-	    q->call.id, q->n_sent, s->instance.id, q->choice.recompute_tokens,
-	    q->choice.queue_tokens, parts);
+	    "request=%s attempt=%u server=%s after=%" PRIu64
+	    " recompute=%u queue=%.0f parts=%s",
+	    q->call.id, q->n_sent, s->instance.id, after,
+	    q->choice.recompute_tokens, q->choice.queue_tokens, parts);
 	q->call_handle = httpc_send(g->http, &call);
 	if (q->call_handle == HANDLE_NONE) {
 		gateway_attempt_failed(
