--- /dev/null
+++ b/test/script/second_response.sh
@@ -0,0 +1,13 @@
+# Guards against a second response on the connection of one that has no length, or a
+# part of it, reaching the caller as the rest of the first.
+. "$PWD/test/script/raw.inc"
+
+raw_deployment
+for path in /once/a /stream/a; do
+	echo "== $path, its events go on"
+	ask $path "\"$stream$run_a$stream$rest_of_b\$CLOSE\", \"$stream$rest_of_b\$CLOSE\""
+	echo "== $path, they start again"
+	ask $path "\"$stream$run_a$stream$run_b\$CLOSE\", \"$stream$rest_of_b\$CLOSE\""
+	echo "== $path, the first response ends within an event"
+	ask $path "\"$stream${run_a}id: 3\ndata: a3\n$stream$rest_of_b\$CLOSE\", \"$stream$rest_of_b\$CLOSE\""
+done
