A request that was sent is never taken for one that wasn't

Callers would see: a request that may run once only runs twice, or a stream that can't be resumed goes on with the events of another run.

Cause: the timer of the connecting isn't stopped when the connection is up; when it fires, it asks the kernel for the peer's address, and takes the lack of one for a connection that was never made. A connection that was reset has none either. So if a server resets a connection while the gateway gets no processor, and the 400 ms since the request was sent pass meanwhile, the verdict is "not run", also behind events that the caller has by then: bytes that wait are read first, the timer comes next, and the reset would be seen last. The timeout of a call judged the same way.

Ruled out: stopping the timer once the connection is up, which evhttp doesn't tell.

Change: a call notes that bytes of its request were given to a connection, which evhttp does only when that is up. That alone decides the verdict on a call without a complete response.

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -56,6 +56,15 @@
 	slotmap_remove(c->calls, handle);
 }
 
+/// Verdict on a call without a complete response. The state of the connection
+/// doesn't tell: one that was reset looks as if it had never been up.
+static enum verdict
+verdict_of_lost(const struct httpc_active *a)
+{
+	return a->is_sent && !a->conn->expired ? VERDICT_MAY_HAVE_RUN
+					       : VERDICT_NOT_RUN;
+}
+
 static void
 on_timeout(evutil_socket_t fd, short what, void *arg)
 {
@@ -63,9 +72,7 @@
 	struct httpc_conn *conn = a->conn;
 	const struct httpc_result result = {
 		.status = STATUS_TIMEOUT,
-		.verdict = httpc_conn_is_connected(conn) && !conn->expired
-		    ? VERDICT_MAY_HAVE_RUN
-		    : VERDICT_NOT_RUN,
+		.verdict = verdict_of_lost(a),
 		.http_status = a->http_status,
 		.content_type = "",
 	};
@@ -84,11 +91,13 @@
 on_output(struct evbuffer *out, const struct evbuffer_cb_info *info, void *arg)
 {
 	struct httpc_conn *conn = arg;
-	const struct httpc_active *a = httpc_conn_call(conn);
+	struct httpc_active *a = httpc_conn_call(conn);
 
 	(void)out;
-	if (info->n_added == 0 || a == NULL || a->expires_us == 0 ||
-	    boot_time_us() < a->expires_us)
+	if (info->n_added == 0 || a == NULL)
+		return;
+	a->is_sent = true;
+	if (a->expires_us == 0 || boot_time_us() < a->expires_us)
 		return;
 	// The buffer can't be changed here. The write that follows fails, which
 	// ends the call.
@@ -112,7 +121,7 @@
 
 	(void)fd;
 	(void)what;
-	if (httpc_conn_is_connected(conn))
+	if (a->is_sent || httpc_conn_is_connected(conn))
 		return;
 	httpc_conn_free_later(conn);
 	finish(a, &result);
@@ -189,16 +198,13 @@
 
 /// Ends the call of a connection without a complete response and frees the
 /// connection.
-///
-/// @param verdict  whether the server may have run the request
 void
-httpc_finish_failed(
-    struct httpc_conn *conn, enum status status, enum verdict verdict)
+httpc_finish_failed(struct httpc_conn *conn, enum status status)
 {
 	struct httpc_active *a = httpc_conn_call(conn);
 	const struct httpc_result result = {
 		.status = conn->expired ? STATUS_TIMEOUT : status,
-		.verdict = conn->expired ? VERDICT_NOT_RUN : verdict,
+		.verdict = verdict_of_lost(a),
 		.http_status = a->http_status,
 		.content_type = "",
 		.error = a->error,
@@ -223,15 +229,15 @@
 	// evhttp passes no request when the connection was lost, and one
 	// without a status when the connection could not be made.
 	if (req == NULL) {
-		httpc_finish_failed(conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
+		httpc_finish_failed(conn, STATUS_IO);
 		return;
 	}
 	if (evhttp_request_get_response_code(req) == 0) {
-		httpc_finish_failed(conn, STATUS_UNAVAILABLE, VERDICT_NOT_RUN);
+		httpc_finish_failed(conn, STATUS_UNAVAILABLE);
 		return;
 	}
 	if (a->refused || !respscan_may_end(&conn->scan)) {
-		httpc_finish_failed(conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
+		httpc_finish_failed(conn, STATUS_IO);
 		return;
 	}
 	in = evhttp_request_get_input_buffer(req);
@@ -316,16 +322,22 @@
 static void
 set_expiry(struct httpc_active *a, const struct httpc_request *call)
 {
-	struct bufferevent *bev =
-	    evhttp_connection_get_bufferevent(a->conn->evcon);
-
 	a->expires_us = call->timeout_us +
 	    (call->expires_from_us != 0 ? call->expires_from_us
 					: boot_time_us());
-	if (bev == NULL || a->conn->checks_output)
+}
+
+/// Watches what is about to be sent on a connection.
+static void
+watch_output(struct httpc_conn *conn)
+{
+	struct bufferevent *bev =
+	    evhttp_connection_get_bufferevent(conn->evcon);
+
+	if (bev == NULL || conn->checks_output)
 		return;
-	a->conn->checks_output = true;
-	(void)evbuffer_add_cb(bufferevent_get_output(bev), on_output, a->conn);
+	conn->checks_output = true;
+	(void)evbuffer_add_cb(bufferevent_get_output(bev), on_output, conn);
 }
 
 /// Creates a client on an event loop, to be released with httpc_free().
@@ -408,6 +420,7 @@
 	evhttp_connection_set_max_body_size(
 	    conn->evcon, (ev_ssize_t)a->max_body);
 	httpc_input_check(conn, call, a->max_body);
+	watch_output(conn);
 	req = evhttp_request_new(on_done, conn);
 	evhttp_request_set_header_cb(req, on_headers);
 	if (call->on_data != NULL)
--- a/src/back/httpc_input.c
+++ b/src/back/httpc_input.c
@@ -126,8 +126,7 @@
 		    c->calls, g_array_index(c->refused, handle_t, i));
 
 		if (a != NULL)
-			httpc_finish_failed(
-			    a->conn, STATUS_IO, VERDICT_MAY_HAVE_RUN);
+			httpc_finish_failed(a->conn, STATUS_IO);
 	}
 	g_array_set_size(c->refused, 0);
 }
--- a/src/back/httpc_internal.h
+++ b/src/back/httpc_internal.h
@@ -45,6 +45,8 @@
 	size_t held;       ///< bytes of the response in memory
 	size_t retained;   ///< of these, kept by the owner of the call
 	bool starting;     ///< httpc_send() is at work on it
+	bool is_sent;      ///< bytes of the request were given to a connection
+			   ///< that was up
 	bool refused;      ///< waits for httpc_input_end_refused()
 	const char *error; ///< why it was refused
 	handle_t handle;
@@ -81,7 +83,6 @@
 void httpc_input_release(struct httpc_active *a);
 void httpc_input_end_refused(int fd, short what, void *arg);
 
-void httpc_finish_failed(
-    struct httpc_conn *conn, enum status status, enum verdict verdict);
+void httpc_finish_failed(struct httpc_conn *conn, enum status status);
 
 #endif
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -69,6 +69,7 @@
 	int http_status = 0;  ///< of the last response
 	uint64_t n_data = 0;  ///< bytes given to on_data
 	bool discard = false;
+	uint64_t connect_us = 0; ///< 0: no limit
 
 	/// Gets what a server sends, as a whole or as it comes.
 	void get(bool stream, size_t max_body, uint64_t timeout_us = 2000000)
@@ -80,6 +81,7 @@
 		r.port = port;
 		r.path = "/";
 		r.timeout_us = timeout_us;
+		r.connect_us = connect_us;
 		r.max_body = max_body;
 		if (stream)
 			r.on_data = [](void *arg, const uint8_t *, size_t len) {
@@ -435,6 +437,36 @@
 	}
 }
 
+/// A connection that was reset after the request had been sent was taken for
+/// one that could not be made, if the reset was seen only by the timer of the
+/// connecting: the request would have run twice.
+TEST(Client, ResetAfterTheRequestWasSentIsNoFailureToConnect)
+{
+	for (const bool has_response : { false, true }) {
+		const struct linger now = { 1, 0 };
+		const std::string part =
+		    "HTTP/1.1 200 OK\r\n\r\n" + std::string(9000, 'x');
+		char request[512];
+		Peer p;
+
+		p.connect_us = 100000;
+		p.get(true, 0);
+		const int fd = accept(p.listener, nullptr, nullptr);
+		(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+		ASSERT_GT(read(fd, request, sizeof(request)), 0);
+		if (has_response)
+			(void)::send(
+			    fd, part.data(), part.size(), MSG_NOSIGNAL);
+		(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+		close(fd);
+		// The client gets no processor until its timer is due.
+		(void)usleep(120000);
+		p.run();
+		EXPECT_EQ(p.n_ends, 1);
+		EXPECT_EQ(p.verdict, VERDICT_MAY_HAVE_RUN) << has_response;
+	}
+}
+
 /// A head that no HTTP/1.1 response can have was passed on as a response, with
 /// a status that the server didn't send.
 TEST(Client, HeadThatIsNoneEndsTheCall)
