A stream that can't be resumed isn't begun behind the events of another run

Callers saw, or could see: a caller that has events 1 and 2 of a broken stream sends its request again with Last-Event-Id: 2, on a route that isn't resumable, and gets 200 with events 3 and 4 of another run as if they were the rest.

Cause: the header was obeyed on every streaming route: passed on to the server, and events up to that id dropped. Only the gateway's own resuming asked whether the route allows it. Class: a decision that depends on the route was made at one of the two places that can cause a second run.

Ruled out: serving such a request from the first event on. A caller that drops what it has, as this gateway does with a server's response, would join the two runs itself.

Change: 400 with the reason, before anything is counted or sent. Last-Event-Id: 0 asks for all.

--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -88,6 +88,21 @@
 	return 401;
 }
 
+/// Checks that a stream that the caller has in part can be resumed. Otherwise
+/// another run would follow the events that the caller has; one from the first
+/// event on looks the same to a caller that drops what it has.
+///
+/// @return 0, or the HTTP status to refuse with
+static int
+check_resuming(const struct gateway_request *q, const char **why)
+{
+	if (q->route->kind != FLEETCFG_STREAM || q->call.last_event == 0 ||
+	    fleetcfg_is_retryable(q->route))
+		return 0;
+	*why = "this route's streams can't be resumed";
+	return 400;
+}
+
 /// Whether a request may have run, or may run yet: it was given to a server
 /// that didn't refuse it.
 static bool
@@ -260,6 +275,8 @@
 	q->route = route;
 	set_deadline(q);
 	status = authenticate(q, &why);
+	if (status == 0)
+		status = check_resuming(q, &why);
 	if (status != 0) {
 		gateway_fail(q, status, 0, why);
 		return;
