A second response on a connection isn't taken for the rest of a stream

Callers saw, or could see: behind events 1 and 2 of one run, the head of another response as an event without an id, then events 3 and 4 of the other run, and a complete end.

Cause: a stream without a length or chunks ends with its connection, so whatever its server sends is body. The reader of events passes what has no id, and lets an event pass whose id is the next one, whatever run it is of. A second head within an event was passed on as a part of that.

Ruled out: refusing events without an id or lines of unknown fields, which event streams may have.

Change: a status line at the start of a line, which no event stream has, ends the response as invalid (reason: another response follows).

--- a/src/fleet/evstream.c
+++ b/src/fleet/evstream.c
@@ -68,35 +68,63 @@
 	}
 }
 
-/// Reads the id of an event.
+/// Whether a line is a status line: a server began another response on a
+/// connection whose response has no length.
+static bool
+is_status_line(const char *line, size_t len)
+{
+	static const char version[] = "HTTP/1.";
+
+	return len > strlen(version) + 1 &&
+	    strncmp(line, version, strlen(version)) == 0 &&
+	    g_ascii_isdigit(line[strlen(version)]) &&
+	    line[strlen(version) + 1] == ' ';
+}
+
+/// Reads the id from a line of an event.
 ///
-/// @return false when it has no numeric id
+/// @return false if the line isn't a numeric id
 static bool
-read_id(const char *text, size_t len, uint64_t *id)
+read_id(const char *line, size_t len, uint64_t *id)
 {
 	static const char field[] = "id:";
+	const char *at = line + strlen(field);
+	const char *end = line + len;
+
+	if (len <= strlen(field) || strncmp(line, field, strlen(field)) != 0)
+		return false;
+	while (at < end && *at == ' ')
+		at++;
+	if (at == end || !g_ascii_isdigit(*at))
+		return false;
+	for (*id = 0; at < end && g_ascii_isdigit(*at); at++)
+		*id = *id * 10 + (uint64_t)(*at - '0');
+	return true;
+}
+
+/// What the lines of an event say.
+struct event_lines {
+	bool has_id;
+	uint64_t id;         ///< that of the first line with one
+	bool has_other_head; ///< the head of another response is among them
+};
+
+static struct event_lines
+read_lines(const char *text, size_t len)
+{
 	const char *end = text + len;
+	struct event_lines out = { .has_id = false };
 
 	while (text < end) {
 		const char *eol = memchr(text, '\n', (size_t)(end - text));
-		const char *stop = eol != NULL ? eol : end;
-
-		if ((size_t)(stop - text) > strlen(field) &&
-		    strncmp(text, field, strlen(field)) == 0) {
-			const char *at = text + strlen(field);
-
-			while (at < stop && *at == ' ')
-				at++;
-			*id = 0;
-			if (at == stop || !g_ascii_isdigit(*at))
-				return false;
-			for (; at < stop && g_ascii_isdigit(*at); at++)
-				*id = *id * 10 + (uint64_t)(*at - '0');
-			return true;
-		}
-		text = stop + 1;
+		const size_t n = (size_t)((eol != NULL ? eol : end) - text);
+
+		if (!out.has_id)
+			out.has_id = read_id(text, n, &out.id);
+		out.has_other_head |= is_status_line(text, n);
+		text += n + 1;
 	}
-	return false;
+	return out;
 }
 
 static enum evstream_status
@@ -111,9 +139,12 @@
 deliver_event(
     struct evstream *s, const char *text, size_t len, evstream_cb cb, void *arg)
 {
-	uint64_t id;
+	const struct event_lines lines = read_lines(text, len);
+	const uint64_t id = lines.id;
 
-	if (!read_id(text, len, &id)) {
+	if (lines.has_other_head)
+		return refuse(s, "another response follows");
+	if (!lines.has_id) {
 		// Comments and events without an id have no place in the order.
 		cb(arg, text, len);
 		return EVSTREAM_OK;
--- a/test/unit/fleet/test_evstream.cc
+++ b/test/unit/fleet/test_evstream.cc
@@ -93,6 +93,29 @@
 	EXPECT_EQ(feed(s, event(2) + event(2), &out), EVSTREAM_INVALID);
 }
 
+/// A server without a framing began another response, whose events went on as
+/// those of the first.
+TEST_F(Events, AnotherResponseInTheStreamIsInvalid)
+{
+	const std::string heads[] = { "HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+		"id: 2\ndata: t2\nHTTP/1.0 200\r\n\r\n",
+		"data: t\nid: 2\nHTTP/1.1 503 \n\n" };
+
+	for (const std::string &head : heads) {
+		struct evstream *e = evstream_new();
+		std::string text;
+
+		EXPECT_EQ(feed(e, event(1) + head + event(2), &text),
+		    EVSTREAM_INVALID)
+		    << head;
+		EXPECT_EQ(text, event(1));
+		EXPECT_STREQ(evstream_error(e), "another response follows");
+		evstream_free(e);
+	}
+	EXPECT_EQ(
+	    feed(s, "id: 1\ndata: HTTP/1.1 200 OK\n\n", &out), EVSTREAM_OK);
+}
+
 TEST_F(Events, EventsThatTheCallerHasAreDropped)
 {
 	evstream_restart(s, 12);
