A run that ends before the events that its caller has isn't complete

Callers saw, or could see: a caller that has nine events of a stream that may be resumed comes back with Last-Event-Id: 9, the new run has four, and the caller gets 200, no event and a complete end. The same when the gateway itself resumes at a server that begins anew and ends early.

Cause: events that the caller has are dropped, and nobody asked whether the response had got as far as that when it ended.

Ruled out: a response without any event; a run that has nothing behind the caller's last event is complete.

Change: a response with events that ends below the newest delivered one is a failed attempt that may have run. Result: script_resume_refused, its last section (200 before, 502 now), and Events.AResponseThatRepeatsOnlyAPartIsBehind.

--- a/src/fleet/evstream.c
+++ b/src/fleet/evstream.c
@@ -224,3 +224,11 @@
 {
 	return s->n_events;
 }
+
+/// Whether the current response has events, and none as new as the newest one
+/// delivered: if it ends here, its run is shorter than the one before.
+bool
+evstream_is_behind(const struct evstream *s)
+{
+	return s->response_id != 0 && s->response_id < s->last_id;
+}
--- a/src/gateway/gateway_receive.c
+++ b/src/gateway/gateway_receive.c
@@ -277,6 +277,11 @@
 		response_lost(q, "the stream ended within an event");
 		return;
 	}
+	if (evstream_is_behind(q->events)) {
+		gateway_attempt_failed(q, BALANCER_FAILED, VERDICT_MAY_HAVE_RUN,
+		    "the stream ended before the events that the caller has");
+		return;
+	}
 	if (until_close && evstream_n_events(q->events) == 0 &&
 	    !q->call.resumes) {
 		response_lost(q, "the stream ended before its first event");
--- a/test/script/resume_refused.sh
+++ b/test/script/resume_refused.sh
@@ -11,3 +11,6 @@
 grep -c "event=attempt.sent.* after=2 " gateway-21.log
 echo "== the same, a route whose streams can be resumed"
 ask /stream/a "\"$stream$run_b\$CLOSE\"" -H "Last-Event-Id: 2"
+echo "== behind the last event, and behind one that the new run doesn't reach"
+ask /stream/a "\"$stream$run_b\$CLOSE\"" -H "Last-Event-Id: 4"
+ask /stream/a "\"$stream$run_b\$CLOSE\", \"$stream$run_b\$CLOSE\"" -H "Last-Event-Id: 9"
--- a/test/unit/fleet/test_evstream.cc
+++ b/test/unit/fleet/test_evstream.cc
@@ -123,6 +123,18 @@
 	EXPECT_EQ(out, event(13));
 }
 
+/// A run that ended before the events that the caller has counted as complete.
+TEST_F(Events, AResponseThatRepeatsOnlyAPartIsBehind)
+{
+	evstream_restart(s, 3);
+	EXPECT_FALSE(evstream_is_behind(s));
+	EXPECT_EQ(feed(s, event(1) + event(2), &out), EVSTREAM_OK);
+	EXPECT_TRUE(evstream_is_behind(s));
+	EXPECT_EQ(feed(s, event(3), &out), EVSTREAM_OK);
+	EXPECT_FALSE(evstream_is_behind(s));
+	EXPECT_EQ(out, "");
+}
+
 TEST_F(Events, LinesMayEndWithCarriageReturns)
 {
 	EXPECT_EQ(feed(s, "id: 1\r\ndata: x\r\n\r\n", &out), EVSTREAM_OK);
