Soak: streams that can't be resumed, and callers that have a part of a stream

Cause: the soak couldn't see a stream of two runs. All its streams could be resumed, no caller said which events it had, and the events of a stream that broke off weren't looked at.

Change: a fourth kind of request, a stream that must not run twice; one stream in eight is asked for with Last-Event-Id; what came of a broken stream must be its beginning. A stream that can't be resumed must never be served behind events that its caller has.

--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -15,7 +15,11 @@
 /// One request in this many carries a revoked key.
 #define OLD_KEY_IN 12
 
-static const char *const paths[] = { "/plain/", "/book/", "/stream/" };
+/// One stream in this many is asked for by a caller that has a part of it.
+#define RESUMED_IN 8
+
+static const char *const paths[SOAK_N_KINDS] = { "/plain/", "/book/",
+	"/stream/", "/once/" };
 
 static void
 request_free(void *arg)
@@ -49,7 +53,7 @@
 	const uint64_t now = soak_now_us(s);
 
 	q->runs++;
-	if (q->kind == SOAK_BOOK && q->runs > 1)
+	if ((q->kind == SOAK_BOOK || q->kind == SOAK_ONCE) && q->runs > 1)
 		soak_violation(s, "twice: %s ran again, at %s", q->id, v->id);
 	if (q->refused)
 		soak_violation(s, "refused: %s ran after it was refused, at %s",
@@ -62,17 +66,28 @@
 		    (double)(now - s->revoked_us) / (double)USEC_PER_SEC);
 }
 
-/// Checks that a stream's events came complete, each once and in order.
 static bool
-stream_is_complete(struct soak *s, const struct soak_request *q)
+is_stream(const struct soak_request *q)
+{
+	return q->kind == SOAK_STREAM || q->kind == SOAK_ONCE;
+}
+
+/// Checks that a stream's events came each once and in order, and all of them
+/// unless the stream broke off; and that none followed those that the caller
+/// has where another run may not.
+static bool
+stream_is_sound(struct soak *s, const struct soak_request *q, bool is_complete)
 {
 	GString *expected = g_string_new(NULL);
 	bool same;
 
-	for (uint32_t i = 1; i <= q->events; i++)
+	for (uint32_t i = q->after + 1; i <= q->events; i++)
 		g_string_append_printf(
 		    expected, "id: %u\ndata: %s %u\n\n", i, q->id, i);
-	same = g_string_equal(expected, q->text);
+	same = is_complete ? g_string_equal(expected, q->text)
+			   : g_str_has_prefix(expected->str, q->text->str);
+	if (q->kind == SOAK_ONCE && q->after > 0)
+		same = false;
 	if (!same)
 		soak_violation(
 		    s, "order: %s got '%.300s'", q->id, q->text->str);
@@ -113,8 +128,8 @@
 	if (stamp == NULL || q->runs == 0)
 		soak_violation(s, "mixed: %s succeeded, stamp %s, %u runs",
 		    q->id, stamp != NULL ? stamp : "none", q->runs);
-	else if (q->kind == SOAK_STREAM ? stream_is_complete(s, q)
-					: plain_is_correct(s, q, stamp)) {
+	else if (is_stream(q) ? stream_is_sound(s, q, true)
+			      : plain_is_correct(s, q, stamp)) {
 		s->n_complete++;
 		s->last_complete_us = soak_now_us(s);
 		s->n_late_complete += is_late(q);
@@ -154,6 +169,8 @@
 	q->ended_us = soak_now_us(s);
 	if (result->status != STATUS_OK) {
 		s->n_failed++;
+		if (status == 200 && is_stream(q))
+			(void)stream_is_sound(s, q, false);
 		if (result->status == STATUS_IO)
 			check_cut(s, q, "a closed connection");
 	} else if (status == 200) {
@@ -190,6 +207,7 @@
 	const struct soak_process *g = choose_gateway(s);
 	struct soak_request *q = g_new0(struct soak_request, 1);
 	char key[SOAK_ID_BYTES];
+	char after[SOAK_ID_BYTES];
 	char *path;
 	struct httpc_request call = {
 		.method = "GET",
@@ -204,11 +222,13 @@
 	};
 
 	q->soak = s;
-	q->kind = (enum soak_request_kind)soak_random_below(s, 3);
+	q->kind = (enum soak_request_kind)soak_random_below(s, SOAK_N_KINDS);
 	q->gateway = g->number;
 	q->key = choose_key(s);
 	q->sent_us = soak_now_us(s);
 	q->events = 1 + soak_random_below(s, MAX_EVENTS);
+	if (is_stream(q) && soak_random_below(s, RESUMED_IN) == 0)
+		q->after = soak_random_below(s, q->events);
 	q->text = g_string_new(NULL);
 	(void)g_snprintf(q->id, sizeof(q->id), "q%u", ++s->n_requests);
 	(void)g_snprintf(key, sizeof(key), "Bearer k%u", q->key);
@@ -226,6 +246,10 @@
 	call.headers[4] =
 	    (struct httpc_header){ "X-Acaciahinge-Tenant", "other" };
 	call.headers[5] = (struct httpc_header){ "X-Acaciahinge-Hold", "h" };
+	(void)g_snprintf(after, sizeof(after), "%u", q->after);
+	if (q->after > 0)
+		call.headers[6] =
+		    (struct httpc_header){ "Last-Event-Id", after };
 	s->n_late += is_late(q);
 	q->call = httpc_send(s->http, &call);
 	g_free(path);
--- a/test/soak/operator.c
+++ b/test/soak/operator.c
@@ -69,7 +69,13 @@
 	    "\"path_prefix\": \"/stream/\", \"kind\": \"streaming\", "
 	    "\"resumable\": true, \"timeout_ms\": 2000, "
 	    "\"target_latency_ms\": 100, \"gap_aim_ms\": 500, "
-	    "\"service\": \"app\", \"max_attempts\": 2}], \"tenants\": ["
+	    "\"service\": \"app\", \"max_attempts\": 2},");
+	g_string_append_printf(out,
+	    "{\"name\": \"once\", \"host\": \"desk.example\", "
+	    "\"path_prefix\": \"/once/\", \"kind\": \"streaming\", "
+	    "\"resumable\": false, \"timeout_ms\": 2000, "
+	    "\"target_latency_ms\": 100, \"gap_aim_ms\": 500, "
+	    "\"service\": \"app\", \"max_attempts\": 1}], \"tenants\": ["
 	    "{\"name\": \"depot\", \"api_keys\": [");
 	for (uint32_t i = 0; i < KEYS; i++)
 		g_string_append_printf(
--- a/test/soak/servers.c
+++ b/test/soak/servers.c
@@ -211,7 +211,7 @@
 	r->server = v;
 	r->http = http;
 	r->behaviour = v->behaviour;
-	r->stream = q->kind == SOAK_STREAM;
+	r->stream = q->kind == SOAK_STREAM || q->kind == SOAK_ONCE;
 	r->events = q->events;
 	r->next = (uint32_t)strtoul(last, NULL, 10) + 1;
 	(void)g_strlcpy(r->id, id, sizeof(r->id));
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -92,6 +92,8 @@
 	SOAK_PLAIN,  ///< may be repeated
 	SOAK_BOOK,   ///< must not run twice
 	SOAK_STREAM, ///< may be resumed
+	SOAK_ONCE,   ///< a stream that must not run twice
+	SOAK_N_KINDS,
 };
 
 /// One caller's request. It is kept after its end, so that a run which comes
@@ -106,6 +108,7 @@
 	uint64_t ended_us;
 	uint32_t runs;
 	uint32_t events; ///< number of events of its stream
+	uint32_t after;  ///< the caller has the events up to this one
 	uint32_t next;   ///< unused
 	bool refused;    ///< the response said that it has not run
 	handle_t call;
