A second response behind a part of a line ends the stream

Callers saw: a response without a length that is cut off within a line, with another response behind it, is passed on as one stream: 200, complete, with the events 1 and 2 of the first run, a third one whose data goes on with the status line of the second, and event 4 of the second run.

Cause: a status line was looked for at the start of a line only.

Ruled out: refusing any event whose data has a status line, which a server may well write.

Change: a status line anywhere in a line, followed by a line that is a header field and none of an event, ends the response as invalid.

--- a/src/fleet/evstream.c
+++ b/src/fleet/evstream.c
@@ -68,17 +68,49 @@
 	}
 }
 
-/// Whether a line is a status line: a server began another response on a
-/// connection whose response has no length.
+/// Whether a status line, to its status, begins at a text.
 static bool
-is_status_line(const char *line, size_t len)
+is_status_line(const char *text, size_t len)
 {
 	static const char version[] = "HTTP/1.";
 
 	return len > strlen(version) + 1 &&
-	    strncmp(line, version, strlen(version)) == 0 &&
-	    g_ascii_isdigit(line[strlen(version)]) &&
-	    line[strlen(version) + 1] == ' ';
+	    strncmp(text, version, strlen(version)) == 0 &&
+	    g_ascii_isdigit(text[strlen(version)]) &&
+	    text[strlen(version) + 1] == ' ';
+}
+
+/// Whether a status line is within a line, behind a part of an event.
+static bool
+has_status_line(const char *line, size_t len)
+{
+	const char *end = line + len;
+
+	for (const char *at = line;
+	     (at = memchr(at, 'H', (size_t)(end - at))) != NULL; at++) {
+		if (is_status_line(at, (size_t)(end - at)))
+			return true;
+	}
+	return false;
+}
+
+/// Whether a line is a field of a header rather than one of an event, a comment
+/// or empty.
+static bool
+is_header_field(const char *line, size_t len)
+{
+	static const char *const event_fields[] = { "", "data", "event", "id",
+		"retry" };
+	const char *colon = memchr(line, ':', len);
+
+	if (colon == NULL)
+		return false;
+	for (size_t i = 0; i < G_N_ELEMENTS(event_fields); i++) {
+		if (strlen(event_fields[i]) == (size_t)(colon - line) &&
+		    strncmp(line, event_fields[i], (size_t)(colon - line)) == 0)
+			return false;
+	}
+	return true;
 }
 
 /// Reads the id from a line of an event.
@@ -114,6 +146,7 @@
 {
 	const char *end = text + len;
 	struct event_lines out = { .has_id = false };
+	bool after_status = false;
 
 	while (text < end) {
 		const char *eol = memchr(text, '\n', (size_t)(end - text));
@@ -121,7 +154,9 @@
 
 		if (!out.has_id)
 			out.has_id = read_id(text, n, &out.id);
-		out.has_other_head |= is_status_line(text, n);
+		out.has_other_head |= is_status_line(text, n) ||
+		    (after_status && is_header_field(text, n));
+		after_status = has_status_line(text, n);
 		text += n + 1;
 	}
 	return out;
--- a/test/unit/fleet/test_evstream.cc
+++ b/test/unit/fleet/test_evstream.cc
@@ -116,6 +116,26 @@
 	    feed(s, "id: 1\ndata: HTTP/1.1 200 OK\n\n", &out), EVSTREAM_OK);
 }
 
+/// A response that was cut off within a line hid the status line of the next
+/// one, whose events went on as its own.
+TEST_F(Events, AnotherResponseBehindAPartOfALineIsInvalid)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nServer-Stamp: b\r\n\r\n";
+
+	for (const char *part : { "id: 2\ndata: t", "id: 2", "da" }) {
+		struct evstream *e = evstream_new();
+		std::string text;
+
+		EXPECT_EQ(feed(e, event(1) + part + head + event(3), &text),
+		    EVSTREAM_INVALID)
+		    << part;
+		EXPECT_EQ(text, event(1));
+		evstream_free(e);
+	}
+	EXPECT_EQ(feed(s, "id: 1\ndata: HTTP/1.1 200 OK\ndata: A: b\n\n", &out),
+	    EVSTREAM_OK);
+}
+
 TEST_F(Events, EventsThatTheCallerHasAreDropped)
 {
 	evstream_restart(s, 12);
