An event id beyond 64 bits is not taken for a small one

Cause: the number wrapped around when it was read.

Ruled out: passing such an event on as one without an id, which has no place in the order.

Change: a number that is too large is read as the largest one, which never follows another.

Result: Events.AnIdBeyond64BitsIsNotTheNextOne failed before (valid, delivered) and passes now.

--- a/src/fleet/evstream.c
+++ b/src/fleet/evstream.c
@@ -113,7 +113,7 @@
 	return true;
 }
 
-/// Reads the id from a line of an event.
+/// Reads the id from a line of an event; one beyond 64 bits is UINT64_MAX.
 ///
 /// @return false if the line isn't a numeric id
 static bool
@@ -129,8 +129,12 @@
 		at++;
 	if (at == end || !g_ascii_isdigit(*at))
 		return false;
-	for (*id = 0; at < end && g_ascii_isdigit(*at); at++)
-		*id = *id * 10 + (uint64_t)(*at - '0');
+	for (*id = 0; at < end && g_ascii_isdigit(*at); at++) {
+		const uint64_t digit = (uint64_t)(*at - '0');
+
+		*id = *id > (UINT64_MAX - digit) / 10 ? UINT64_MAX
+						      : *id * 10 + digit;
+	}
 	return true;
 }
 
--- a/test/unit/fleet/test_evstream.cc
+++ b/test/unit/fleet/test_evstream.cc
@@ -136,6 +136,15 @@
 	    EVSTREAM_OK);
 }
 
+/// An id beyond 64 bits was taken for the next one.
+TEST_F(Events, AnIdBeyond64BitsIsNotTheNextOne)
+{
+	const std::string far = "id: 18446744073709551618\ndata: t2\n\n";
+
+	EXPECT_EQ(feed(s, event(1) + far, &out), EVSTREAM_INVALID);
+	EXPECT_EQ(out, event(1));
+}
+
 TEST_F(Events, EventsThatTheCallerHasAreDropped)
 {
 	evstream_restart(s, 12);
