An empty response to a resumed stream is not the end of that stream

Callers saw, on a route whose streams can be resumed: events 1 and 2, a server that breaks off, and then 200 complete, because the server at which the gateway resumed ended its connection before its first event, with neither a length nor chunks.

Cause: whether a response without a length ended before its first event was read from the number of events of all attempts together.

Ruled out: the same for a caller that resumes by itself, which may have all events. It gets a complete response as before, as docs/incidents/2026-12-05-unframed-streams.md decides.

Change: the events of the current response decide.

Result: script_resume_refused, its last section: "200 whole" before, "broken" now; script_unframed_responses, script_second_response and script_mixed pass.

--- a/src/fleet/evstream.c
+++ b/src/fleet/evstream.c
@@ -271,3 +271,11 @@
 {
 	return s->response_id != 0 && s->response_id < s->last_id;
 }
+
+/// Whether the current response has had no event with an id, a repeated one
+/// included.
+bool
+evstream_is_empty(const struct evstream *s)
+{
+	return s->response_id == 0;
+}
--- a/src/fleet/evstream.h
+++ b/src/fleet/evstream.h
@@ -31,6 +31,7 @@
 uint64_t evstream_last_id(const struct evstream *s);
 const char *evstream_error(const struct evstream *s);
 bool evstream_is_behind(const struct evstream *s);
+bool evstream_is_empty(const struct evstream *s);
 uint32_t evstream_n_events(const struct evstream *s);
 
 #endif
--- a/src/gateway/gateway_receive.c
+++ b/src/gateway/gateway_receive.c
@@ -282,8 +282,7 @@
 		    "the stream ended before the events that the caller has");
 		return;
 	}
-	if (until_close && evstream_n_events(q->events) == 0 &&
-	    !q->call.resumes) {
+	if (until_close && evstream_is_empty(q->events) && !q->call.resumes) {
 		response_lost(q, "the stream ended before its first event");
 		return;
 	}
