An entry resumes no request that is journaled

Callers saw, on a route whose calls run once: a request with an X-Resume-Token gets 200 and, as a complete response, the last five of the ten tokens of a new run. A token that names a group that does not exist ended the entry by an assertion; one that names none hung until the caller left.

Cause: the token was obeyed on every route to runners. Its id replaced the id of the request and with that the group of its record. Only streams that are not journaled are ever handed off.

Ruled out: checking the group alone; the id could still be that of the record of another request.

Change: 400 for a token on a route whose requests are journaled.

--- a/src/entry/entry_callers.c
+++ b/src/entry/entry_callers.c
@@ -318,9 +318,10 @@
 }
 
 /// Continues a stream that another entry handed off, if the caller sent its
-/// resume token: `<request id>.<tokens>`.
+/// resume token: `<request id>.<tokens>`. Journaled requests aren't handed off:
+/// their ids are their records', and another run must not follow theirs.
 ///
-/// @return false when the token is malformed
+/// @return false when the token is malformed, or the request is journaled
 static bool
 apply_resume_token(struct req *q)
 {
@@ -331,7 +332,8 @@
 	if (token == NULL)
 		return true;
 	dot = strrchr(token, '.');
-	if (dot == NULL || (size_t)(dot - token) >= sizeof(q->id))
+	if (q->journaled || dot == NULL ||
+	    (size_t)(dot - token) >= sizeof(q->id))
 		return false;
 	(void)g_strlcpy(q->id, token, (gsize)(dot - token) + 1);
 	assembler_free(q->stream);
--- a/test/common/first_note.c
+++ b/test/common/first_note.c
@@ -68,6 +68,8 @@
 	    true, 60000);
 	add_route(
 	    note, "/v1/completions", FIRST_NOTE_RUNNERS, "stream", true, 60000);
+	add_route(
+	    note, "/v1/drafts", FIRST_NOTE_RUNNERS, "stream", false, 60000);
 	add_route(note, "/stock", FIRST_NOTE_SERVICES, "at_once", true, 5000);
 	add_route(
 	    note, "/confirm", FIRST_NOTE_SERVICES, "at_once", false, 5000);
--- a/test/proof/path_hand_back.c
+++ b/test/proof/path_hand_back.c
@@ -13,6 +13,7 @@
 #define STOP_AFTER_US 700000
 #define STREAM_MS 30000
 #define CHAT "/v1/chat/completions"
+#define DRAFTS "/v1/drafts"
 
 int proof_path_hand_back(uint64_t seed);
 
@@ -82,6 +83,36 @@
 	_exit(0);
 }
 
+/// Sends requests with resume tokens on a route that isn't idempotent. They
+/// were obeyed: a response had the last tokens of another run, as a complete
+/// one, and an id of an unknown group ended the entry.
+///
+/// @return whether all were refused
+static bool
+refuses_to_resume(const struct deploy *d)
+{
+	static const char *const tokens[] = { "1-aaaaaaaaaaaaaaaa00000099.5",
+		"0123456789abcdef.5", "99-aaaaaaaaaaaaaaaa00000099.5" };
+	bool all = true;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tokens); i++) {
+		const struct http_request request = {
+			.port = deploy_port(d, DEPLOY_ENTRY, 1),
+			.path = DRAFTS,
+			.body = "{\"prompt\":\"plan\",\"max_tokens\":12}",
+			.resume = tokens[i],
+		};
+		struct http_response response;
+
+		http_request(&request, &response);
+		(void)printf("%s: status %d %s\n", tokens[i],
+		    response.http_status, response.body);
+		all = response.http_status == 400 && all;
+		http_response_free(&response);
+	}
+	return all;
+}
+
 /// Guards against lost or repeated tokens at a handoff. An entry stops before a
 /// stream is complete and sends a resume token; another entry continues from
 /// it. The two parts must add up to exactly the complete response.
@@ -124,7 +155,7 @@
 		joined = g_strconcat(first, rest, NULL);
 		ok = token != NULL && !first_done && rest_done &&
 		    complete_done && strlen(first) > 0 &&
-		    strcmp(joined, complete) == 0;
+		    strcmp(joined, complete) == 0 && refuses_to_resume(d);
 	}
 	if (!ok)
 		deploy_print_logs(d);
