No attempt follows the events of a stream that can't be resumed

Found in a review of the fix of streams of two runs: whether another attempt is allowed was asked of the verdict alone. If one that has sent events ever were "not run" again, its stream would go on with another run. A second barrier behind the verdict, without a fault shown that it would stop by itself; no test can bring it about now that the verdict is right.

Change: gateway_can_retry() also asks whether events were sent.

--- a/src/gateway/gateway_retry.c
+++ b/src/gateway/gateway_retry.c
@@ -27,7 +27,8 @@
 bool
 gateway_can_retry(const struct gateway_request *q, const char **why)
 {
-	if (q->verdict != VERDICT_NOT_RUN && !fleetcfg_is_retryable(q->route))
+	if ((q->verdict != VERDICT_NOT_RUN || q->head_sent) &&
+	    !fleetcfg_is_retryable(q->route))
 		*why = "it may have run";
 	else if (q->n_ran >= MAX(q->route->max_attempts, 1))
 		*why = "all attempts of the route were made";
