A leader that has just started knows what gateways have spent

Cause: a leader takes the levels that gateways have told it when it begins to lead, by its configuration. After a start that is applied in the same step and read a moment later: all levels were passed over, the reports taken for counted, and each bucket began full. Ruled out: what gateways let pass by themselves (333,000 tokens in 0.75 s, less than the rate); levels from before the loss; two leaders. Change: the configuration is read before the levels are taken. Result: Grants.ALeaderThatHasntReadTheConfigurationKnowsWhatGatewaysSpent fails before (level 5.2, full) and passes now, Grants.* five of five.

--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -127,6 +127,8 @@
 	if (!hub_is_leader(h))
 		hub_duty_reset(h);
 	if (hub_is_leader(h) && !h->was_leader) {
+		// The same step may have applied a newer one.
+		hub_load_config(h);
 		hub_quota_start(h);
 		hub_servers_reset(h);
 		hub_rollout_reset(h);
--- a/test/unit/hub/test_grants.cc
+++ b/test/unit/hub/test_grants.cc
@@ -145,3 +145,23 @@
 	gateway.askGrant("depot", 1);
 	EXPECT_EQ(waiting->value, 1U);
 }
+
+/// Guards against a process that applies the configuration in the moment in
+/// which it begins to lead, as after its start: it passed over what gateways
+/// had told it, and each customer had a full quota again.
+TEST(Grants, ALeaderThatHasntReadTheConfigurationKnowsWhatGatewaysSpent)
+{
+	TestHub hub;
+	TestGateway gateway(hub);
+	struct hub *h = hub.hub;
+
+	hub.configure(5, depot);
+	gateway.report(5, 10000);
+	fleetcfg_unref(h->config);
+	h->config = nullptr;
+	h->was_leader = false;
+	h->group->config.ops.role_changed(h, raft_role(h->group->core),
+	    raft_leader(h->group->core), raft_term(h->group->core));
+	hub.run(5);
+	EXPECT_LT(level(hub), -9000);
+}
