A call that is cancelled within its on_end leaves its connection alone

Cause: a connection returns to the pool before on_end is called, and the handle is valid until it returns. A call cancelled in between closed a connection that belonged to the pool by then, or to the next call, which took the freed one. Ruled out: that the hub, gateway, entry or control does so; read one by one, each forgets the handle or ends its attempt before it cancels. Change: one rule of ownership in httpc.h: a connection belongs to a call, to the pool or to those that wait to be closed, and has left its call when on_end begins, which ignores a cancel. Asserts hold that no pooled connection is closed and that no callback releases the client.

--- a/src/back/httpc.c
+++ b/src/back/httpc.c
@@ -51,8 +51,11 @@
 	a->on_data = NULL;
 	a->on_head = NULL;
 	a->on_end = NULL;
+	a->ended = true;
+	c->n_callbacks++;
 	if (on_end != NULL)
 		on_end(arg, result);
+	c->n_callbacks--;
 	slotmap_remove(c->calls, handle);
 }
 
@@ -166,8 +169,10 @@
 		remove_connection_headers(req);
 	a->http_status = evhttp_request_get_response_code(req);
 	a->response = req;
+	conn->client->n_callbacks++;
 	if (a->on_head != NULL)
 		a->on_head(a->arg, a->http_status);
+	conn->client->n_callbacks--;
 	a = httpc_conn_call(conn);
 	if (a != NULL)
 		a->response = NULL;
@@ -184,7 +189,9 @@
 
 	if (a == NULL || a->on_data == NULL || len == 0 || a->refused)
 		return;
+	conn->client->n_callbacks++;
 	a->on_data(a->arg, evbuffer_pullup(in, -1), len);
+	conn->client->n_callbacks--;
 }
 
 /// Ends the call of a connection without a complete response and frees the
@@ -346,8 +353,8 @@
 	return c;
 }
 
-/// Releases a client; calls in flight are cancelled without a callback. NULL is
-/// allowed.
+/// Releases a client, outside of its callbacks; calls in flight are cancelled
+/// without a callback. NULL is allowed.
 void
 httpc_free(struct httpc *c)
 {
@@ -356,6 +363,7 @@
 
 	if (c == NULL)
 		return;
+	assert(c->n_callbacks == 0);
 	for (handle_t h = slotmap_next(c->calls, HANDLE_NONE); h != HANDLE_NONE;
 	     h = slotmap_next(c->calls, h))
 		httpc_cancel(c, h);
@@ -433,13 +441,13 @@
 }
 
 /// Cancels a call; no callback follows. Its connection is closed, by which the
-/// server notices.
+/// server notices. One whose on_end runs has ended by itself.
 void
 httpc_cancel(struct httpc *c, handle_t handle)
 {
 	struct httpc_active *a = slotmap_get(c->calls, handle);
 
-	if (a == NULL)
+	if (a == NULL || a->ended)
 		return;
 	free_timers(a);
 	httpc_input_release(a);
@@ -506,7 +514,7 @@
 {
 	struct httpc_active *a = slotmap_get(c->calls, handle);
 
-	if (a == NULL)
+	if (a == NULL || a->ended)
 		return;
 	a->retained = bytes;
 	httpc_input_count(a);
--- a/src/back/httpc.h
+++ b/src/back/httpc.h
@@ -12,6 +12,16 @@
 /// HTTP client on one event loop, with a pool of kept-alive connections per
 /// address. A call is known by a handle until on_end is called or the call is
 /// cancelled; functions ignore a handle that has ended.
+///
+/// Who owns what. The client owns calls and connections; a connection belongs
+/// to one call, to the pool, or to those that wait to be closed. It has left
+/// its call when on_end begins: within on_end the handle gives the response's
+/// headers, and httpc_discard() may close the connection, but the call can't
+/// be cancelled any more. `arg` belongs to whoever made the call. It must live
+/// until on_end returns or the call is cancelled, and may be released within
+/// either; no callback follows. No function of the client calls a callback:
+/// they come from the event loop. Callbacks may make and cancel calls, but
+/// mustn't release the client.
 
 struct event_base;
 struct json_t;
--- a/src/back/httpc_conn.c
+++ b/src/back/httpc_conn.c
@@ -1,5 +1,6 @@
 #include "back/httpc_internal.h"
 
+#include <assert.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/bufferevent_ssl.h>
@@ -61,6 +62,7 @@
 void
 httpc_conn_free_later(struct httpc_conn *conn)
 {
+	assert(!conn->pooled);
 	if (conn->dead)
 		return;
 	conn->dead = true;
@@ -134,9 +136,23 @@
 		return;
 	}
 	limit_silence(conn, HTTPC_IDLE_S);
+	conn->pooled = true;
 	g_queue_push_head(q, conn);
 }
 
+/// Takes a connection out of the pool.
+///
+/// @return NULL when none is idle
+static struct httpc_conn *
+take_pooled(struct httpc *c, const char *key)
+{
+	struct httpc_conn *conn = g_queue_pop_head(idle_queue(c, key));
+
+	if (conn != NULL)
+		conn->pooled = false;
+	return conn;
+}
+
 /// Whether a connection is established.
 bool
 httpc_conn_is_connected(const struct httpc_conn *conn)
@@ -177,7 +193,7 @@
 	struct httpc_conn *conn = NULL;
 
 	while (!call->new_connection) {
-		conn = g_queue_pop_head(idle_queue(c, key));
+		conn = take_pooled(c, key);
 		if (conn == NULL || conn->unused_after_us == 0 ||
 		    g_get_monotonic_time() < conn->unused_after_us)
 			break;
@@ -215,8 +231,9 @@
 void
 httpc_conn_discard(struct httpc_conn *conn)
 {
-	if (conn->dead || conn->call != HANDLE_NONE)
+	if (!conn->pooled)
 		return;
 	(void)g_queue_remove(idle_queue(conn->client, conn->key), conn);
+	conn->pooled = false;
 	httpc_conn_free_later(conn);
 }
--- a/src/back/httpc_internal.h
+++ b/src/back/httpc_internal.h
@@ -19,6 +19,7 @@
 	struct evhttp_connection *evcon;
 	char *key;               ///< "HOST:PORT", key of its idle queue
 	handle_t call;           ///< HANDLE_NONE while idle
+	bool pooled;             ///< in the idle queue of its key
 	bool single_use;         ///< closed after its call
 	bool dead;               ///< waits to be freed by free_dead_conns()
 	bool checks_output;      ///< on_output() is set
@@ -45,6 +46,7 @@
 	size_t held;       ///< bytes of the response in memory
 	size_t retained;   ///< of these, kept by the owner of the call
 	bool starting;     ///< httpc_send() is at work on it
+	bool ended;        ///< on_end runs; the connection isn't its any more
 	bool refused;      ///< waits for httpc_input_end_refused()
 	const char *error; ///< why it was refused
 	handle_t handle;
@@ -60,8 +62,9 @@
 	GArray *refused; ///< handles of calls that end_refused_calls() ends
 	struct event *end_refused_event;
 	uint64_t n_opened;
-	size_t held;     ///< sum over calls that aren't refused
-	size_t max_held; ///< see httpc_set_max_held()
+	size_t held;          ///< sum over calls that aren't refused
+	size_t max_held;      ///< see httpc_set_max_held()
+	uint32_t n_callbacks; ///< that run; one may end within another
 };
 
 void httpc_conn_reset_on_close(const struct httpc_conn *conn);
--- a/test/unit/back/test_httpc.cc
+++ b/test/unit/back/test_httpc.cc
@@ -12,6 +12,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <fcntl.h>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <string>
 #include <sys/resource.h>
@@ -69,6 +70,8 @@
 	int http_status = 0;  ///< of the last response
 	uint64_t n_data = 0;  ///< bytes given to on_data
 	bool discard = false;
+	bool cancel = false; ///< the call, within its own on_end
+	bool again = false;  ///< sends another call before that
 
 	/// Gets what a server sends, as a whole or as it comes.
 	void get(bool stream, size_t max_body, uint64_t timeout_us = 2000000)
@@ -108,6 +111,14 @@
 			    result->len);
 			if (p->discard)
 				httpc_discard(p->client, p->handle);
+			const handle_t ended = p->handle;
+
+			if (p->again)
+				p->get(false, 0);
+			p->again = false;
+			httpc_set_retained(p->client, ended, 1);
+			if (p->cancel)
+				httpc_cancel(p->client, ended);
 		};
 		r.arg = this;
 		handle = httpc_send(client, &r);
@@ -684,3 +695,53 @@
 			close(fds[i]);
 	}
 }
+
+/// Guards against a connection with two owners: a call that was cancelled
+/// within its on_end freed its connection, which the pool had by then, or
+/// another call.
+TEST(Client, ACallThatEndsOwnsNoConnection)
+{
+	for (const bool again : { false, true }) {
+		Peer p;
+
+		(void)mallopt(M_PERTURB, 0xa5);
+		p.cancel = true;
+		p.again = again;
+		p.get(false, 0);
+		(void)event_base_loop(p.base, EVLOOP_NONBLOCK);
+		const int fd = accept(p.listener, nullptr, nullptr);
+		p.answer(fd, "one");
+		p.run();
+		EXPECT_EQ(p.body, "one");
+		if (!again)
+			p.get(false, 0);
+		p.run();
+		p.answer(fd, "two");
+		p.run();
+		EXPECT_EQ(p.n_ends, 2);
+		EXPECT_EQ(p.body, "two");
+		EXPECT_EQ(httpc_connections_opened(p.client), 1U);
+		EXPECT_EQ(httpc_held_bytes(p.client), 0U);
+		(void)mallopt(M_PERTURB, 0);
+		close(fd);
+	}
+}
+
+/// A client that is released within a callback would go on with what is gone.
+TEST(Client, IsNotReleasedWithinACallback)
+{
+	Peer p;
+	struct httpc_request r = {};
+
+	r.method = "GET";
+	r.host = "127.0.0.1";
+	r.port = p.port;
+	r.path = "/";
+	r.timeout_us = 1000;
+	r.on_end = [](void *arg, const struct httpc_result *) {
+		httpc_free(static_cast<Peer *>(arg)->client);
+	};
+	r.arg = &p;
+	ASSERT_NE(httpc_send(p.client, &r), HANDLE_NONE);
+	EXPECT_DEATH(p.run(), "n_callbacks");
+}
