A hello stays valid when its link is removed in the callback

Seen: no deployment; a hub read freed memory in on_link_up(), under AddressSanitizer. Cause: the transport passed a pointer into the link. A hub that learns from a hello that the peer's address isn't the one that its slot implies dials that one, removes the link, and reads the peer's id and data centre afterwards. The other callbacks of links (gateway, entry, control, feed, grants) read nothing of the hello after what may close the link. Change: hello is passed as a copy; transport.h states until when it is valid. Result: Peers.TheHelloOutlivesItsLink: heap-use-after-free in on_link_up() before, clean now, both under AddressSanitizer; without it the test passed before, too. unit_wire and the other tests of Peers pass.

--- a/src/wire/transport.c
+++ b/src/wire/transport.c
@@ -204,8 +204,9 @@
 		timerq_disarm(link->retry_timer);
 	if (link->hello.role == WIRE_ROLE_CONTROL)
 		set_urgent(link);
+	// The callback may remove the link.
 	t->config.callbacks.up(
-	    t->config.callbacks.arg, link->self, &link->hello);
+	    t->config.callbacks.arg, link->self, &msg->hello);
 	return true;
 }
 
@@ -216,6 +217,7 @@
 handle_frame(struct transport_link *link, const uint8_t *bytes, size_t len)
 {
 	struct transport *t = link->owner;
+	struct wire_hello hello;
 	struct wire_msg msg;
 
 	if (wire_decode(bytes, len, &msg) != STATUS_OK) {
@@ -229,8 +231,10 @@
 		return handle_hello(link, &msg);
 	if (msg.kind == WIRE_HELLO)
 		return false;
+	// The callback may remove the link.
+	hello = link->hello;
 	t->config.callbacks.message(
-	    t->config.callbacks.arg, link->self, &link->hello, &msg);
+	    t->config.callbacks.arg, link->self, &hello, &msg);
 	return true;
 }
 
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -16,7 +16,9 @@
 struct transport;
 
 /// Callbacks to the owner of the links. `hello` is the peer's; `link` is the
-/// handle to respond on. `hello` and `msg` are valid during the call only.
+/// handle to respond on. `hello` and `msg` are valid during the call only, and
+/// also if the callback closes or removes the link. It mustn't release the
+/// transport.
 struct transport_callbacks {
 	void (*up)(void *arg, handle_t link, const struct wire_hello *hello);
 	void (*message)(void *arg, handle_t link,
--- a/test/unit/hub/test_peers.cc
+++ b/test/unit/hub/test_peers.cc
@@ -4,18 +4,21 @@
 #include "fleet/slotaddr.h"
 }
 
+#include <malloc.h>
+
 namespace
 {
 
 /// A seed whose links are up, and which reads all and sends nothing.
 struct SilentSeed {
 	struct transport *links;
-	handle_t dialled;
+	handle_t dialled = HANDLE_NONE;
 	int lostDialled = 0;
 	int lostAccepted = 0;
 
 	/// @param host  address that it says it has; "": that of its slot
-	explicit SilentSeed(const TestHub &hub, const char *host = "")
+	explicit SilentSeed(
+	    const TestHub &hub, const char *host = "", bool dials = true)
 	{
 		struct transport_config config = {};
 
@@ -38,7 +41,8 @@
 		links = transport_new(&config);
 		EXPECT_EQ(
 		    transport_listen(links, "127.0.0.2", hub.port), STATUS_OK);
-		dialled = transport_dial(links, "127.0.0.1", hub.port);
+		if (dials)
+			dialled = transport_dial(links, "127.0.0.1", hub.port);
 	}
 
 	~SilentSeed()
@@ -54,6 +58,22 @@
 	}
 };
 
+/// An address that the slot 2 doesn't imply, though it is the address's.
+std::string
+otherAddressOfSlot2()
+{
+	for (uint32_t i = 0; i < 192U << 16; i++) {
+		const std::string host = "127." +
+		    std::to_string(64 + (i >> 16)) + "." +
+		    std::to_string(i >> 8 & 255) + "." +
+		    std::to_string(i & 255);
+
+		if (slotaddr_from_host(host.c_str()) == 2)
+			return host;
+	}
+	return "";
+}
+
 } // namespace
 
 /// Guards against control processes that keep to a link on which nothing
@@ -108,3 +128,20 @@
 	EXPECT_TRUE(
 	    hubstate_has_host(hub.hub->state, hub.hub->slot, "127.0.0.1"));
 }
+
+/// Guards against a hello that goes with its link: a process that is dialled
+/// where its slot implies, and says that its address is another one, is dialled
+/// there, and its hello was read after that.
+TEST(Peers, TheHelloOutlivesItsLink)
+{
+	TestHub hub;
+	SilentSeed seed(hub, otherAddressOfSlot2().c_str(), false);
+	const struct hub_peer *peer = hub_peer(hub.hub, 2);
+
+	ASSERT_NE(peer, nullptr);
+	(void)mallopt(M_PERTURB, 0xa5);
+	hub.run(500);
+	(void)mallopt(M_PERTURB, 0);
+	EXPECT_EQ(peer->incarnation, 1U);
+	EXPECT_EQ(g_hash_table_size(hub.hub->peers), 1U);
+}
