Servers that say that they are brittle aren't made to refuse more than they bear

Cause: the header was never read, and a refusal only made a server cost more for a quarter of a second; retries went from one full server to the other. Ruled out: that the signal isn't known everywhere.

Change: route/brittle, a core without I/O, keeps what a gateway has at such a server within its part of the slots, sends nothing for a second or longer after a refusal, and then few at a time. The gateway that gets the header tells the others through the leader, in a message of its own. Requests that find no room wait, or are refused at once, as for servers with a limit; the end of a request wakes those that wait. Checks of a server's health need no room. server.brittle, ac_servers_brittle, brittle and places in the status.

--- a/src/fleet/limitmsg.c
+++ b/src/fleet/limitmsg.c
@@ -20,6 +20,8 @@
 		.colds = g_array_new(FALSE, TRUE, sizeof(struct limitmsg_cold)),
 		.speeds =
 		    g_array_new(FALSE, TRUE, sizeof(struct limitmsg_speed)),
+		.brittles =
+		    g_array_new(FALSE, TRUE, sizeof(struct limitmsg_brittle)),
 	};
 }
 
@@ -30,6 +32,7 @@
 	g_array_unref(m->limits);
 	g_array_unref(m->colds);
 	g_array_unref(m->speeds);
+	g_array_unref(m->brittles);
 }
 
 /// Appends a server's limit.
@@ -68,6 +71,18 @@
 	g_array_append_val(m->speeds, speed);
 }
 
+/// Appends a server that is brittle, or isn't any more.
+void
+limitmsg_add_brittle(struct limitmsg *m, const char *server, bool is_brittle,
+    uint32_t max_refusals)
+{
+	struct limitmsg_brittle brittle = { .max_refusals = max_refusals,
+		.is_brittle = is_brittle };
+
+	(void)g_strlcpy(brittle.server, server, sizeof(brittle.server));
+	g_array_append_val(m->brittles, brittle);
+}
+
 /// Requests per second of a limit; 0: it has ended.
 double
 limitmsg_per_s(const struct limitmsg_limit *limit)
@@ -81,7 +96,8 @@
 {
 	uint32_t n = m->colds->len;
 
-	if (codec_is_writer(c) ? n + m->speeds->len == 0 : codec_at_end(c))
+	if (codec_is_writer(c) ? n + m->speeds->len + m->brittles->len == 0
+			       : codec_at_end(c))
 		return;
 	codec_u32(c, &n);
 	if (n > MAX_LIMITS) {
@@ -103,7 +119,7 @@
 {
 	uint32_t n = m->speeds->len;
 
-	if (codec_is_writer(c) ? n == 0 : codec_at_end(c))
+	if (codec_is_writer(c) ? n + m->brittles->len == 0 : codec_at_end(c))
 		return;
 	codec_u32(c, &n);
 	if (n > MAX_LIMITS) {
@@ -120,6 +136,29 @@
 	}
 }
 
+static void
+code_brittles(struct codec *c, struct limitmsg *m)
+{
+	uint32_t n = m->brittles->len;
+
+	if (codec_is_writer(c) ? n == 0 : codec_at_end(c))
+		return;
+	codec_u32(c, &n);
+	if (n > MAX_LIMITS) {
+		codec_fail(c);
+		return;
+	}
+	g_array_set_size(m->brittles, n);
+	for (uint32_t i = 0; i < n; i++) {
+		struct limitmsg_brittle *brittle =
+		    &g_array_index(m->brittles, struct limitmsg_brittle, i);
+
+		codec_str(c, brittle->server, sizeof(brittle->server));
+		codec_u32(c, &brittle->max_refusals);
+		codec_bool(c, &brittle->is_brittle);
+	}
+}
+
 static void
 code_message(struct codec *c, struct limitmsg *m)
 {
@@ -144,6 +183,7 @@
 	}
 	code_colds(c, m);
 	code_speeds(c, m);
+	code_brittles(c, m);
 }
 
 /// Encodes a message.
--- a/src/fleet/limitmsg.h
+++ b/src/fleet/limitmsg.h
@@ -6,7 +6,8 @@
 #include "fleet/fleetcfg.h"
 
 /// Message, in both directions, about the limits that backend servers
-/// advertise, how long servers are cold, and what pace they state. A gateway
+/// advertise, how long servers are cold, what pace they state, and which are
+/// brittle. A gateway
 /// tells the leader of each change in the responses of a server, and a new
 /// leader of all limits that it knows; a new leader's response has all that it
 /// knows. The leader passes changes on to all other gateways, and gives each of
@@ -30,13 +31,21 @@
 	uint32_t pace_percent;
 };
 
+/// A server that is brittle (route/brittle.h), or isn't any more.
+struct limitmsg_brittle {
+	char server[FLEETCFG_NAME_BYTES];
+	uint32_t max_refusals;
+	bool is_brittle;
+};
+
 struct limitmsg {
-	bool whole;      ///< all limits that the sender knows
-	uint32_t number; ///< of the gateway that gets it, from 0
-	uint32_t n;      ///< numbered gateways; 0: `number` isn't given
-	GArray *limits;  ///< struct limitmsg_limit
-	GArray *colds;   ///< struct limitmsg_cold; older senders give none
-	GArray *speeds;  ///< struct limitmsg_speed, to the leader only
+	bool whole;       ///< all limits that the sender knows
+	uint32_t number;  ///< of the gateway that gets it, from 0
+	uint32_t n;       ///< numbered gateways; 0: `number` isn't given
+	GArray *limits;   ///< struct limitmsg_limit
+	GArray *colds;    ///< struct limitmsg_cold; older senders give none
+	GArray *speeds;   ///< struct limitmsg_speed, to the leader only
+	GArray *brittles; ///< struct limitmsg_brittle; older senders give none
 };
 
 void limitmsg_init(struct limitmsg *m);
@@ -46,6 +55,8 @@
     struct limitmsg *m, const char *server, uint32_t left_ms);
 void limitmsg_add_speed(
     struct limitmsg *m, const char *server, uint32_t pace_percent);
+void limitmsg_add_brittle(struct limitmsg *m, const char *server,
+    bool is_brittle, uint32_t max_refusals);
 double limitmsg_per_s(const struct limitmsg_limit *limit);
 void limitmsg_encode(const struct limitmsg *m, uint8_t **bytes, size_t *len);
 enum status limitmsg_decode(
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -188,6 +188,8 @@
 	    metrics_counter(registry, "ac_server_leaving_responses_total", "");
 	g->n_signals[API_SIGNAL_RETRY_AFTER] = metrics_counter(
 	    registry, "ac_server_retry_after_responses_total", "");
+	g->n_signals[API_SIGNAL_BRITTLE] =
+	    metrics_counter(registry, "ac_server_brittle_responses_total", "");
 	g->n_cold_checks =
 	    metrics_counter(registry, "ac_server_cold_checks_total", "");
 	g->n_pace_samples =
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -363,6 +363,8 @@
 	    gateway_signals_count(g, API_SIGNAL_LIMIT);
 	metrics_gauge(registry, "ac_servers_leaving", "")->value =
 	    gateway_signals_count(g, API_SIGNAL_LEAVING);
+	metrics_gauge(registry, "ac_servers_brittle", "")->value =
+	    gateway_signals_count(g, API_SIGNAL_BRITTLE);
 	metrics_gauge(registry, "ac_servers_paused", "")->value =
 	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER);
 	metrics_gauge(registry, "ac_request_bytes", "")->value =
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -52,6 +52,9 @@
 	double limit_per_s; ///< requests that it takes from all gateways; 0: no
 			    ///< limit
 	uint64_t limit_since_us;    ///< when that became known here
+	bool is_brittle;            ///< see route/brittle.h
+	uint32_t max_refusals;      ///< in a second, if it is brittle
+	uint64_t brittle_since_us;  ///< when that became known here
 	bool signalled_leaving;     ///< in a response since its last start
 	uint64_t incarnation;       ///< starts under this id, as known here
 	uint64_t next_check_us;     ///< whether it still leaves
@@ -362,13 +365,23 @@
 
 uint32_t gateway_signals_count(const struct gateway *g, enum api_signal signal);
 
-/// A response of a server, as far as its limit needs it.
+/// A response of a server, as far as its signals need it.
 struct gateway_server_response {
 	const struct api_response *response;
 	int status;
 	uint64_t sent_us; ///< when its request was sent
 };
 
+bool gateway_signals_end(
+    const struct gateway_server_response *h, uint64_t since_us);
+
+/// gateway_brittle.c: servers that fail when they refuse too much
+void gateway_brittle_on_leader(struct gateway *g, handle_t link);
+void gateway_brittle_on_message(struct gateway *g, const struct limitmsg *m);
+void gateway_brittle_on_response(struct gateway *g, struct gateway_server *s,
+    const struct gateway_server_response *h);
+void gateway_brittle_restore(struct gateway *g, const struct gateway_server *s);
+
 /// gateway_limits.c: limits that servers advertise
 void gateway_limits_on_leader(struct gateway *g, handle_t link);
 void gateway_limits_on_message(
@@ -377,6 +390,8 @@
 void gateway_limits_on_response(struct gateway *g, struct gateway_server *s,
     const struct gateway_server_response *h);
 
+void gateway_limits_send(
+    struct gateway *g, handle_t link, const struct limitmsg *m);
 void gateway_limits_send_to_leader(struct gateway *g, const struct limitmsg *m);
 
 /// gateway_cold.c: servers that take few requests after a start
@@ -404,6 +419,7 @@
 bool gateway_openq_add(struct gateway_request *q);
 void gateway_openq_remove(struct gateway_request *q);
 void gateway_openq_on_timeout(struct gateway_request *q);
+void gateway_openq_wake(struct gateway *g, struct gateway_service_load *l);
 
 /// gateway_waitq.c: requests that wait until this gateway is ready
 bool gateway_waitq_add(struct gateway *g, handle_t caller,
--- a/src/gateway/gateway_leaving.c
+++ b/src/gateway/gateway_leaving.c
@@ -18,6 +18,8 @@
 	s->signalled_leaving = false;
 	s->next_check_us = 0;
 	s->limit_per_s = 0;
+	s->is_brittle = false;
+	s->max_refusals = 0;
 	s->incarnation++;
 }
 
--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -26,8 +26,9 @@
 	balancer_set_limit(g->balancer, now, s->balancer_handle, per_s);
 }
 
-static void
-send_message(struct gateway *g, handle_t link, const struct limitmsg *m)
+/// Sends a control process a message.
+void
+gateway_limits_send(struct gateway *g, handle_t link, const struct limitmsg *m)
 {
 	struct wire_msg msg = { .kind = WIRE_LIMITS };
 	uint8_t *bytes;
@@ -46,7 +47,7 @@
 	    g_hash_table_lookup(g->hubs, GUINT_TO_POINTER(g->leader));
 
 	if (leader != NULL && leader->acks_limits)
-		send_message(g, leader->link, m);
+		gateway_limits_send(g, leader->link, m);
 }
 
 /// Sends the leader a limit that a server has just advertised or lifted.
@@ -80,8 +81,9 @@
 			limitmsg_add(&m, s->instance.id, s->limit_per_s);
 	}
 	gateway_cold_fill(g, &m);
-	send_message(g, link, &m);
+	gateway_limits_send(g, link, &m);
 	limitmsg_clear(&m);
+	gateway_brittle_on_leader(g, link);
 }
 
 /// Handles the leader's message: limits that other gateways reported, and this
@@ -123,6 +125,7 @@
 			set_limit(g, s, limitmsg_per_s(limit), "control");
 	}
 	gateway_cold_on_message(g, &m);
+	gateway_brittle_on_message(g, &m);
 	limitmsg_clear(&m);
 }
 
@@ -135,17 +138,6 @@
 	    g->balancer, loop_now_us(g->loop), g->position, g->clock_offset_us);
 }
 
-/// Whether a response without a limit shows that the server's limit has ended:
-/// the server itself has answered a request that was sent when the limit was
-/// known here. The head of an earlier one can be older than the limit.
-static bool
-ends_limit(
-    const struct gateway_server_response *h, const struct gateway_server *s)
-{
-	return h->response->stamped && h->status >= 200 && h->status < 300 &&
-	    h->sent_us > s->limit_since_us;
-}
-
 /// Acts on the limit in a response's head, or on its absence.
 void
 gateway_limits_on_response(struct gateway *g, struct gateway_server *s,
@@ -160,7 +152,7 @@
 		set_limit(g, s,
 		    MAX(signals->limit_per_s, GATEWAY_MIN_LIMIT_PER_S),
 		    "server");
-	else if (was > 0 && ends_limit(h, s))
+	else if (was > 0 && gateway_signals_end(h, s->limit_since_us))
 		set_limit(g, s, 0, "server");
 	if (s->limit_per_s != was)
 		send_limit(g, s);
--- a/src/gateway/gateway_openq.c
+++ b/src/gateway/gateway_openq.c
@@ -109,6 +109,15 @@
 	}
 }
 
+/// A request of a service has ended, which may have made room at its server:
+/// looks at the queue at once.
+void
+gateway_openq_wake(struct gateway *g, struct gateway_service_load *l)
+{
+	if (!g_queue_is_empty(&l->waiting))
+		timerq_arm(l->opening, loop_now_us(g->loop));
+}
+
 /// Retry-After of a request that wasn't run: when a server of its service next
 /// takes one, or soon.
 uint64_t
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -28,6 +28,8 @@
 		gateway_service_load(g, q->service->name)->running--;
 		gateway_service_load(g, q->service->name)->work_us +=
 		    now - q->attempt_sent_us;
+		gateway_openq_wake(
+		    g, gateway_service_load(g, q->service->name));
 	}
 	q->call_handle = HANDLE_NONE;
 	if (q->dispatch != HANDLE_NONE)
@@ -125,6 +127,7 @@
 
 		l->running--;
 		l->work_us += now - q->attempt_sent_us;
+		gateway_openq_wake(g, l);
 	}
 	q->call_handle = HANDLE_NONE;
 	if (q->dispatch != HANDLE_NONE)
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -36,10 +36,12 @@
 	const struct fleetcfg_engine *engine =
 	    engine_of(g, s->instance.service);
 	handle_t handle;
+	bool is_new_entry;
 	struct balancer_server_conf conf = {
 		.kind = engine != NULL ? BALANCER_RUNNER : BALANCER_SERVICE,
 		.n_versions = 1,
 		.kv_tokens = engine != NULL ? engine->kv_tokens : 0,
+		.slots = s->instance.slots,
 		.incarnation = s->incarnation,
 	};
 
@@ -55,9 +57,12 @@
 		: GATEWAY_ONE_WAY_US,
 	    gateway_evac_covers(g, s->instance.zone));
 	handle = balancer_set_server(g->balancer, now_us, &conf);
-	if (handle != s->balancer_handle && s->limit_per_s > 0)
+	is_new_entry = handle != s->balancer_handle;
+	if (is_new_entry && s->limit_per_s > 0)
 		balancer_set_limit(g->balancer, now_us, handle, s->limit_per_s);
 	s->balancer_handle = handle;
+	if (is_new_entry)
+		gateway_brittle_restore(g, s);
 	gateway_cold_on_listed(g, s);
 	gateway_speed_on_listed(g, s);
 	if (s->instance.draining || s->signalled_leaving)
--- a/src/gateway/gateway_signals.c
+++ b/src/gateway/gateway_signals.c
@@ -54,6 +54,16 @@
 	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER));
 }
 
+/// Whether a response without a signal shows that the signal has ended: the
+/// server itself has answered a request that was sent when the signal was known
+/// here. The head of an earlier one can be older than the signal.
+bool
+gateway_signals_end(const struct gateway_server_response *h, uint64_t since_us)
+{
+	return h->response->stamped && h->status >= 200 && h->status < 300 &&
+	    h->sent_us > since_us;
+}
+
 /// Acts on the signals of a backend server in the head of a response.
 ///
 /// @param server   its id; one that isn't listed is ignored
@@ -80,6 +90,7 @@
 			g->n_signals[i]->value++;
 	}
 	gateway_limits_on_response(g, s, &h);
+	gateway_brittle_on_response(g, s, &h);
 	if (response->has_cold)
 		gateway_cold_on_health(g, s, response->cold_ms);
 	else if (response->stamped)
@@ -116,6 +127,7 @@
 		(void)balancer_server_stats(
 		    g->balancer, now, s->balancer_handle, &stats);
 		n += (signal == API_SIGNAL_LIMIT && s->limit_per_s > 0) ||
+		    (signal == API_SIGNAL_BRITTLE && s->is_brittle) ||
 		    (signal == API_SIGNAL_LEAVING && s->signalled_leaving) ||
 		    (signal == API_SIGNAL_RETRY_AFTER &&
 			stats.paused_until_us > now);
--- a/src/gateway/gateway_unlisted.c
+++ b/src/gateway/gateway_unlisted.c
@@ -10,6 +10,9 @@
 	bool leaving;
 	double limit_per_s;
 	uint64_t limit_since_us;
+	bool is_brittle;
+	uint32_t max_refusals;
+	uint64_t brittle_since_us;
 	uint64_t paused_until_us;
 	uint64_t incarnation;
 	uint64_t forget_us;
@@ -43,7 +46,7 @@
 	(void)g_hash_table_foreach_remove(g->unlisted, is_old, &now);
 	(void)balancer_server_stats(
 	    g->balancer, now, s->balancer_handle, &stats);
-	if (!s->signalled_leaving && s->limit_per_s <= 0 &&
+	if (!s->signalled_leaving && s->limit_per_s <= 0 && !s->is_brittle &&
 	    stats.paused_until_us <= now)
 		return;
 	u = g_new0(struct unlisted, 1);
@@ -51,6 +54,9 @@
 		.leaving = s->signalled_leaving,
 		.limit_per_s = s->limit_per_s,
 		.limit_since_us = s->limit_since_us,
+		.is_brittle = s->is_brittle,
+		.max_refusals = s->max_refusals,
+		.brittle_since_us = s->brittle_since_us,
 		.paused_until_us = stats.paused_until_us,
 		.incarnation = s->incarnation,
 		.forget_us =
@@ -72,15 +78,20 @@
 	if (u == NULL)
 		return;
 	logger_event(LOGGER_INFO, "server.restored",
-	    "server=%s leaving=%d limit=%g paused_ms=%" G_GUINT64_FORMAT,
-	    s->instance.id, u->leaving, u->limit_per_s,
+	    "server=%s leaving=%d limit=%g brittle=%d "
+	    "paused_ms=%" G_GUINT64_FORMAT,
+	    s->instance.id, u->leaving, u->limit_per_s, u->is_brittle,
 	    u->paused_until_us > now
 		? (u->paused_until_us - now) / USEC_PER_MSEC
 		: 0);
 	s->signalled_leaving = u->leaving;
 	s->limit_per_s = u->limit_per_s;
 	s->limit_since_us = u->limit_since_us;
+	s->is_brittle = u->is_brittle;
+	s->max_refusals = u->max_refusals;
+	s->brittle_since_us = u->brittle_since_us;
 	s->incarnation = u->incarnation;
+	gateway_brittle_restore(g, s);
 	if (u->limit_per_s > 0)
 		balancer_set_limit(
 		    g->balancer, now, s->balancer_handle, u->limit_per_s);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -95,6 +95,8 @@
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	h->gateways = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, hub_gateway_free);
+	h->brittles =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->colds =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->limits =
@@ -183,6 +185,7 @@
 	g_hash_table_destroy(h->gateways);
 	g_hash_table_destroy(h->limits);
 	g_hash_table_destroy(h->colds);
+	g_hash_table_destroy(h->brittles);
 	g_hash_table_destroy(h->load_by_service);
 	g_hash_table_destroy(h->sizing_by_service);
 	g_hash_table_destroy(h->scale_orders);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -151,8 +151,10 @@
 	struct hub_evac *evac; ///< evacuated data centres (hub_evac.c)
 
 	/// Limits that servers advertise (hub_limits.c).
-	GHashTable *limits; ///< server's id -> double, requests per second
-	GHashTable *colds;  ///< server's id -> uint64_t, when it isn't cold
+	GHashTable *limits;   ///< server's id -> double, requests per second
+	GHashTable *colds;    ///< server's id -> uint64_t, when it isn't cold
+	GHashTable *brittles; ///< brittle server's id -> uint32_t, the
+			      ///< refusals in a second with which it goes on
 	uint64_t next_numbers_us;
 	struct serverspeed *speeds; ///< of servers (hub_speed.c)
 
--- a/src/hub/hub_limits.c
+++ b/src/hub/hub_limits.c
@@ -34,6 +34,7 @@
 
 	g_hash_table_remove_all(h->limits);
 	g_hash_table_remove_all(h->colds);
+	g_hash_table_remove_all(h->brittles);
 	h->next_numbers_us = loop_now_us(h->loop) + HUB_LIMITS_SETTLE_US;
 	g_hash_table_iter_init(&it, h->gateways);
 	while (g_hash_table_iter_next(&it, NULL, &value))
@@ -83,6 +84,44 @@
 	g_array_set_size(m->colds, n);
 }
 
+/// Records which servers are brittle, and which aren't any more.
+static void
+apply_brittles(struct hub *h, const struct limitmsg *m)
+{
+	for (guint i = 0; i < m->brittles->len; i++) {
+		const struct limitmsg_brittle *b =
+		    &g_array_index(m->brittles, struct limitmsg_brittle, i);
+
+		if (b->is_brittle)
+			(void)g_hash_table_insert(h->brittles,
+			    g_strdup(b->server),
+			    g_memdup2(
+				&b->max_refusals, sizeof(b->max_refusals)));
+		else
+			(void)g_hash_table_remove(h->brittles, b->server);
+	}
+}
+
+/// Sends which servers are brittle. That is a message of its own, as older
+/// gateways can't decode it.
+static void
+send_brittles(struct hub *h, const struct hub_gateway *g)
+{
+	GHashTableIter it;
+	gpointer server;
+	gpointer max_refusals;
+	struct limitmsg m;
+
+	limitmsg_init(&m);
+	g_hash_table_iter_init(&it, h->brittles);
+	while (g_hash_table_iter_next(&it, &server, &max_refusals))
+		limitmsg_add_brittle(
+		    &m, server, true, *(const uint32_t *)max_refusals);
+	if (m.brittles->len > 0)
+		send_message(h, g, &m);
+	limitmsg_clear(&m);
+}
+
 /// Adds the servers that are cold to a message.
 static void
 fill_colds(const struct hub *h, struct limitmsg *m)
@@ -110,8 +149,9 @@
 		.limits = m->limits,
 		.colds = m->colds,
 		.speeds = m->speeds,
+		.brittles = m->brittles,
 	};
-	const bool any = m->limits->len > 0 || m->colds->len > 0;
+	const bool any = m->limits->len + m->colds->len + m->brittles->len > 0;
 	GHashTableIter it;
 	gpointer value;
 
@@ -163,12 +203,15 @@
 	}
 	apply(h, &m);
 	apply_colds(h, &m);
+	apply_brittles(h, &m);
 	hub_speed_on_message(h, &m);
 	g_array_set_size(m.speeds, 0);
 	pass_on(h, g, &m);
 	g->knows_limits = true;
-	if (m.whole)
+	if (m.whole) {
 		send_all(h, g);
+		send_brittles(h, g);
+	}
 	limitmsg_clear(&m);
 }
 
@@ -179,7 +222,20 @@
 	return *(const uint64_t *)until_us <= *(const uint64_t *)now;
 }
 
-/// Drops the limits of servers that the list doesn't show any more, and cold
+static void
+drop_unlisted(GHashTable *of_servers, GHashTable *listed)
+{
+	GHashTableIter it;
+	gpointer server;
+
+	g_hash_table_iter_init(&it, of_servers);
+	while (g_hash_table_iter_next(&it, &server, NULL)) {
+		if (!g_hash_table_contains(listed, server))
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+/// Drops what servers that the list doesn't show any more have said, and cold
 /// times that have passed.
 ///
 /// @param servers  struct instance
@@ -188,18 +244,13 @@
 {
 	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
 	uint64_t now = loop_now_us(h->loop);
-	GHashTableIter it;
-	gpointer server;
 
 	(void)g_hash_table_foreach_remove(h->colds, is_over, &now);
 	for (guint i = 0; i < servers->len; i++)
 		(void)g_hash_table_add(
 		    listed, g_array_index(servers, struct instance, i).id);
-	g_hash_table_iter_init(&it, h->limits);
-	while (g_hash_table_iter_next(&it, &server, NULL)) {
-		if (!g_hash_table_contains(listed, server))
-			g_hash_table_iter_remove(&it);
-	}
+	drop_unlisted(h->limits, listed);
+	drop_unlisted(h->brittles, listed);
 	g_hash_table_destroy(listed);
 }
 
--- a/src/platform/api_names.h
+++ b/src/platform/api_names.h
@@ -41,6 +41,9 @@
 #define API_HDR_SERVER_LIMIT "Server-Limit"
 /// "1": the backend server leaves.
 #define API_HDR_SERVER_LEAVING "Server-Leaving"
+/// Requests that the backend server may have to refuse in a second for want of
+/// room; with more it fails. Absent if it isn't brittle.
+#define API_HDR_SERVER_BRITTLE "Server-Brittle"
 #define API_HDR_DUTY_HOLDER "X-Acaciahinge-Duty-Holder"
 /// Fencing number of the duty.
 #define API_HDR_FENCE "X-Acaciahinge-Fence-Token"
--- a/src/platform/api_signals.c
+++ b/src/platform/api_signals.c
@@ -6,15 +6,17 @@
 #include "platform/api_names.h"
 
 #define US_PER_S 1e6
-/// Larger figures are taken for errors: a server's requests per second, and the
-/// seconds of a pause.
+/// Larger figures are taken for errors: a server's requests per second, the
+/// seconds of a pause, and refusals in a second.
 #define MAX_LIMIT_PER_S 1e6
 #define MAX_RETRY_AFTER_S 3600.0
+#define MAX_REFUSALS 1e6
 
 static const char *const signal_names[API_N_SIGNALS] = {
 	[API_SIGNAL_LIMIT] = API_HDR_SERVER_LIMIT,
 	[API_SIGNAL_LEAVING] = API_HDR_SERVER_LEAVING,
 	[API_SIGNAL_RETRY_AFTER] = "Retry-After",
+	[API_SIGNAL_BRITTLE] = API_HDR_SERVER_BRITTLE,
 };
 
 /// Returns the name of the header that carries a signal.
@@ -51,6 +53,7 @@
 read_value(struct api_signals *s, enum api_signal signal, const char *value)
 {
 	double seconds;
+	double refusals;
 
 	switch (signal) {
 	case API_SIGNAL_LIMIT:
@@ -63,6 +66,11 @@
 			return false;
 		s->retry_after_us = (uint64_t)(seconds * US_PER_S);
 		return true;
+	case API_SIGNAL_BRITTLE:
+		if (!read_decimal(value, MAX_REFUSALS, &refusals))
+			return false;
+		s->max_refusals = (uint32_t)refusals;
+		return true;
 	case API_N_SIGNALS:
 		break;
 	}
@@ -81,6 +89,8 @@
 		s->leaving = false;
 	if (signal == API_SIGNAL_RETRY_AFTER)
 		s->retry_after_us = 0;
+	if (signal == API_SIGNAL_BRITTLE)
+		s->max_refusals = 0;
 }
 
 /// Reads one header of a response; to be called for each of them.
--- a/src/route/balancer.c
+++ b/src/route/balancer.c
@@ -503,8 +503,11 @@
 {
 	const struct balancer_server *p = balancer__server(r, server);
 
+	struct brittle_senders senders;
+
 	if (p == NULL)
 		return false;
+	senders = balancer__senders(r, p);
 	*out = (struct balancer_server_stats){
 		.load = balancer__load(p),
 		.own_requests = p->own_requests,
@@ -514,6 +517,10 @@
 		.limit_per_s = p->turns.per_s,
 		.paused_until_us = p->paused_until_us,
 		.cold_until_us = p->cold.until_us,
+		.brittle = p->brittle.on,
+		.places = p->brittle.on
+		    ? brittle_places(&p->brittle, balancer__slots(p), &senders)
+		    : 0,
 		.pace_percent = balancer__usual_pace(p),
 		.pace_now_percent = (uint32_t)(balancer__pace(p, now_us) *
 		    BALANCER_PACE_NORMAL),
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -48,6 +48,7 @@
 	/// Size of its prefix cache in tokens, 0: unknown. Work done there
 	/// evicts older prompts.
 	uint64_t kv_tokens;
+	uint32_t slots; ///< Requests at a time; 0: unknown.
 	/// A change drops its load, prefix index entries and draining state.
 	uint64_t incarnation;
 	uint64_t tag; ///< Opaque to the balancer; returned by a choice.
@@ -195,6 +196,11 @@
 void balancer_set_limit(
     struct balancer *r, uint64_t now_us, handle_t server, double per_s);
 
+/// A server that fails when it refuses too much, see brittle.h. `max_refusals`
+/// doesn't matter when it isn't brittle.
+void balancer_set_brittle(struct balancer *r, handle_t server, bool is_brittle,
+    uint32_t max_refusals);
+
 /// See balancer_speed.c.
 void balancer_set_pace(struct balancer *r, handle_t server, uint32_t percent);
 
@@ -226,7 +232,8 @@
 void balancer_pause(
     struct balancer *r, uint64_t now_us, handle_t server, uint64_t until_us);
 
-/// Whether a server takes a request now, by its limit and its pause.
+/// Whether a server takes a request now, by its limit, its pause and its cold
+/// time. One for its health needs no room at a brittle one.
 bool balancer_is_open(
     const struct balancer *r, uint64_t now_us, handle_t server);
 
@@ -238,7 +245,8 @@
 struct balancer_openings {
 	uint64_t next_us;   ///< of the first one
 	double per_s;       ///< requests per second to servers with a limit
-	bool any_unlimited; ///< a server without a limit is among them
+	bool any_unlimited; ///< a server without a limit, or of which it isn't
+			    ///< known how much it takes, is among them
 };
 
 bool balancer_openings(const struct balancer *r, uint64_t now_us,
@@ -261,9 +269,11 @@
 	uint32_t own_requests; ///< Our own requests there.
 	bool ejected;          ///< Ejected as an outlier.
 	bool draining;
-	double limit_per_s;        ///< Advertised; 0: none.
-	uint64_t paused_until_us;  ///< In the past: it isn't.
-	uint64_t cold_until_us;    ///< In the past: it isn't.
+	double limit_per_s;       ///< Advertised; 0: none.
+	uint64_t paused_until_us; ///< In the past: it isn't.
+	uint64_t cold_until_us;   ///< In the past: it isn't.
+	bool brittle;
+	uint32_t places; ///< Own requests that a brittle one gets at a time.
 	uint32_t pace_percent;     ///< Usual time of work there.
 	uint32_t pace_now_percent; ///< Expected of work sent now.
 	uint64_t first_token_us;   ///< Smoothed; 0: none yet.
--- a/src/route/balancer_choose.c
+++ b/src/route/balancer_choose.c
@@ -303,7 +303,8 @@
 			s->warmed = p;
 			best_cold = x;
 		}
-		if (p->restricted || (s->preferred != NULL && x <= best))
+		if (balancer__has_turns(p) ||
+		    (s->preferred != NULL && x <= best))
 			continue;
 		s->preferred = p;
 		best = x;
--- a/src/route/balancer_dispatch.c
+++ b/src/route/balancer_dispatch.c
@@ -175,6 +175,7 @@
 {
 	struct balancer_dispatch *d = slotmap_get(r->dispatches, dispatch);
 	struct balancer_server *p;
+	struct brittle_senders senders;
 
 	if (d == NULL)
 		return;
@@ -193,6 +194,7 @@
 	case BALANCER_DONE:
 		record_usage(r, p, now_us, d, output_tokens, cached_tokens);
 		balancer__record_success(r, p, now_us, dispatch);
+		brittle_on_done(&p->brittle, now_us, d->begin_us);
 		break;
 	case BALANCER_FAILED:
 	case BALANCER_TIMED_OUT:
@@ -200,6 +202,8 @@
 		break;
 	case BALANCER_REFUSED:
 		p->busy_until_us = now_us + BALANCER_BUSY_US;
+		senders = balancer__senders(r, p);
+		brittle_on_refused(&p->brittle, now_us, &senders);
 		break;
 	case BALANCER_CANCELLED:
 		break;
--- a/src/route/balancer_internal.h
+++ b/src/route/balancer_internal.h
@@ -2,6 +2,7 @@
 #define ROUTE_BALANCER_INTERNAL_H
 
 #include "route/balancer.h"
+#include "route/brittle.h"
 #include "route/prefix_index.h"
 
 /// State shared by the files of the balancer; not for other folders. Names
@@ -63,8 +64,8 @@
 	uint32_t versions[BALANCER_MAX_VERSIONS];
 
 	bool draining;
-	/// It has advertised a limit, is cold or half open: balancer__is_open()
-	/// decides.
+	/// It has advertised a limit, is cold, half open or brittle:
+	/// balancer__is_open() decides.
 	bool restricted;
 	uint64_t draining_since_us;
 
@@ -109,6 +110,7 @@
 
 	struct balancer_cold cold;
 	struct balancer_speed speed;
+	struct brittle brittle;
 };
 
 struct balancer_pool {
@@ -181,6 +183,10 @@
 
 bool balancer__is_open(
     const struct balancer *r, const struct balancer_server *p, uint64_t now_us);
+bool balancer__has_turns(const struct balancer_server *p);
+struct brittle_senders balancer__senders(
+    const struct balancer *r, const struct balancer_server *p);
+uint32_t balancer__slots(const struct balancer_server *p);
 uint64_t balancer__shared_us(const struct balancer *r, uint64_t now_us);
 void balancer__update_restricted(struct balancer_server *p);
 void balancer__forget_speed(struct balancer_server *p);
--- a/test/script/unlisted_signals.sh
+++ b/test/script/unlisted_signals.sh
@@ -39,13 +39,23 @@
 send 60 /plain/a
 [ "$(stat_of 43 arrived)" -gt 0 ] && echo "later it gets some again"
 
+echo "== a server is brittle"
+set_standin 43 '{"brittle": "2"}'
+for i in $(seq 200); do
+	[ "$(logged server.brittle 43)" -gt 0 ] && break
+	status_of 21 /plain/a k1 >/dev/null
+done
+lose_entry 1
+grep -c 'event=server.restored server=i-43 .* brittle=1' gateway-21.log
+set_standin 43 '{"brittle": ""}'
+
 echo "== a server leaves"
 set_standin 43 '{"leaving": "1"}'
 for i in $(seq 200); do
 	[ "$(logged server.leaving 43)" -gt 0 ] && break
 	status_of 21 /plain/a k1 >/dev/null
 done
-lose_entry 1
+lose_entry 2
 set_standin 43 '{"leaving": "1"}'
 send 60 /plain/a
 echo "requests meanwhile: $(stat_of 43 arrived)"
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -6,14 +6,18 @@
 
 #define CRASH_EXIT 9
 #define WINDOW_MS 4000
+#define REFUSALS_US 1000000
 
 /// A backend server as the platform runs them: it serves requests for one
 /// instance id, puts its identity into the headers of each response, and sends
 /// server-sent events for paths that contain /stream/.
 struct backend {
 	struct standin_env *env;
-	int64_t runs;     ///< Requests that were run, not refused.
-	int64_t checks;   ///< Health checks among the arrivals.
+	int64_t runs;    ///< Requests that were run, not refused.
+	int64_t checks;  ///< Health checks among the arrivals.
+	int64_t running; ///< Requests that work, if a setting gives that time.
+	int64_t most_running; ///< Since the settings last changed.
+	GArray *refusals;     ///< uint64_t: when it had no room for a request
 	GArray *arrivals; ///< uint64_t: times of requests since the settings
 			  ///< last changed.
 };
@@ -33,6 +37,7 @@
 
 	b->env = env;
 	b->arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	b->refusals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	return b;
 }
 
@@ -42,7 +47,9 @@
 	struct backend *b = self;
 
 	(void)g_array_set_size(b->arrivals, 0);
+	(void)g_array_set_size(b->refusals, 0);
 	b->checks = 0;
+	b->most_running = b->running;
 }
 
 static void
@@ -70,6 +77,7 @@
 {
 	add_signal(b, req, "Server-Limit", "limit");
 	add_signal(b, req, "Server-Leaving", "leaving");
+	add_signal(b, req, "Server-Brittle", "brittle");
 	if (strcmp(standin_request_path(req), "/health") == 0)
 		add_signal(b, req, "X-Acaciahinge-Cold-Ms", "cold_ms");
 	add_header(req, "X-Acaciahinge-Request-Id",
@@ -166,6 +174,63 @@
 	evbuffer_free(out);
 }
 
+/// A request that works for a time.
+struct work {
+	struct backend *b;
+	struct evhttp_request *req;
+	bool closed; ///< The caller has closed the connection.
+};
+
+static void
+on_work_closed(struct evhttp_connection *conn, void *arg)
+{
+	struct work *w = arg;
+
+	(void)conn;
+	w->closed = true;
+}
+
+static void
+finish_work(void *arg)
+{
+	struct work *w = arg;
+
+	w->b->running--;
+	if (!w->closed) {
+		standin_unwatch_close(w->req);
+		send_response(w->b, w->req);
+	}
+	g_free(w);
+}
+
+/// Responds after the time that the setting "work_ms" gives.
+static void
+start_work(struct backend *b, struct evhttp_request *req, int64_t ms)
+{
+	struct work *w = g_new0(struct work, 1);
+
+	w->b = b;
+	w->req = req;
+	b->running++;
+	b->most_running = MAX(b->most_running, b->running);
+	standin_watch_close(req, on_work_closed, w);
+	standin_call_after(b->env, (uint64_t)ms * 1000, finish_work, w);
+}
+
+/// Whether a server that works on a limited number of requests at a time, by
+/// the setting "places", has none left.
+static bool
+is_full(struct backend *b, uint64_t now_us)
+{
+	const int64_t places =
+	    standin_get_int(b->env->settings, "places", INT64_MAX);
+
+	if (b->running < places)
+		return standin_get_int(b->env->settings, "full", 0) != 0;
+	(void)g_array_append_val(b->refusals, now_us);
+	return true;
+}
+
 /// Whether the prompt has the part in the setting "crash_on".
 static bool
 has_crashing_part(const struct backend *b, struct evhttp_request *req)
@@ -192,6 +257,7 @@
 	struct backend *b = self;
 	const char *id = standin_get_str(b->env->settings, "id", "");
 	const uint64_t now = standin_now_us();
+	int64_t work_ms;
 
 	if (strcmp(standin_request_header(
 		       req, "X-Acaciahinge-Expect-Instance", id),
@@ -203,7 +269,7 @@
 	(void)g_array_append_val(b->arrivals, now);
 	if (strcmp(standin_request_path(req), "/health") == 0)
 		b->checks++;
-	if (standin_get_int(b->env->settings, "full", 0) != 0) {
+	if (is_full(b, now)) {
 		add_identity_headers(b, req);
 		add_signal(b, req, "Retry-After", "retry_after");
 		add_header(req, "X-Acaciahinge-Not-Run", "1");
@@ -219,28 +285,26 @@
 		standin_disconnect(req);
 		return;
 	}
+	work_ms = standin_get_int(b->env->settings, "work_ms", 0);
 	if (strstr(standin_request_path(req), "/stream/") != NULL)
 		start_stream(b, req);
+	else if (work_ms > 0)
+		start_work(b, req, work_ms);
 	else
 		send_response(b, req);
 }
 
-/// Most requests that arrived within a window, of four seconds if no setting
-/// says otherwise.
+/// Most of the given times that lie within a window.
 static uint32_t
-most_in_window(const struct backend *b)
+most_in_window(const GArray *times, uint64_t window_us)
 {
-	const uint64_t window_us = (uint64_t)standin_get_int(b->env->settings,
-				       "window_ms", WINDOW_MS) *
-	    1000;
 	uint32_t most = 0;
 	guint first = 0;
 
-	for (guint i = 0; i < b->arrivals->len; i++) {
-		const uint64_t at = g_array_index(b->arrivals, uint64_t, i);
+	for (guint i = 0; i < times->len; i++) {
+		const uint64_t at = g_array_index(times, uint64_t, i);
 
-		while (at - g_array_index(b->arrivals, uint64_t, first) >=
-		    window_us)
+		while (at - g_array_index(times, uint64_t, first) >= window_us)
 			first++;
 		most = MAX(most, i - first + 1);
 	}
@@ -252,11 +316,20 @@
 {
 	const struct backend *b = self;
 
+	// Of the arrivals four seconds if no setting says otherwise.
+	const uint64_t window_us = (uint64_t)standin_get_int(b->env->settings,
+				       "window_ms", WINDOW_MS) *
+	    1000;
+
 	(void)req;
-	return json_pack("{s:I, s:I, s:I, s:I}", "runs", (json_int_t)b->runs,
-	    "asked_for_work", (json_int_t)b->arrivals->len - b->checks,
-	    "arrived", (json_int_t)b->arrivals->len, "most_in_window",
-	    (json_int_t)most_in_window(b));
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I}", "runs",
+	    (json_int_t)b->runs, "asked_for_work",
+	    (json_int_t)b->arrivals->len - b->checks, "arrived",
+	    (json_int_t)b->arrivals->len, "most_in_window",
+	    (json_int_t)most_in_window(b->arrivals, window_us),
+	    "most_refused_in_second",
+	    (json_int_t)most_in_window(b->refusals, REFUSALS_US),
+	    "most_running", (json_int_t)b->most_running);
 }
 
 const struct standin_kind standin_backend = {
--- a/test/unit/fleet/test_limitmsg.cc
+++ b/test/unit/fleet/test_limitmsg.cc
@@ -73,6 +73,24 @@
 	EXPECT_EQ(limitmsg_decode(bytes, len - 1, &out), STATUS_CORRUPT);
 }
 
+TEST_F(LimitMsg, KeepsBrittleServers)
+{
+	limitmsg_add_brittle(&in, "i-1", true, 7);
+	limitmsg_add_brittle(&in, "i-2", false, 0);
+	ASSERT_EQ(Transfer(), STATUS_OK);
+	ASSERT_EQ(out.brittles->len, 2U);
+
+	const auto *brittles =
+	    reinterpret_cast<const struct limitmsg_brittle *>(
+		out.brittles->data);
+
+	EXPECT_STREQ(brittles[0].server, "i-1");
+	EXPECT_EQ(brittles[0].max_refusals, 7U);
+	EXPECT_TRUE(brittles[0].is_brittle);
+	EXPECT_FALSE(brittles[1].is_brittle);
+	EXPECT_EQ(out.speeds->len, 0U);
+}
+
 TEST_F(LimitMsg, KeepsColdServers)
 {
 	limitmsg_add_cold(&in, "i-1", 2500);
--- a/test/unit/platform/test_api_signals.cc
+++ b/test/unit/platform/test_api_signals.cc
@@ -35,6 +35,17 @@
 	    read_one("Server-Leaving", "yes").malformed[API_SIGNAL_LEAVING]);
 }
 
+TEST(ApiSignals, BrittleServersMayBearNoRefusal)
+{
+	const struct api_signals none = read_one("server-brittle", "0");
+
+	EXPECT_TRUE(none.given[API_SIGNAL_BRITTLE]);
+	EXPECT_EQ(none.max_refusals, 0U);
+	EXPECT_EQ(read_one("Server-Brittle", "12").max_refusals, 12U);
+	EXPECT_TRUE(
+	    read_one("Server-Brittle", "yes").malformed[API_SIGNAL_BRITTLE]);
+}
+
 TEST(ApiSignals, MalformedValuesCountAsNotGiven)
 {
 	for (const char *value :
--- a/test/unit/route/test_balancer_intake.cc
+++ b/test/unit/route/test_balancer_intake.cc
@@ -21,7 +21,7 @@
 		rnd_free(rnd);
 	}
 
-	handle_t Add(const char *name)
+	handle_t Add(const char *name, uint32_t slots = 0)
 	{
 		struct balancer_server_conf s = {};
 
@@ -29,6 +29,7 @@
 		(void)snprintf(s.name, sizeof(s.name), "%s", name);
 		(void)snprintf(s.pool, sizeof(s.pool), "desk");
 		(void)snprintf(s.data_centre, sizeof(s.data_centre), "csepel");
+		s.slots = slots;
 		return balancer_set_server(r, now, &s);
 	}
 
@@ -163,4 +164,55 @@
 	EXPECT_TRUE(balancer_is_open(r, now, only));
 }
 
+// Guards against a brittle server that gets more than its share of slots,
+// while another server or a later moment would do.
+TEST_F(BalancerIntake, BrittleServerGetsItsShareAtOnce)
+{
+	const handle_t brittle = Add("desk-1", 8);
+	const handle_t other = Add("desk-2", 8);
+	int n = 0;
+
+	balancer_set_entries(r, 4);
+	balancer_set_brittle(r, brittle, true, 2);
+	for (int i = 0; i < 40; i++) {
+		(void)Begin();
+		n += choice.server == brittle;
+	}
+	EXPECT_EQ(n, 2);
+	balancer_set_brittle(r, other, true, 2);
+	EXPECT_EQ(Begin(), HANDLE_NONE);
+	// Its health may be asked all the same.
+	EXPECT_TRUE(balancer_is_open(r, now, brittle));
+}
+
+TEST_F(BalancerIntake, BrittleServerIsLeftAloneAfterARefusal)
+{
+	const handle_t only = Add("desk-1", 8);
+	struct balancer_openings open;
+
+	balancer_set_entries(r, 2);
+	balancer_set_brittle(r, only, true, 2);
+	EXPECT_EQ(Send(BALANCER_REFUSED), only);
+	EXPECT_EQ(Send(), HANDLE_NONE);
+	ASSERT_TRUE(balancer_openings(r, now, "desk", &open));
+	EXPECT_EQ(open.next_us, now + kSecond);
+	now += kSecond;
+
+	const handle_t first = Begin();
+
+	EXPECT_EQ(choice.server, only);
+	EXPECT_EQ(Begin(), HANDLE_NONE);
+	now += kSecond / 10;
+	balancer_end(r, now, first, BALANCER_DONE, 1, UINT32_MAX);
+	(void)Begin();
+	(void)Begin();
+	EXPECT_EQ(choice.server, only);
+	EXPECT_EQ(Begin(), HANDLE_NONE);
+	ASSERT_TRUE(balancer_openings(r, now, "desk", &open));
+	EXPECT_FALSE(open.any_unlimited);
+	EXPECT_NEAR(open.per_s, 20, 0.01);
+	balancer_set_brittle(r, only, false, 0);
+	EXPECT_EQ(Send(), only);
+}
+
 } // namespace
