Gateways say which servers they reach, and when they reach none

The logs of a gateway that is partitioned from its servers didn't tell whether it reaches none, doesn't choose those that it reaches, or has an old list. Nothing is decided by it yet. server.lost, server.in_reach, servers.cut_off, servers.in_reach and two gauges show it; a server that was silent for an attempt is checked, too.

--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -365,6 +365,10 @@
 	    gateway_signals_count(g, API_SIGNAL_LEAVING);
 	metrics_gauge(registry, "ac_servers_paused", "")->value =
 	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER);
+	metrics_gauge(registry, "ac_servers_lost", "")->value =
+	    gateway_reach_count(g);
+	metrics_gauge(registry, "ac_servers_cut_off", "")->value =
+	    gateway_reach_is_cut(g);
 	metrics_gauge(registry, "ac_request_bytes", "")->value =
 	    httpd_held_bytes(g->callers);
 	metrics_gauge(registry, "ac_unsent_bytes", "")->value =
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -18,6 +18,7 @@
 #include "fleet/instance.h"
 #include "fleet/limitmsg.h"
 #include "fleet/listview.h"
+#include "fleet/reach.h"
 #include "front/httpd.h"
 #include "gateway/gateway.h"
 #include "platform/api_request.h"
@@ -59,6 +60,7 @@
 	uint32_t told_pace_percent; ///< by the list; 0: not known
 	uint32_t n_speed_samples;   ///< sent to the leader for that figure
 	uint32_t n_contrary; ///< samples in a row that contradict the figure
+	struct reach_server reach; ///< this gateway's own way to it
 	bool malformed_logged[API_N_SIGNALS];
 };
 
@@ -134,6 +136,9 @@
 	struct feedsource feed; ///< where the list and configurations come from
 	uint64_t next_ask_us;
 
+	struct reach reach;     ///< this gateway's own way to the servers
+	uint64_t next_reach_us; ///< when servers are checked again
+
 	struct turns_position position; ///< for the limits of servers
 	uint64_t next_leaving_us; ///< when leaving servers are looked at again
 
@@ -395,6 +400,16 @@
     struct gateway *g, struct gateway_server *s, uint32_t pace_percent);
 double gateway_speed_of_response(const struct gateway_request *q);
 
+/// gateway_reach.c: this gateway's own way to the servers
+bool gateway_reach_is_cut(const struct gateway *g);
+bool gateway_reach_is_lost(
+    const struct gateway *g, const struct gateway_server *s);
+uint32_t gateway_reach_count(const struct gateway *g);
+void gateway_reach_failed(struct gateway *g, const char *server);
+void gateway_reach_succeeded(struct gateway *g, const char *server);
+void gateway_reach_silent(struct gateway *g, const char *server);
+void gateway_reach_tick(struct gateway *g, uint64_t now_us);
+
 /// gateway_leaving.c: servers that leave, and come back under the same id
 void gateway_leaving_tick(struct gateway *g, uint64_t now_us);
 
--- a/src/gateway/gateway_receive.c
+++ b/src/gateway/gateway_receive.c
@@ -72,6 +72,9 @@
 	q->status = http_status;
 	api_response_read(g->http, q->call_handle, &q->response);
 	record_load(q, true);
+	// Retryable requests may use a connection from before.
+	if (!fleetcfg_is_retryable(q->route))
+		gateway_reach_succeeded(g, q->server);
 	gateway_signals_on_head(q);
 	q->is_stream = q->events != NULL && http_status == 200 &&
 	    response_matches(q) && !was_not_run(q);
@@ -394,6 +397,8 @@
 		gateway_crashes_on_lost(q);
 	else
 		gateway_cold_on_unreachable(q->gateway, q->server);
+	if (result->status == STATUS_UNAVAILABLE)
+		gateway_reach_failed(q->gateway, q->server);
 	gateway_attempt_failed(
 	    q, BALANCER_FAILED, result->verdict, failure_reason(result));
 }
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -327,6 +327,7 @@
 		timerq_arm(q->timer, q->deadline_us);
 		return true;
 	}
+	gateway_reach_silent(q->gateway, q->server);
 	httpc_cancel(q->gateway->http, q->call_handle);
 	gateway_attempt_record_failure(q, BALANCER_TIMED_OUT,
 	    VERDICT_MAY_HAVE_RUN, "no response for too long");
@@ -340,6 +341,8 @@
 {
 	if (abandon_if_silent(q))
 		return;
+	if (!q->protocol_error)
+		gateway_reach_silent(q->gateway, q->server);
 	httpc_cancel(q->gateway->http, q->call_handle);
 	gateway_attempt_failed(q, BALANCER_TIMED_OUT, VERDICT_MAY_HAVE_RUN,
 	    q->protocol_error ? "the response can't be read"
--- a/src/gateway/gateway_servers.c
+++ b/src/gateway/gateway_servers.c
@@ -82,6 +82,7 @@
 	if (is_new) {
 		s = g_new0(struct gateway_server, 1);
 		s->instance = *instance;
+		s->reach.known_us = now_us;
 		(void)g_hash_table_insert(g->servers, s->instance.id, s);
 	}
 	if (is_new && n_logged <= GATEWAY_MAX_LOGGED) {
--- a/src/gateway/gateway_status.c
+++ b/src/gateway/gateway_status.c
@@ -12,7 +12,7 @@
 	    g->balancer, now_us, s->balancer_handle, &stats);
 	return json_pack(
 	    "{s:s, s:s, s:s, s:s, s:b, s:b, s:f, s:I, s:I, s:f, s:I, s:I,"
-	    " s:I, s:I, s:I}",
+	    " s:I, s:I, s:I, s:b}",
 	    "id", s->instance.id, "service", s->instance.service, "zone",
 	    s->instance.zone, "version", s->instance.version, "leaving",
 	    stats.draining, "set_aside", stats.ejected, "load", stats.load,
@@ -24,7 +24,8 @@
 	    (json_int_t)(stats.first_token_us / USEC_PER_MSEC), "cold_ms",
 	    (json_int_t)timerq_ms_since(stats.cold_until_us, now_us),
 	    "pace_percent", (json_int_t)stats.pace_percent, "pace_now_percent",
-	    (json_int_t)stats.pace_now_percent);
+	    (json_int_t)stats.pace_now_percent, "lost",
+	    gateway_reach_is_lost(g, s));
 }
 
 static gint
