A gateway that is cut off from servers sends attempts through another one

Callers of gateways that were partitioned from all servers got 503 after four attempts of 400 ms, or 504: 36 of 421 first tries were served, elsewhere 483 of 485. A gateway had one way to a server, and what an attempt learned stayed with its request; the balancer went on choosing servers out of reach. No choice of a server would have helped, and the list was current.

The state of control now names peers, gateways that take attempts of others at the port after the peers'. An attempt at a server out of reach goes through one of them to that server, one hop and no more; all that is counted stays where the caller is. A refusal by the peer is "not run", a lost link isn't. The way to the servers is judged for each service, as a partition may be. A gateway that is cut off reports no crashes and presumes no restarts: the same cause would have blocked prompts that crashed nothing.

--- a/src/fleet/hubmsg.c
+++ b/src/fleet/hubmsg.c
@@ -126,17 +126,24 @@
 		    m, &g_array_index(s->rollouts, struct hubmsg_rollout, i));
 	// What follows is left out while it says nothing: older gateways refuse
 	// a state with more.
-	if (codec_is_writer(m)
-		? s->evacuations.revision == 0 && s->hosts->len == 0
-		: codec_at_end(m))
+	if (codec_is_writer(m) ? s->evacuations.revision == 0 &&
+		    s->hosts->len == 0 && s->peers->len == 0
+			       : codec_at_end(m))
 		return;
 	evacset_code(m, &s->evacuations);
-	if (codec_is_writer(m) ? s->hosts->len == 0 : codec_at_end(m))
+	if (codec_is_writer(m) ? s->hosts->len == 0 && s->peers->len == 0
+			       : codec_at_end(m))
 		return;
 	code_length(m, s->hosts);
 	for (guint i = 0; i < s->hosts->len; i++)
 		code_host(
 		    m, &g_array_index(s->hosts, struct hosttable_entry, i));
+	if (codec_is_writer(m) ? s->peers->len == 0 : codec_at_end(m))
+		return;
+	codec_u32(m, &s->n_near_peers);
+	code_length(m, s->peers);
+	for (guint i = 0; i < s->peers->len; i++)
+		codec_u32(m, &g_array_index(s->peers, uint32_t, i));
 }
 
 /// Makes an empty report, to be released with hubmsg_report_clear().
@@ -372,6 +379,7 @@
 		    g_array_new(FALSE, TRUE, sizeof(struct hubmsg_rollout)),
 		.hosts =
 		    g_array_new(FALSE, TRUE, sizeof(struct hosttable_entry)),
+		.peers = g_array_new(FALSE, TRUE, sizeof(uint32_t)),
 	};
 }
 
@@ -383,6 +391,7 @@
 	g_array_unref(s->quotas);
 	g_array_unref(s->rollouts);
 	g_array_unref(s->hosts);
+	g_array_unref(s->peers);
 }
 
 /// Encodes a state.
--- a/src/fleet/reach.h
+++ b/src/fleet/reach.h
@@ -4,18 +4,18 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/// Whether a gateway's own way to the backend servers works. A core without
-/// I/O. A server that no connection can be made to is out of reach. When
-/// several in a row are, the gateway itself is taken to be cut off: then all
-/// servers are out of reach but those that were reached since, and those that
-/// are new.
+/// Whether a gateway's own way to the backend servers of a service works. A
+/// core without I/O. A server that no connection can be made to is out of
+/// reach. When several in a row are, the gateway itself is taken to be cut off:
+/// then all the service's servers are out of reach but those that were reached
+/// since, and those that are new.
 
 /// Servers in a row that can't be connected to before the gateway is cut off.
 #define REACH_CUT_SERVERS 3
 /// Servers in a row that are reached again before it isn't any more.
 #define REACH_BACK_SERVERS 2
 
-/// The way to all servers.
+/// The way to all servers of a service.
 struct reach {
 	uint32_t n_failed;  ///< servers in a row
 	uint32_t n_reached; ///< servers out of reach that were reached, in a
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -140,6 +140,7 @@
 	    (uint64_t)(g->settings.bounds.stop_s * USEC_PER_SEC);
 	const uint64_t last_us = g->stop_us + grace_us - GATEWAY_STOP_MARGIN_US;
 	const bool idle = slotmap_count(g->requests) == 0 &&
+	    g_hash_table_size(g->relayed) == 0 &&
 	    httpd_unfinished_count(g->callers) == 0;
 
 	timerq_arm_in(g->shutdown_timer, GATEWAY_SHUTDOWN_CHECK_US);
@@ -191,6 +192,10 @@
 	    registry, "ac_server_retry_after_responses_total", "");
 	g->n_cold_checks =
 	    metrics_counter(registry, "ac_server_cold_checks_total", "");
+	g->n_relays = metrics_counter(registry, "ac_relays_sent_total", "");
+	g->n_relays_refused =
+	    metrics_counter(registry, "ac_relays_refused_total", "");
+	g->n_relayed = metrics_counter(registry, "ac_relays_taken_total", "");
 	g->n_pace_samples =
 	    metrics_counter(registry, "ac_server_pace_samples_total", "");
 	g->n_malformed_signals =
@@ -251,6 +256,7 @@
 	gateway_evac_start(g);
 	gateway_crashes_start(g);
 	gateway_unlisted_start(g);
+	gateway_relay_start(g);
 	g->requests = slotmap_new(sizeof(struct gateway_request));
 	g->by_caller =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -263,6 +269,7 @@
 	register_metrics(g);
 	gateway_servers_start(g);
 	status = gateway_accept_start(g);
+	gateway_relayed_start(g);
 	if (status == STATUS_OK)
 		status = gateway_links_start(g);
 	if (status != STATUS_OK) {
@@ -314,6 +321,7 @@
 	}
 	slotmap_free(g->requests);
 	gateway_waitq_clear(g);
+	gateway_relayed_stop(g);
 	httpd_free(g->callers);
 	httpd_free(g->ready);
 	httpd_free(g->metrics);
@@ -334,6 +342,7 @@
 	g_hash_table_destroy(g->by_caller);
 	gateway_crashes_clear(g);
 	gateway_evac_stop(g);
+	gateway_relay_stop(g);
 	g_hash_table_destroy(g->unlisted);
 	g_array_unref(g->blocked_parts);
 	partlog_free(g->answered_parts);
--- a/src/gateway/gateway_accept.c
+++ b/src/gateway/gateway_accept.c
@@ -136,6 +136,8 @@
 		gateway_quota_on_timeout(q);
 	else if (q->awaits_opening)
 		gateway_openq_on_timeout(q);
+	else if (q->awaits_relay)
+		gateway_send_again(q);
 	else
 		gateway_send(q);
 }
@@ -367,8 +369,8 @@
 	    gateway_signals_count(g, API_SIGNAL_RETRY_AFTER);
 	metrics_gauge(registry, "ac_servers_lost", "")->value =
 	    gateway_reach_count(g);
-	metrics_gauge(registry, "ac_servers_cut_off", "")->value =
-	    gateway_reach_is_cut(g);
+	metrics_gauge(registry, "ac_services_cut_off", "")->value =
+	    gateway_reach_cut_count(g);
 	metrics_gauge(registry, "ac_request_bytes", "")->value =
 	    httpd_held_bytes(g->callers);
 	metrics_gauge(registry, "ac_unsent_bytes", "")->value =
@@ -456,6 +458,15 @@
 	return server;
 }
 
+/// Makes a server for requests of other gateways.
+struct httpd *
+gateway_accept_new_server(struct gateway *g,
+    void (*request)(void *, handle_t, const struct httpd_request *),
+    void (*gone)(void *, handle_t))
+{
+	return server_new(g, callers_limits(g), false, request, gone);
+}
+
 /// Sets what callers may send to what the configuration in force allows.
 void
 gateway_accept_set_limits(struct gateway *g)
@@ -474,6 +485,7 @@
 	    MIN(longest,
 		bootstrap_memory_share(&g->settings, GATEWAY_LONGEST_SHARE)));
 	httpd_set_limits(g->callers, &limits);
+	gateway_relayed_set_limits(g, limits);
 }
 
 /// Listens on the callers' address, on that of readiness, and on that of
--- a/src/gateway/gateway_cold.c
+++ b/src/gateway/gateway_cold.c
@@ -143,6 +143,7 @@
 {
 	const struct fleetcfg_service *service = service_of(g, s);
 	struct cold_check *check;
+	char via[INSTANCE_HOST_BYTES];
 	struct httpc_request call = {
 		.method = "GET",
 		.host = s->instance.host,
@@ -160,6 +161,7 @@
 	(void)g_strlcpy(check->server, s->instance.id, sizeof(check->server));
 	call.path = service->health_path;
 	call.arg = check;
+	gateway_relay_check(g, s, &call, via);
 	check->call = httpc_send(g->http, &call);
 	s->cold_check_in_flight = check->call != HANDLE_NONE;
 	if (!s->cold_check_in_flight)
--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -126,10 +126,14 @@
 	struct gateway *g = crash->gateway;
 	const bool crashed = is_gone(crash, result);
 
+	if (result->status == STATUS_UNAVAILABLE)
+		gateway_reach_failed(g, crash->report.server);
 	// Requests that end now may need another check.
 	(void)g_hash_table_steal(g->crash_checks, crash->report.server);
 	end_waiting(crash, crashed);
-	if (!crashed || crash->is_expected) {
+	// A gateway that is cut off can't tell a crash.
+	if (!crashed || crash->is_expected ||
+	    gateway_reach_is_cut(g, crash->report.service)) {
 		crash_free(crash);
 		return;
 	}
@@ -201,7 +205,9 @@
 	    g_hash_table_lookup(g->servers, q->server);
 	struct crash *crash = g_hash_table_lookup(g->crash_checks, q->server);
 
-	if (s == NULL || gateway_evac_covers(g, s->instance.zone) ||
+	// The check would be of this gateway's own way to the server.
+	if (s == NULL || q->via != 0 ||
+	    gateway_evac_covers(g, s->instance.zone) ||
 	    !balancer_is_open(
 		g->balancer, loop_now_us(g->loop), s->balancer_handle))
 		return NULL;
@@ -257,7 +263,7 @@
 		(void)g_array_append_val(crash->waiting, q->self);
 		return GATEWAY_SERVER_CHECKED;
 	}
-	if (s == NULL || is_leaving(s) ||
+	if (s == NULL || is_leaving(s) || q->via != 0 ||
 	    balancer_is_open(
 		g->balancer, loop_now_us(g->loop), s->balancer_handle))
 		return GATEWAY_SERVER_UNKNOWN;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -76,6 +76,7 @@
 	uint64_t answered_us; ///< when a prompt was last answered completely;
 			      ///< 0: never
 	struct retry *retries; ///< this gateway's part of the retry budget
+	struct reach reach;    ///< this gateway's own way to the servers
 	/// Requests that wait until a server takes more (gateway_openq.c):
 	/// struct gateway_request, by priority.
 	GQueue waiting;
@@ -137,11 +138,18 @@
 	uint64_t next_ask_us;
 
 	struct reach reach;     ///< this gateway's own way to the servers
-	uint64_t next_reach_us; ///< when servers are checked again
+	uint64_t next_reach_us; ///< when servers out of reach are checked again
 
 	struct turns_position position; ///< for the limits of servers
 	uint64_t next_leaving_us; ///< when leaving servers are looked at again
 
+	/// Attempts that are sent through other gateways (gateway_relay.c), and
+	/// those that these send through this one (gateway_relayed.c).
+	GArray *peers;       ///< gateways, those of this data centre first
+	GHashTable *avoided; ///< peer and service -> until when
+	struct httpd *relay; ///< NULL: takes none
+	GHashTable *relayed; ///< request's handle -> struct relayed
+
 	struct gateway_evac *evac; ///< evacuated data centres (gateway_evac.c)
 
 	/// Customers and services.
@@ -181,7 +189,10 @@
 	/// Responses with each signal.
 	struct metrics_value *n_signals[API_N_SIGNALS];
 	struct metrics_value *n_malformed_signals;
-	struct metrics_value *n_cold_checks;      ///< requests for health
+	struct metrics_value *n_cold_checks; ///< requests for health
+	struct metrics_value *n_relays;      ///< attempts sent through others
+	struct metrics_value *n_relays_refused;   ///< by these
+	struct metrics_value *n_relayed;          ///< attempts sent for others
 	struct metrics_value *n_pace_samples;     ///< sent to the leader
 	struct metrics_hist *first_event_latency; ///< or that of the response
 	struct metrics_hist *total_latency;
@@ -237,6 +248,10 @@
 				 ///< for a grant; 0: none
 	bool awaits_opening;     ///< in its service's queue
 	bool work_counted; ///< the prompt is counted in the service's load
+	uint32_t via; ///< slot of the gateway that the attempt goes through; 0:
+		      ///< none
+	uint32_t n_relays; ///< gateways that the attempt was sent to
+	bool awaits_relay; ///< is sent through another one now
 	uint32_t n_sent;   ///< attempts sent so far
 	uint32_t n_ran;    ///< of these, those that may have run
 	bool attempt_ran;  ///< the attempt is known to run
@@ -314,6 +329,9 @@
 enum status gateway_accept_start(struct gateway *g);
 void gateway_accept_check_keys(struct gateway *g);
 void gateway_accept_set_limits(struct gateway *g);
+struct httpd *gateway_accept_new_server(struct gateway *g,
+    void (*request)(void *, handle_t, const struct httpd_request *),
+    void (*gone)(void *, handle_t));
 void gateway_accept_request(struct gateway *g, handle_t handle,
     const struct httpd_request *req, uint64_t arrived_us, bool was_queued);
 
@@ -401,7 +419,8 @@
 double gateway_speed_of_response(const struct gateway_request *q);
 
 /// gateway_reach.c: this gateway's own way to the servers
-bool gateway_reach_is_cut(const struct gateway *g);
+bool gateway_reach_is_cut(const struct gateway *g, const char *service);
+uint32_t gateway_reach_cut_count(const struct gateway *g);
 bool gateway_reach_is_lost(
     const struct gateway *g, const struct gateway_server *s);
 uint32_t gateway_reach_count(const struct gateway *g);
@@ -410,6 +429,26 @@
 void gateway_reach_silent(struct gateway *g, const char *server);
 void gateway_reach_tick(struct gateway *g, uint64_t now_us);
 
+/// gateway_relay.c: attempts that are sent through another gateway
+void gateway_relay_start(struct gateway *g);
+void gateway_relay_stop(struct gateway *g);
+void gateway_relay_update(struct gateway *g, const struct hubmsg_state *s);
+uint16_t gateway_relay_port(const struct gateway *g);
+bool gateway_relay_choose(
+    struct gateway_request *q, const struct gateway_server *s, char *host);
+void gateway_relay_check(struct gateway *g, const struct gateway_server *s,
+    struct httpc_request *call, char *host);
+const char *gateway_relay_refusal(const struct gateway_request *q);
+void gateway_relay_avoid(const struct gateway_request *q);
+bool gateway_relay_is_unframed(const struct gateway_request *q);
+bool gateway_relay_on_end(
+    struct gateway_request *q, const struct httpc_result *result);
+
+/// gateway_relayed.c: attempts of other gateways
+void gateway_relayed_start(struct gateway *g);
+void gateway_relayed_stop(struct gateway *g);
+void gateway_relayed_set_limits(struct gateway *g, struct httpd_limits limits);
+
 /// gateway_leaving.c: servers that leave, and come back under the same id
 void gateway_leaving_tick(struct gateway *g, uint64_t now_us);
 
@@ -450,6 +489,7 @@
 
 /// gateway_send.c: attempts at backend servers
 void gateway_send(struct gateway_request *q);
+void gateway_send_again(struct gateway_request *q);
 void gateway_attempt_end(struct gateway_request *q, enum balancer_outcome how);
 uint32_t gateway_events_delivered(const struct gateway_request *q);
 void gateway_attempt_record_failure(struct gateway_request *q,
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -398,6 +398,7 @@
 		h->sent_limits = true;
 		gateway_limits_on_leader(g, h->link);
 	}
+	gateway_relay_update(g, s);
 	if (!gateway_evac_update(g, s))
 		return;
 	g->n_gateways = s->n_gateways;
@@ -517,6 +518,9 @@
 	(void)g_strlcpy(config.self.node, g->settings.node, WIRE_NAME_BYTES);
 	(void)g_strlcpy(
 	    config.self.data_centre, g->settings.data_centre, WIRE_NAME_BYTES);
+	if (g->relay != NULL &&
+	    slotaddr_is_implied(g->settings.host, g->settings.host))
+		config.self.id = slotaddr_from_host(g->settings.host);
 	g->links = transport_new(&config);
 	dial_seeds(g);
 	return STATUS_OK;
--- a/src/gateway/gateway_reach.c
+++ b/src/gateway/gateway_reach.c
@@ -17,18 +17,43 @@
 	char server[FLEETCFG_NAME_BYTES];
 };
 
-/// Whether this gateway is cut off from the servers.
+/// This gateway's way to the servers of a service.
+static const struct reach *
+find_reach(const struct gateway *g, const char *service)
+{
+	static const struct reach unknown;
+	const struct gateway_service_load *l =
+	    g_hash_table_lookup(g->loads, service);
+
+	return l == NULL ? &unknown : &l->reach;
+}
+
+/// Whether this gateway is cut off from the servers of a service.
 bool
-gateway_reach_is_cut(const struct gateway *g)
+gateway_reach_is_cut(const struct gateway *g, const char *service)
 {
-	return g->reach.is_cut;
+	return find_reach(g, service)->is_cut;
 }
 
 /// Whether this gateway's own way to a server doesn't work.
 bool
 gateway_reach_is_lost(const struct gateway *g, const struct gateway_server *s)
 {
-	return reach_is_lost(&g->reach, &s->reach);
+	return reach_is_lost(find_reach(g, s->instance.service), &s->reach);
+}
+
+/// Number of services that this gateway is cut off from.
+uint32_t
+gateway_reach_cut_count(const struct gateway *g)
+{
+	uint32_t n = 0;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->loads);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		n += ((const struct gateway_service_load *)value)->reach.is_cut;
+	return n;
 }
 
 /// Number of servers that are out of reach.
@@ -55,29 +80,16 @@
 
 	if (s == NULL)
 		return;
-	is_cut = reach_failed(&g->reach, &s->reach, loop_now_us(g->loop));
+	is_cut =
+	    reach_failed(&gateway_service_load(g, s->instance.service)->reach,
+		&s->reach, loop_now_us(g->loop));
 	if (!was_lost)
 		logger_event(LOGGER_INFO, "server.lost", "server=%s service=%s",
 		    server, s->instance.service);
 	if (is_cut)
 		logger_event(LOGGER_WARN, "servers.cut_off",
-		    "lost=%u servers=%u", gateway_reach_count(g),
-		    g_hash_table_size(g->servers));
-}
-
-/// This gateway isn't cut off any more: the servers that weren't checked yet
-/// are taken to be in reach, too.
-static void
-on_back(struct gateway *g)
-{
-	GHashTableIter it;
-	gpointer value;
-
-	logger_event(LOGGER_WARN, "servers.in_reach", "lost=%u servers=%u",
-	    gateway_reach_count(g), g_hash_table_size(g->servers));
-	g_hash_table_iter_init(&it, g->servers);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		((struct gateway_server *)value)->reach.lost_us = 0;
+		    "service=%s lost=%u servers=%u", s->instance.service,
+		    gateway_reach_count(g), g_hash_table_size(g->servers));
 }
 
 /// A new connection to a server has worked.
@@ -92,8 +104,12 @@
 	if (was_lost)
 		logger_event(
 		    LOGGER_INFO, "server.in_reach", "server=%s", server);
-	if (reach_succeeded(&g->reach, &s->reach, loop_now_us(g->loop)))
-		on_back(g);
+	if (reach_succeeded(
+		&gateway_service_load(g, s->instance.service)->reach, &s->reach,
+		loop_now_us(g->loop)))
+		logger_event(LOGGER_WARN, "servers.in_reach",
+		    "service=%s lost=%u servers=%u", s->instance.service,
+		    gateway_reach_count(g), g_hash_table_size(g->servers));
 }
 
 /// A server hasn't responded for too long: it is checked whether it is in
@@ -107,6 +123,8 @@
 		s->reach.is_suspect = true;
 }
 
+static void check_next(struct gateway *g, uint64_t now_us);
+
 static void
 on_checked(void *arg, const struct httpc_result *result)
 {
@@ -116,6 +134,8 @@
 	    g_hash_table_lookup(g->servers, check->server);
 	struct api_response response;
 
+	if (s != NULL)
+		s->reach.is_suspect = false;
 	if (s != NULL && result->status == STATUS_UNAVAILABLE) {
 		gateway_reach_failed(g, check->server);
 	} else if (s != NULL && result->status == STATUS_OK) {
@@ -123,9 +143,9 @@
 		gateway_reach_succeeded(g, check->server);
 		if (strcmp(response.instance, s->instance.id) == 0)
 			gateway_cold_on_health(g, s, response.cold_ms);
+		// Others may be in reach again, too.
+		check_next(g, loop_now_us(g->loop));
 	}
-	if (s != NULL)
-		s->reach.is_suspect = false;
 	g_free(check);
 }
 
@@ -165,7 +185,8 @@
 needs_check(
     const struct gateway *g, const struct gateway_server *s, uint64_t now_us)
 {
-	return reach_needs_check(&g->reach, &s->reach, now_us) &&
+	return reach_needs_check(
+		   find_reach(g, s->instance.service), &s->reach, now_us) &&
 	    !s->instance.draining && !s->signalled_leaving &&
 	    !gateway_evac_covers(g, s->instance.zone) &&
 	    balancer_is_open(g->balancer, now_us, s->balancer_handle);
@@ -192,18 +213,24 @@
 	return found;
 }
 
+/// Checks one of the servers that are out of reach, or silent.
+static void
+check_next(struct gateway *g, uint64_t now_us)
+{
+	struct gateway_server *s =
+	    g->config == NULL ? NULL : find_due(g, now_us);
+
+	if (s != NULL)
+		start_check(g, s);
+}
+
 /// Checks a few of the servers that are out of reach, or silent.
 void
 gateway_reach_tick(struct gateway *g, uint64_t now_us)
 {
-	if (now_us < g->next_reach_us || g->config == NULL)
+	if (now_us < g->next_reach_us)
 		return;
 	g->next_reach_us = now_us + GATEWAY_REACH_TICK_US;
-	for (int i = 0; i < GATEWAY_REACH_CHECKS; i++) {
-		struct gateway_server *s = find_due(g, now_us);
-
-		if (s == NULL)
-			return;
-		start_check(g, s);
-	}
+	for (int i = 0; i < GATEWAY_REACH_CHECKS; i++)
+		check_next(g, now_us);
 }
--- a/src/gateway/gateway_receive.c
+++ b/src/gateway/gateway_receive.c
@@ -70,10 +70,12 @@
 	struct gateway *g = q->gateway;
 
 	q->status = http_status;
+	if (gateway_relay_refusal(q) != NULL)
+		return;
 	api_response_read(g->http, q->call_handle, &q->response);
 	record_load(q, true);
 	// Retryable requests may use a connection from before.
-	if (!fleetcfg_is_retryable(q->route))
+	if (q->via == 0 && !fleetcfg_is_retryable(q->route))
 		gateway_reach_succeeded(g, q->server);
 	gateway_signals_on_head(q);
 	q->is_stream = q->events != NULL && http_status == 200 &&
@@ -380,25 +382,44 @@
 	return result->error != NULL ? result->error : "the answer broke off";
 }
 
+/// Learns from an attempt without a response what it says of the server. One
+/// that went through another gateway says nothing of it.
+static void
+on_lost(struct gateway_request *q, const struct httpc_result *result)
+{
+	struct gateway *g = q->gateway;
+
+	if (q->via != 0)
+		return;
+	if (result->verdict != VERDICT_NOT_RUN) {
+		gateway_crashes_on_lost(q);
+		return;
+	}
+	if (result->status == STATUS_UNAVAILABLE)
+		gateway_reach_failed(g, q->server);
+	if (!gateway_reach_is_cut(g, q->service->name))
+		gateway_cold_on_unreachable(g, q->server);
+}
+
 void
 gateway_on_end(void *arg, const struct httpc_result *result)
 {
 	struct gateway_request *q = arg;
+	struct httpc_result of_server = *result;
 
+	if (gateway_relay_on_end(q, result))
+		return;
 	q->status = result->http_status;
 	if (result->status == STATUS_OK) {
+		of_server.until_close =
+		    result->until_close || gateway_relay_is_unframed(q);
 		api_response_read(
 		    q->gateway->http, q->call_handle, &q->response);
 		record_load(q, false);
-		finish_response(q, result);
+		finish_response(q, &of_server);
 		return;
 	}
-	if (result->verdict != VERDICT_NOT_RUN)
-		gateway_crashes_on_lost(q);
-	else
-		gateway_cold_on_unreachable(q->gateway, q->server);
-	if (result->status == STATUS_UNAVAILABLE)
-		gateway_reach_failed(q->gateway, q->server);
+	on_lost(q, result);
 	gateway_attempt_failed(
 	    q, BALANCER_FAILED, result->verdict, failure_reason(result));
 }
--- a/src/gateway/gateway_send.c
+++ b/src/gateway/gateway_send.c
@@ -203,6 +203,15 @@
 	return *after > 0 || q->call.resumes;
 }
 
+/// What the gateway that an attempt goes through is told of it.
+static const char *
+relay_mode(const struct gateway_request *q)
+{
+	if (fleetcfg_is_retryable(q->route))
+		return q->events != NULL ? API_RELAY_STREAM : API_RELAY_PLAIN;
+	return q->events != NULL ? API_RELAY_STREAM_ONCE : API_RELAY_PLAIN_ONCE;
+}
+
 /// Sets this gateway's own headers of an attempt, after those of the caller.
 static void
 set_headers(
@@ -221,6 +230,8 @@
 	api_headers_add(h, API_HDR_EXPECT_INSTANCE, s->instance.id);
 	if (q->customer != NULL)
 		api_headers_add(h, API_HDR_CUSTOMER, q->customer->name);
+	if (q->via != 0)
+		api_headers_add(h, API_HDR_RELAY, relay_mode(q));
 	set_fetch(q);
 	if (resumes_after(q, &after))
 		api_headers_addf(h, API_HDR_LAST_EVENT, "%" PRIu64, after);
@@ -242,6 +253,7 @@
 		retry_record_attempt(&q->attempts, q->choice.server);
 	q->dispatch = balancer_begin(g->balancer, now_us, query, &q->choice);
 	q->n_sent++;
+	q->n_relays = 0;
 	q->not_sent = false;
 	q->attempt_sent_us = now_us;
 	q->first_event_us = 0;
@@ -282,8 +294,13 @@
 		.arg = q,
 	};
 	char parts[GATEWAY_PARTS_TEXT_BYTES];
+	char via[INSTANCE_HOST_BYTES];
 	uint64_t after;
 
+	if (gateway_relay_choose(q, s, via)) {
+		call.host = via;
+		call.port = gateway_relay_port(g);
+	}
 	set_headers(q, s, now_us);
 	gateway_parts_text(q, parts, sizeof(parts));
 	call.extra_headers = api_headers_array(q->headers);
@@ -308,6 +325,33 @@
 		    MAX(gateway_attempt_deadline_us(q, now_us), now_us));
 }
 
+/// Sends the attempt again, through another gateway: the first one hasn't sent
+/// it to the server.
+void
+gateway_send_again(struct gateway_request *q)
+{
+	struct gateway *g = q->gateway;
+	const struct gateway_server *s =
+	    g_hash_table_lookup(g->servers, q->server);
+
+	q->awaits_relay = false;
+	if (s == NULL)
+		gateway_attempt_failed(
+		    q, BALANCER_FAILED, VERDICT_NOT_RUN, "the server is gone");
+	else
+		send_to(q, s, loop_now_us(g->loop));
+}
+
+/// The attempt in flight has had no response for too long.
+static void
+on_silent(const struct gateway_request *q)
+{
+	if (q->via == 0)
+		gateway_reach_silent(q->gateway, q->server);
+	else
+		gateway_relay_avoid(q);
+}
+
 /// Gives up an attempt whose response is overdue, if another server can respond
 /// in time; else arms the timer for the deadline.
 ///
@@ -327,7 +371,7 @@
 		timerq_arm(q->timer, q->deadline_us);
 		return true;
 	}
-	gateway_reach_silent(q->gateway, q->server);
+	on_silent(q);
 	httpc_cancel(q->gateway->http, q->call_handle);
 	gateway_attempt_record_failure(q, BALANCER_TIMED_OUT,
 	    VERDICT_MAY_HAVE_RUN, "no response for too long");
@@ -342,7 +386,7 @@
 	if (abandon_if_silent(q))
 		return;
 	if (!q->protocol_error)
-		gateway_reach_silent(q->gateway, q->server);
+		on_silent(q);
 	httpc_cancel(q->gateway->http, q->call_handle);
 	gateway_attempt_failed(q, BALANCER_TIMED_OUT, VERDICT_MAY_HAVE_RUN,
 	    q->protocol_error ? "the response can't be read"
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -116,6 +116,7 @@
 	h->ack_latency = metrics_hist(registry, "ac_order_ack_seconds", "");
 	hub_evac_start(h);
 	hub_fleet_start(h);
+	hub_peers_start(h);
 	hub_grants_start(h);
 	hub_servers_start(h);
 	hub_feed_start(h);
@@ -191,6 +192,7 @@
 	hub_feed_stop(h);
 	hub_grants_stop(h);
 	hub_fleet_stop(h);
+	hub_peers_stop(h);
 	hub_evac_stop(h);
 	crashlog_free(h->crashlog);
 	g_array_unref(h->asked_parts);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -48,6 +48,8 @@
 	char name[FLEETCFG_NAME_BYTES];
 	char data_centre[FLEETCFG_NAME_BYTES];
 	uint64_t incarnation;
+	uint32_t
+	    relay_slot; ///< takes attempts of other gateways there; 0: none
 	handle_t link;
 	uint64_t last_report_us;
 	uint64_t echo_us;        ///< its clock when it sent its newest report
@@ -84,13 +86,14 @@
 	struct hubstate *state;
 	struct fleetcfg
 	    *config; ///< read from the state's manifest; NULL: none yet
-	struct hosttable *hosts;   ///< addresses of all control processes known
-	guint n_saved_hosts;       ///< of those that their slots don't imply
-	bool recording_host;       ///< one is being committed
-	GHashTable *peers;         ///< slot -> struct hub_peer
-	GHashTable *gateways;      ///< name -> struct hub_gateway
-	struct hub_fleet *fleet;   ///< figures over all of them
-	struct hub_quotas *quotas; ///< kept by the leader (hub_quota.h)
+	struct hosttable *hosts; ///< addresses of all control processes known
+	guint n_saved_hosts;     ///< of those that their slots don't imply
+	bool recording_host;     ///< one is being committed
+	GHashTable *peers;       ///< slot -> struct hub_peer
+	GHashTable *gateways;    ///< name -> struct hub_gateway
+	struct hub_fleet *fleet; ///< figures over all of them
+	struct hub_peers *gateway_peers; ///< see hub_peers.c
+	struct hub_quotas *quotas;       ///< kept by the leader (hub_quota.h)
 	struct timerq_timer *tick;
 	struct timerq_timer *push;       ///< the state has changed for gateways
 	struct timerq_timer *push_slice; ///< sends it to some of them
@@ -188,6 +191,12 @@
 void hub_hosts_on_applied(struct hub *h);
 void hub_hosts_tick(struct hub *h);
 
+/// hub_peers.c: gateways that others send attempts through
+void hub_peers_start(struct hub *h);
+void hub_peers_stop(struct hub *h);
+void hub_peers_fill(
+    const struct hub *h, const struct hub_gateway *g, struct hubmsg_state *s);
+
 /// hub_fleet.c: figures over all gateways
 void hub_fleet_start(struct hub *h);
 void hub_fleet_stop(struct hub *h);
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -122,6 +122,7 @@
 	(void)g_strlcpy(
 	    g->data_centre, hello->data_centre, sizeof(g->data_centre));
 	g->incarnation = hello->incarnation;
+	g->relay_slot = hello->id;
 	g->usage = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_usage));
 	g->quotas = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_quota));
 	(void)g_hash_table_insert(h->gateways, g->name, g);
@@ -196,6 +197,7 @@
 		hub_servers_fill(h, g->list_revision, &s);
 		hub_quota_fill(h, g, s.quotas);
 		hub_rollout_fill(h, s.rollouts);
+		hub_peers_fill(h, g, &s);
 	}
 	hubmsg_state_encode(&s, &bytes, &msg.payload.len);
 	msg.payload.data = bytes;
--- a/src/platform/api_names.h
+++ b/src/platform/api_names.h
@@ -45,6 +45,21 @@
 /// Fencing number of the duty.
 #define API_HDR_FENCE "X-Acaciahinge-Fence-Token"
 
+/// In an attempt that one gateway sends through another: API_RELAY_PLAIN etc.
+#define API_HDR_RELAY "X-Acaciahinge-Relay"
+#define API_RELAY_PLAIN "plain"
+#define API_RELAY_STREAM "stream"
+/// The server gets it over a new connection.
+#define API_RELAY_PLAIN_ONCE "plain-once"
+#define API_RELAY_STREAM_ONCE "stream-once"
+/// In the response of a gateway that didn't send it to the server: why.
+#define API_HDR_RELAY_REFUSED "X-Acaciahinge-Relay-Refused"
+#define API_RELAY_GATEWAY "gateway" ///< it can't send anything there now
+#define API_RELAY_CLOSED "closed"   ///< the server takes nothing
+#define API_RELAY_LOST "lost"       ///< it doesn't reach the server
+/// In a passed-on response that ended with the server's connection.
+#define API_HDR_RELAY_UNFRAMED "X-Acaciahinge-Relay-Unframed"
+
 #define API_PATH_READY "/api/readiness"
 #define API_PATH_CONFIG "/api/config"
 #define API_PATH_ROLLOUTS "/api/rollouts"
--- a/src/platform/api_request.c
+++ b/src/platform/api_request.c
@@ -24,7 +24,12 @@
 static const char *const internal_headers[] = { API_HDR_CUSTOMER,
 	API_HDR_EXPECT_INSTANCE, API_HDR_EXPECT_VERSION, API_HDR_PRIORITY,
 	API_HDR_HOLD, API_HDR_PIN, API_HDR_KV_BACKUP, API_HDR_KV_FROM,
-	API_HDR_KV_FETCH, API_HDR_DEADLINE, API_HDR_LAST_EVENT, NULL };
+	API_HDR_KV_FETCH, API_HDR_DEADLINE, API_HDR_LAST_EVENT, API_HDR_RELAY,
+	NULL };
+
+/// Headers between two gateways.
+static const char *const relay_headers[] = { API_HDR_RELAY,
+	API_HDR_RELAY_REFUSED, API_HDR_RELAY_UNFRAMED, NULL };
 
 static bool
 contains_name(const char *const *names, const char *name)
@@ -317,12 +322,34 @@
 	return p.out;
 }
 
+static void
+copy_relayed_header(void *arg, const char *name, const char *value)
+{
+	const struct header_filter *p = arg;
+
+	if (!contains_name(hop_by_hop_headers, name) &&
+	    !contains_name(relay_headers, name))
+		api_headers_add(p->out, name, value);
+}
+
+/// Returns the headers of another gateway's attempt to forward to the backend
+/// server, to be released with api_headers_free().
+struct api_headers *
+api_headers_from_relay(struct httpd *f, handle_t handle)
+{
+	struct header_filter p = { .out = new_headers() };
+
+	httpd_foreach_header(f, handle, copy_relayed_header, &p);
+	return p.out;
+}
+
 static void
 copy_response_header(void *arg, const char *name, const char *value)
 {
 	const struct header_filter *p = arg;
 
 	if (contains_name(hop_by_hop_headers, name) ||
+	    contains_name(relay_headers, name) ||
 	    is_named_in(p->connection, name))
 		return;
 	api_headers_add(p->out, name, value);
--- a/src/platform/api_request.h
+++ b/src/platform/api_request.h
@@ -79,6 +79,7 @@
 
 struct api_headers *api_headers_from_request(
     struct httpd *f, handle_t handle, bool drop_key);
+struct api_headers *api_headers_from_relay(struct httpd *f, handle_t handle);
 struct api_headers *api_headers_from_response(struct httpc *c, handle_t handle);
 void api_headers_add(
     struct api_headers *h, const char *name, const char *value);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -65,7 +65,8 @@
 
 struct wire_hello {
 	enum wire_role role;
-	uint32_t id; ///< id of a control process, slot of a hub, else 0
+	uint32_t id; ///< id of a control process, slot of a hub, or of a
+		     ///< gateway that takes attempts of others, else 0
 	uint64_t incarnation; ///< tells this run of the process from others
 	char deployment[WIRE_NAME_BYTES];
 	char node[WIRE_NAME_BYTES];
--- a/test/unit/fleet/test_hubmsg.cc
+++ b/test/unit/fleet/test_hubmsg.cc
@@ -13,7 +13,7 @@
 {
 
 std::vector<uint8_t>
-encoded_state(bool evacuated = true, bool told = false)
+encoded_state(bool evacuated = true, bool told = false, bool peers = false)
 {
 	struct hosttable_entry host = { 1041, "10.64.0.1" };
 	struct hubmsg_state s;
@@ -41,6 +41,10 @@
 		(void)evacset_add(&s.evacuations, 40, "csepel", 7);
 	if (told)
 		g_array_append_val(s.hosts, host);
+	if (peers) {
+		g_array_append_val(s.peers, member);
+		s.n_near_peers = 1;
+	}
 	hubmsg_state_encode(&s, &bytes, &len);
 	hubmsg_state_clear(&s);
 	std::vector<uint8_t> out(bytes, bytes + len);
@@ -90,6 +94,27 @@
 	}
 }
 
+TEST(Messages, AStateTellsPeersAfterAllThatOlderVersionsKnow)
+{
+	for (const bool told : { false, true }) {
+		const std::vector<uint8_t> bytes =
+		    encoded_state(true, told, true);
+		const std::vector<uint8_t> without = encoded_state(true, told);
+		struct hubmsg_state s;
+
+		EXPECT_TRUE(
+		    std::equal(without.begin(), without.end(), bytes.begin()));
+		hubmsg_state_init(&s);
+		ASSERT_EQ(hubmsg_state_decode(bytes.data(), bytes.size(), &s),
+		    STATUS_OK);
+		EXPECT_EQ(s.hosts->len, told ? 1U : 0U);
+		ASSERT_EQ(s.peers->len, 1U);
+		EXPECT_EQ(g_array_index(s.peers, uint32_t, 0), 1041U);
+		EXPECT_EQ(s.n_near_peers, 1U);
+		hubmsg_state_clear(&s);
+	}
+}
+
 // A state without evacuations is what older versions send and understand.
 TEST(Messages, AStateOfAnOlderVersionIsDecoded)
 {
