A gateway that takes itself to be cut off holds reports of crashes back

Three servers that crash in a row look like a cut to their gateway. It dropped the report of such a crash, which may be the one that blocks a deadly part. Reports are now held until checks have shown within a second whether the gateway is cut off.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -100,6 +100,7 @@
 	gateway_servers_tick(g, now_us);
 	gateway_leaving_tick(g, now_us);
 	gateway_reach_tick(g, now_us);
+	gateway_crashes_tick(g, now_us);
 	gateway_rollout_tick(g, now_us);
 	gateway_waitq_step(g, now_us);
 	if (g->list_fresh_us != 0 &&
--- a/src/gateway/gateway_crashes.c
+++ b/src/gateway/gateway_crashes.c
@@ -13,6 +13,9 @@
 /// Crashes that a new leader hears of again.
 #define GATEWAY_REPORTED_US (10 * USEC_PER_SEC)
 #define GATEWAY_MAX_REPORTED 64
+/// Time from the loss of a connection until a gateway that takes itself to be
+/// cut off has found out whether it is.
+#define GATEWAY_HELD_US USEC_PER_SEC
 
 /// A server that lost connections with requests in flight. It is checked
 /// whether it crashed, or broke off responses only.
@@ -42,6 +45,7 @@
 	g->crash_checks =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, crash_free);
 	g_queue_init(&g->reported_crashes);
+	g_queue_init(&g->held_crashes);
 }
 
 /// Releases the tables of crashes.
@@ -50,6 +54,7 @@
 {
 	g_hash_table_destroy(g->crash_checks);
 	g_queue_clear_full(&g->reported_crashes, crash_free);
+	g_queue_clear_full(&g->held_crashes, crash_free);
 }
 
 static void
@@ -119,6 +124,23 @@
 	return result->status == STATUS_IO;
 }
 
+/// Reports a crash to control.
+static void
+report(struct crash *crash)
+{
+	struct gateway *g = crash->gateway;
+
+	gateway_cold_on_unreachable(g, crash->report.server);
+	g->n_server_crashes->value++;
+	logger_event(LOGGER_INFO, "server.crashed",
+	    "server=%s service=%s parts=%u", crash->report.server,
+	    crash->report.service, crash->report.in_flight->len);
+	g_queue_push_tail(&g->reported_crashes, crash);
+	if (g_queue_get_length(&g->reported_crashes) > GATEWAY_MAX_REPORTED)
+		crash_free(g_queue_pop_head(&g->reported_crashes));
+	send_report(g, crash);
+}
+
 static void
 on_checked(void *arg, const struct httpc_result *result)
 {
@@ -131,21 +153,38 @@
 	// Requests that end now may need another check.
 	(void)g_hash_table_steal(g->crash_checks, crash->report.server);
 	end_waiting(crash, crashed);
-	// A gateway that is cut off can't tell a crash.
-	if (!crashed || crash->is_expected ||
-	    gateway_reach_is_cut(g, crash->report.service)) {
+	if (!crashed || crash->is_expected) {
 		crash_free(crash);
 		return;
 	}
-	gateway_cold_on_unreachable(g, crash->report.server);
-	g->n_server_crashes->value++;
-	logger_event(LOGGER_INFO, "server.crashed",
-	    "server=%s service=%s parts=%u", crash->report.server,
-	    crash->report.service, crash->report.in_flight->len);
-	g_queue_push_tail(&g->reported_crashes, crash);
-	if (g_queue_get_length(&g->reported_crashes) > GATEWAY_MAX_REPORTED)
-		crash_free(g_queue_pop_head(&g->reported_crashes));
-	send_report(g, crash);
+	// It may be this gateway that is cut off, which more checks will show.
+	if (gateway_reach_is_cut(g, crash->report.service))
+		g_queue_push_tail(&g->held_crashes, crash);
+	else
+		report(crash);
+}
+
+/// Reports the crashes that were held back once this gateway isn't cut off from
+/// the service, and drops those for which it still is: it can't tell.
+void
+gateway_crashes_tick(struct gateway *g, uint64_t now_us)
+{
+	GList *next;
+
+	for (GList *l = g->held_crashes.head; l != NULL; l = next) {
+		struct crash *crash = l->data;
+		const bool is_cut =
+		    gateway_reach_is_cut(g, crash->report.service);
+
+		next = l->next;
+		if (is_cut && now_us < crash->at_us + GATEWAY_HELD_US)
+			continue;
+		g_queue_delete_link(&g->held_crashes, l);
+		if (is_cut)
+			crash_free(crash);
+		else
+			report(crash);
+	}
 }
 
 /// Requests a server's health over a new connection: one that crashed refuses
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -164,6 +164,7 @@
 	uint64_t blocked_revision; ///< of control's blocked parts; 0: none
 	GHashTable *crash_checks;  ///< server's id -> struct crash
 	GQueue reported_crashes;   ///< struct crash, oldest first
+	GQueue held_crashes; ///< of servers of services that are out of reach
 
 	/// Rollouts of services' versions (gateway_rollout.c).
 	struct rollout_entry *rollout_entry;
@@ -370,6 +371,7 @@
 
 /// gateway_crashes.c: crashes of servers
 void gateway_crashes_start(struct gateway *g);
+void gateway_crashes_tick(struct gateway *g, uint64_t now_us);
 void gateway_crashes_clear(struct gateway *g);
 void gateway_crashes_on_leader(struct gateway *g);
 void gateway_crashes_on_lost(const struct gateway_request *q);
