--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -140,7 +140,6 @@
 	struct feedsource feed; ///< where the list and configurations come from
 	uint64_t next_ask_us;
 
-	struct reach reach;     ///< this gateway's own way to the servers
 	uint64_t next_reach_us; ///< when servers out of reach are checked again
 
 	struct turns_position position; ///< for the limits of servers
@@ -202,7 +201,6 @@
 	struct metrics_hist *total_latency;
 };
 
-/// One request of a caller.
 /// Whether a server has ended with the connection of an attempt.
 enum gateway_server_end {
 	GATEWAY_SERVER_CHECKED, ///< gateway_response_checked() will tell
@@ -210,6 +208,7 @@
 	GATEWAY_SERVER_UNKNOWN, ///< it may have, and can't be checked
 };
 
+/// One request of a caller.
 struct gateway_request {
 	struct gateway *gateway;
 	handle_t self;
