--- a/src/fleet/limitmsg.h
+++ b/src/fleet/limitmsg.h
@@ -8,9 +8,9 @@
 /// Message, in both directions, about the limits that backend servers
 /// advertise, how long servers are cold, what pace they state, and which are
 /// brittle. A gateway tells the leader of each change in the responses of a
-/// server, and a new leader of all limits that it knows; a new leader's response
-/// has all that it knows. The leader passes changes on to all other gateways,
-/// and gives each of them its number for the turns (route/turns.h).
+/// server, and a new leader of all limits that it knows; a new leader's
+/// response has all that it knows. The leader passes changes on to all other
+/// gateways, and gives each of them its number for the turns (route/turns.h).
 
 struct limitmsg_limit {
 	char server[FLEETCFG_NAME_BYTES];
