script_endless_responses gives its requests time for what a response may hold

Cause, traced: the test. 60 responses are to be refused once each holds 1 MiB, or all together an eighth of the memory, and each request has a second attempt; beside load the requests' deadline of 2 s passes first, and 504 is the right answer then.

What it guards, the statuses and the bound of memory, is unchanged; a response that isn't refused still shows, as 504.

--- a/test/script/endless_responses.sh
+++ b/test/script/endless_responses.sh
@@ -7,9 +7,9 @@
 flood() {
 	set_standin 41 "{\"responses\": [$3]}"
 	for n in $(seq "$1"); do
-		curl -s -m 4 -o /dev/null -w '%{http_code}\n' -H "Host: desk.example" \
+		curl -s -m 30 -o /dev/null -w '%{http_code}\n' -H "Host: desk.example" \
 		    -H "X-Acaciahinge-Request-Id: f$n-$(date +%s%N)" \
-		    -H "X-Acaciahinge-Deadline-Ms: 2000" \
+		    -H "X-Acaciahinge-Deadline-Ms: $timeout_ms" \
 		    -H "Authorization: Bearer k1" "http://$net.21:8221$2" >"f$n.out" &
 		eval "curl_$n=$!"
 	done
@@ -29,6 +29,8 @@
     \"zone\": \"csepel\", \"version\": \"v1\", \"slots\": 400, \"state\": \"ready\"}"
 
 retry_slack=2000
+# Beside load, what a response may hold before it is refused takes seconds to come.
+timeout_ms=20000
 standin_at 31 "\"kind\": \"platform\", \"instances\": [$raw]"
 standin_at 41 "\"kind\": \"raw\", \"raw_address\": \"$net.41:81\", \"responses\": [$ok]"
 for i in 11 12 13; do hub $i true; done
