Control processes take a slot that no other process is known to have

Cause: an address decided its slot alone, 16 bits, and a hub whose slot another address had refused to start.

Ruled out: wider ids (in each entry of the log and each message); a single second hash (the fault moves to other addresses); asking the group (a process needs a slot before it can ask, and founders have nobody to ask).

Change: an address gives eight slots. A process takes the first that no address it knows has, and keeps it: the identity on its disk always held it. Seeds' slots are assumed, in the order of their addresses, until the processes tell them. hosts.json is read with its slots, and is written whenever it changes, not only when it grows. A gateway no longer keeps a slot for its own address, and hubs dial seeds that a reload of the settings brings.

--- a/src/fleet/hosttable.c
+++ b/src/fleet/hosttable.c
@@ -1,15 +1,23 @@
 #include "fleet/hosttable.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "fleet/slotaddr.h"
 
+struct known_host {
+	char host[INSTANCE_HOST_BYTES];
+	bool told; ///< else the slot is assumed
+};
+
 struct hosttable {
 	char own[INSTANCE_HOST_BYTES];
-	GHashTable *hosts; ///< slot -> address
+	GHashTable *hosts; ///< slot -> struct known_host
 };
 
-/// Makes a table that knows its owner's address.
+/// Makes an empty table.
+///
+/// @param own  its owner's address; gives the first byte of implied ones
 struct hosttable *
 hosttable_new(const char *own)
 {
@@ -18,7 +26,6 @@
 	(void)g_strlcpy(t->own, own, sizeof(t->own));
 	t->hosts =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
-	(void)hosttable_set(t, slotaddr_from_host(own), own);
 	return t;
 }
 
@@ -32,29 +39,113 @@
 	g_free(t);
 }
 
-/// Sets the address of a slot.
+static const struct known_host *
+find(const struct hosttable *t, uint32_t slot)
+{
+	return g_hash_table_lookup(t->hosts, GUINT_TO_POINTER(slot));
+}
+
+static void
+put(struct hosttable *t, uint32_t slot, const char *host, bool told)
+{
+	struct known_host *k = g_new0(struct known_host, 1);
+
+	(void)g_strlcpy(k->host, host, sizeof(k->host));
+	k->told = told;
+	(void)g_hash_table_replace(t->hosts, GUINT_TO_POINTER(slot), k);
+}
+
+/// Slot of an address; 0 if none is known.
+uint32_t
+hosttable_slot(const struct hosttable *t, const char *host)
+{
+	GHashTableIter it;
+	gpointer slot;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->hosts);
+	while (g_hash_table_iter_next(&it, &slot, &value)) {
+		const struct known_host *k = value;
+
+		if (strcmp(k->host, host) == 0)
+			return GPOINTER_TO_UINT(slot);
+	}
+	return 0;
+}
+
+static gboolean
+is_assumed(gpointer slot, gpointer value, gpointer host)
+{
+	const struct known_host *k = value;
+
+	(void)slot;
+	return !k->told && strcmp(k->host, host) == 0;
+}
+
+/// Sets the address of a slot, as its process told it.
 ///
-/// @return whether another one was used for it until now
+/// @return whether another address was used for the slot until now
 bool
 hosttable_set(struct hosttable *t, uint32_t slot, const char *host)
 {
 	char used[INSTANCE_HOST_BYTES];
 
 	hosttable_get(t, slot, used);
-	(void)g_hash_table_replace(
-	    t->hosts, GUINT_TO_POINTER(slot), g_strdup(host));
+	(void)g_hash_table_foreach_remove(t->hosts, is_assumed, (char *)host);
+	put(t, slot, host, true);
 	return strcmp(used, host) != 0;
 }
 
-/// Whether a process may have a slot: its address is the known one, or none is
-/// known.
+/// Finds the slot of an address, or assumes one that no other address has.
+///
+/// @return 0 if `host` isn't an IPv4 address, or others have all its slots
+uint32_t
+hosttable_assume(struct hosttable *t, const char *host)
+{
+	uint32_t slot = hosttable_slot(t, host);
+
+	for (uint32_t i = 0; slot == 0 && i < SLOTADDR_CHOICES; i++) {
+		slot = slotaddr_choice(host, i);
+		if (slot == 0)
+			return 0;
+		if (find(t, slot) == NULL)
+			put(t, slot, host, false);
+		else
+			slot = 0;
+	}
+	return slot;
+}
+
+static int
+compare_hosts(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/// Assumes the slots of seeds. Processes that know nothing else and have the
+/// same seeds assume the same ones, whatever the order of the seeds.
+void
+hosttable_assume_seeds(
+    struct hosttable *t, const struct settings_addr *seeds, uint32_t n)
+{
+	const char **sorted = g_new0(const char *, n);
+
+	for (uint32_t i = 0; i < n; i++)
+		sorted[i] = seeds[i].host;
+	qsort(sorted, n, sizeof(*sorted), compare_hosts);
+	for (uint32_t i = 0; i < n; i++)
+		(void)hosttable_assume(t, sorted[i]);
+	g_free(sorted);
+}
+
+/// Whether a process at `host` may have a slot: no other address has told that
+/// it has it.
 bool
 hosttable_fits(const struct hosttable *t, uint32_t slot, const char *host)
 {
-	const char *known =
-	    g_hash_table_lookup(t->hosts, GUINT_TO_POINTER(slot));
+	const struct known_host *k = find(t, slot);
 
-	return known == NULL || strcmp(known, host) == 0;
+	return k == NULL || !k->told || strcmp(k->host, host) == 0;
 }
 
 /// Address of a slot: the known one, else the implied one.
@@ -62,11 +153,10 @@
 hosttable_get(
     const struct hosttable *t, uint32_t slot, char out[INSTANCE_HOST_BYTES])
 {
-	const char *known =
-	    g_hash_table_lookup(t->hosts, GUINT_TO_POINTER(slot));
+	const struct known_host *k = find(t, slot);
 
-	if (known != NULL)
-		(void)g_strlcpy(out, known, INSTANCE_HOST_BYTES);
+	if (k != NULL)
+		(void)g_strlcpy(out, k->host, INSTANCE_HOST_BYTES);
 	else
 		slotaddr_to_host(t->own, slot, out, INSTANCE_HOST_BYTES);
 }
@@ -74,20 +164,22 @@
 /// Whether all processes in the table derive an address from its slot, so that
 /// it needn't be told.
 bool
-hosttable_is_implied(const struct hosttable *t, const char *host)
+hosttable_is_implied(const struct hosttable *t, uint32_t slot, const char *host)
 {
 	GHashTableIter it;
-	gpointer known;
+	gpointer value;
 
 	g_hash_table_iter_init(&it, t->hosts);
-	while (g_hash_table_iter_next(&it, NULL, &known)) {
-		if (!slotaddr_is_implied(known, host))
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct known_host *k = value;
+
+		if (!slotaddr_implies(k->host, slot, host))
 			return false;
 	}
 	return true;
 }
 
-/// The slots whose addresses have to be told.
+/// The slots whose addresses were told and have to be told.
 ///
 /// @return struct hosttable_entry, to be released with g_array_unref()
 GArray *
@@ -96,15 +188,16 @@
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct hosttable_entry));
 	GHashTableIter it;
 	gpointer slot;
-	gpointer host;
+	gpointer value;
 
 	g_hash_table_iter_init(&it, t->hosts);
-	while (g_hash_table_iter_next(&it, &slot, &host)) {
+	while (g_hash_table_iter_next(&it, &slot, &value)) {
+		const struct known_host *k = value;
 		struct hosttable_entry e = { .slot = GPOINTER_TO_UINT(slot) };
 
-		if (hosttable_is_implied(t, host))
+		if (!k->told || hosttable_is_implied(t, e.slot, k->host))
 			continue;
-		(void)g_strlcpy(e.host, host, sizeof(e.host));
+		(void)g_strlcpy(e.host, k->host, sizeof(e.host));
 		g_array_append_val(out, e);
 	}
 	return out;
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -5,9 +5,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "conf/settings.h"
 #include "fleet/instance.h"
 
-/// Known addresses of control processes, by their slots.
+/// Known addresses of control processes, by their slots. An address is told by
+/// its process, or by others that it told; that of a seed that hasn't told its
+/// slot yet is assumed to have the first slot that no other address has.
 
 struct hosttable;
 
@@ -20,10 +23,15 @@
 struct hosttable *hosttable_new(const char *own);
 void hosttable_free(struct hosttable *t);
 bool hosttable_set(struct hosttable *t, uint32_t slot, const char *host);
+uint32_t hosttable_assume(struct hosttable *t, const char *host);
+void hosttable_assume_seeds(
+    struct hosttable *t, const struct settings_addr *seeds, uint32_t n);
+uint32_t hosttable_slot(const struct hosttable *t, const char *host);
 bool hosttable_fits(const struct hosttable *t, uint32_t slot, const char *host);
 void hosttable_get(
     const struct hosttable *t, uint32_t slot, char out[INSTANCE_HOST_BYTES]);
-bool hosttable_is_implied(const struct hosttable *t, const char *host);
+bool hosttable_is_implied(
+    const struct hosttable *t, uint32_t slot, const char *host);
 GArray *hosttable_not_implied(const struct hosttable *t);
 
 #endif
--- a/src/fleet/slotaddr.c
+++ b/src/fleet/slotaddr.c
@@ -26,33 +26,57 @@
 	    n[3] <= MASK(8);
 }
 
-/// Slot of an address that no slot implies. Two of them may have the same one,
-/// but rarely do.
+/// Slot of an address that isn't derived from its bytes alone. Two addresses
+/// may have the same one, but rarely do.
+///
+/// @param seed  gives the same address another slot
 static uint32_t
-hashed_slot(const unsigned n[4])
+hashed_slot(const unsigned n[4], uint32_t seed)
 {
 	const uint8_t bytes[] = { (uint8_t)n[0], (uint8_t)n[1], (uint8_t)n[2],
 		(uint8_t)n[3] };
 	const uint32_t bits = SECOND_BITS + THIRD_BITS + LAST_BITS;
 	const uint32_t slot =
-	    (uint32_t)XXH64(bytes, sizeof(bytes), 0) & MASK(bits);
+	    (uint32_t)XXH64(bytes, sizeof(bytes), seed) & MASK(bits);
 
 	return slot != 0 ? slot : 1;
 }
 
-/// Slot of an IPv4 address; 0 when it is none.
+/// A slot that an IPv4 address gives.
+///
+/// @param i  below SLOTADDR_CHOICES; 0: the one that a process takes unless
+///           another one has it
+/// @return 0 when `host` isn't an IPv4 address
 uint32_t
-slotaddr_from_host(const char *host)
+slotaddr_choice(const char *host, uint32_t i)
 {
 	unsigned n[4];
 
 	if (!parse_ipv4(host, n))
 		return 0;
-	if (n[1] > MASK(SECOND_BITS) || n[2] > MASK(THIRD_BITS))
-		return hashed_slot(n);
+	if (i > 0 || n[1] > MASK(SECOND_BITS) || n[2] > MASK(THIRD_BITS))
+		return hashed_slot(n, i);
 	return n[1] << (THIRD_BITS + LAST_BITS) | n[2] << LAST_BITS | n[3];
 }
 
+/// Usual slot of an IPv4 address; 0 when it is none.
+uint32_t
+slotaddr_from_host(const char *host)
+{
+	return slotaddr_choice(host, 0);
+}
+
+/// Whether a slot is one of those that an address gives.
+bool
+slotaddr_is_choice(const char *host, uint32_t slot)
+{
+	for (uint32_t i = 0; i < SLOTADDR_CHOICES; i++) {
+		if (slot != 0 && slotaddr_choice(host, i) == slot)
+			return true;
+	}
+	return false;
+}
+
 /// Address that a slot implies.
 ///
 /// @param own   any address of the deployment; gives the first byte
@@ -68,13 +92,12 @@
 	    slot >> LAST_BITS & MASK(THIRD_BITS), slot & MASK(LAST_BITS));
 }
 
-/// Whether a process at `own` derives `host` from its slot.
+/// Whether a process at `own` derives `host` from the slot.
 bool
-slotaddr_is_implied(const char *own, const char *host)
+slotaddr_implies(const char *own, uint32_t slot, const char *host)
 {
 	char implied[INSTANCE_HOST_BYTES];
 
-	slotaddr_to_host(
-	    own, slotaddr_from_host(host), implied, sizeof(implied));
+	slotaddr_to_host(own, slot, implied, sizeof(implied));
 	return strcmp(implied, host) == 0;
 }
--- a/src/fleet/slotaddr.h
+++ b/src/fleet/slotaddr.h
@@ -5,15 +5,22 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/// Slots of control processes, by their IPv4 addresses. All control processes
-/// listen on the same port.
+/// Slots of control processes. A process takes one of several that its IPv4
+/// address gives it, and keeps it on its disk: another address may give the
+/// same one. All control processes listen on the same port.
 ///
-/// The slots of some addresses imply them, among processes whose addresses have
-/// the same first byte: those with a second byte below 64 and a third one below
-/// 4. Others are told beside the slot (hosttable.h).
+/// The first slots of some addresses imply them, among processes whose
+/// addresses have the same first byte: those with a second byte below 64 and a
+/// third one below 4. Others are told beside the slot (hosttable.h).
+
+/// Slots that an address gives. That other processes have all of them is next
+/// to impossible in a group of any size.
+#define SLOTADDR_CHOICES 8
 
 uint32_t slotaddr_from_host(const char *host);
+uint32_t slotaddr_choice(const char *host, uint32_t i);
+bool slotaddr_is_choice(const char *host, uint32_t slot);
 void slotaddr_to_host(const char *own, uint32_t slot, char *out, size_t size);
-bool slotaddr_is_implied(const char *own, const char *host);
+bool slotaddr_implies(const char *own, uint32_t slot, const char *host);
 
 #endif
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -53,15 +53,12 @@
 static void
 dial_seeds(struct gateway *g)
 {
-	for (uint32_t i = 0; i < g->settings.n_seeds; i++) {
-		const char *host = g->settings.seeds[i].host;
-		const uint32_t slot = slotaddr_from_host(host);
+	const struct bootstrap_settings *s = &g->settings;
 
-		if (slot == 0)
-			continue;
-		(void)hosttable_set(g->hosts, slot, host);
-		(void)find_or_dial_hub(g, slot);
-	}
+	hosttable_assume_seeds(g->hosts, s->seeds, s->n_seeds);
+	for (uint32_t i = 0; i < s->n_seeds; i++)
+		(void)find_or_dial_hub(
+		    g, hosttable_slot(g->hosts, s->seeds[i].host));
 }
 
 /// Takes the addresses of control processes that their slots don't imply. One
@@ -519,7 +516,8 @@
 	(void)g_strlcpy(
 	    config.self.data_centre, g->settings.data_centre, WIRE_NAME_BYTES);
 	if (g->relay != NULL &&
-	    slotaddr_is_implied(g->settings.host, g->settings.host))
+	    slotaddr_implies(g->settings.host,
+		slotaddr_from_host(g->settings.host), g->settings.host))
 		config.self.id = slotaddr_from_host(g->settings.host);
 	g->links = transport_new(&config);
 	dial_seeds(g);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -182,7 +182,7 @@
 	timerq_timer_free(h->push_slice);
 	timerq_timer_free(h->shutdown_timer);
 	g_hash_table_destroy(h->peers);
-	hosttable_free(h->hosts);
+	hub_hosts_stop(h);
 	g_hash_table_destroy(h->gateways);
 	g_hash_table_destroy(h->limits);
 	g_hash_table_destroy(h->colds);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -87,7 +87,7 @@
 	struct fleetcfg
 	    *config; ///< read from the state's manifest; NULL: none yet
 	struct hosttable *hosts; ///< addresses of all control processes known
-	guint n_saved_hosts;     ///< of those that their slots don't imply
+	char *saved_hosts;       ///< text of the file of addresses; NULL: none
 	bool recording_host;     ///< one is being committed
 	GHashTable *peers;       ///< slot -> struct hub_peer
 	GHashTable *gateways;    ///< name -> struct hub_gateway
@@ -166,6 +166,9 @@
 	struct metrics_hist *ack_latency; ///< of operators' commands
 };
 
+/// Number of the only group of the replicated log.
+#define HUB_GROUP 1
+
 /// hub.c
 bool hub_is_leader(const struct hub *h);
 
@@ -189,6 +192,7 @@
 
 /// hub_hosts.c: addresses of the control processes
 enum status hub_hosts_start(struct hub *h);
+void hub_hosts_stop(struct hub *h);
 bool hub_hosts_on_hello(struct hub *h, const struct wire_hello *hello);
 void hub_hosts_on_applied(struct hub *h);
 void hub_hosts_tick(struct hub *h);
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fleet/slotaddr.h"
-
 #define HUB_MAX_QUEUE_BYTES (16UL << 20)
 /// Gateways that are sent a changed state in one run of the timer.
 #define HUB_PUSH_SLICE 8
@@ -401,6 +399,16 @@
 		p->accepted = HANDLE_NONE;
 }
 
+static void
+dial_seeds(struct hub *h)
+{
+	const struct bootstrap_settings *s = &h->settings;
+
+	hosttable_assume_seeds(h->hosts, s->seeds, s->n_seeds);
+	for (uint32_t i = 0; i < s->n_seeds; i++)
+		(void)hub_peer(h, hosttable_slot(h->hosts, s->seeds[i].host));
+}
+
 /// Opens the links to the other processes of the deployment: dials the seeds
 /// and listens for peers and gateways.
 ///
@@ -430,24 +438,25 @@
 	(void)g_strlcpy(config.self.node, s->node, WIRE_NAME_BYTES);
 	(void)g_strlcpy(
 	    config.self.data_centre, s->data_centre, WIRE_NAME_BYTES);
-	if (!hosttable_is_implied(h->hosts, s->host))
+	if (!hosttable_is_implied(h->hosts, h->slot, s->host))
 		(void)g_strlcpy(config.self.host, s->host, WIRE_NAME_BYTES);
 	h->links = transport_new(&config);
-	for (uint32_t i = 0; i < s->n_seeds; i++)
-		(void)hub_peer(h, slotaddr_from_host(s->seeds[i].host));
+	dial_seeds(h);
 	if (s->peer_listen.port != 0)
 		return transport_listen(
 		    h->links, s->peer_listen.host, s->peer_listen.port);
 	return transport_listen(h->links, s->host, s->peer_port);
 }
 
-/// Removes gateways that have sent no report for HUB_GATEWAY_RETENTION_US.
+/// Dials new seeds, also those whose assumed slots turned out to be others',
+/// and removes gateways that have sent no report for HUB_GATEWAY_RETENTION_US.
 void
 hub_links_tick(struct hub *h, uint64_t now_us)
 {
 	GHashTableIter it;
 	gpointer value;
 
+	dial_seeds(h);
 	g_hash_table_iter_init(&it, h->gateways);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct hub_gateway *g = value;
--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -4,10 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fleet/slotaddr.h"
 #include "platform/api_manifest.h"
 
-#define HUB_GROUP 1
 #define HUB_ELECTION_US (400 * USEC_PER_MSEC)
 #define HUB_HEARTBEAT_US (100 * USEC_PER_MSEC)
 #define HUB_FAILED_EXIT 1
@@ -179,7 +177,8 @@
 	bool is_initial_voter = false;
 
 	for (uint32_t i = 0; i < s->n_seeds; i++) {
-		const uint32_t slot = slotaddr_from_host(s->seeds[i].host);
+		const uint32_t slot =
+		    hosttable_slot(h->hosts, s->seeds[i].host);
 
 		if (slot == 0)
 			continue;
--- a/src/replog/logstore.c
+++ b/src/replog/logstore.c
@@ -89,26 +89,23 @@
 	    d, "identity", IDENTITY_MAGIC, (const uint8_t *)&f, sizeof(f));
 }
 
+/// Reads the identity file.
+///
+/// @return STATUS_OK, STATUS_NOT_FOUND, STATUS_CORRUPT or STATUS_IO
 static enum status
-load_identity(struct logstore *d, const char *names,
-    const struct logstore_identity *wanted, struct logstore_loaded *loaded)
+read_identity(struct logstore *d, struct identity_file *f)
 {
-	struct identity_file f;
 	GByteArray *bytes;
 	enum status status =
 	    logstore_read_checked(d, "identity", IDENTITY_MAGIC, &bytes);
 
-	loaded->identity = *wanted;
-	if (status == STATUS_NOT_FOUND)
-		return create_identity(d, names, wanted, loaded);
+	memset(f, 0, sizeof(*f));
 	if (status != STATUS_OK)
 		return status;
-	if (bytes->len == sizeof(f)) {
-		memcpy(&f, bytes->data, sizeof(f));
-		f.identity.deployment[sizeof(f.identity.deployment) - 1] = 0;
-		f.identity.node[sizeof(f.identity.node) - 1] = 0;
-		status = check_identity(d, &f, wanted);
-		loaded->identity = f.identity;
+	if (bytes->len == sizeof(*f)) {
+		memcpy(f, bytes->data, sizeof(*f));
+		f->identity.deployment[sizeof(f->identity.deployment) - 1] = 0;
+		f->identity.node[sizeof(f->identity.node) - 1] = 0;
 	} else {
 		status = status_fail(STATUS_CORRUPT,
 		    "%s: identity file has an unexpected size", d->folder);
@@ -117,6 +114,22 @@
 	return status;
 }
 
+static enum status
+load_identity(struct logstore *d, const char *names,
+    const struct logstore_identity *wanted, struct logstore_loaded *loaded)
+{
+	struct identity_file f;
+	const enum status status = read_identity(d, &f);
+
+	loaded->identity = *wanted;
+	if (status == STATUS_NOT_FOUND)
+		return create_identity(d, names, wanted, loaded);
+	if (status != STATUS_OK)
+		return status;
+	loaded->identity = f.identity;
+	return check_identity(d, &f, wanted);
+}
+
 static enum status
 load_hard_state(struct logstore *d, struct logstore_loaded *loaded)
 {
@@ -238,6 +251,21 @@
 	return d;
 }
 
+/// Slot of a disk's identity, of a log that needn't be open.
+///
+/// @return 0 if there is none, or it can't be read
+uint32_t
+logstore_read_slot(
+    const char *folder, uint32_t group, const struct logstore_os *os)
+{
+	struct logstore *d = new_logstore(folder, group, os);
+	struct identity_file f;
+	const enum status status = read_identity(d, &f);
+
+	logstore_close(d);
+	return status == STATUS_OK ? f.identity.id & RAFT_SLOT_MASK : 0;
+}
+
 /// Opens or creates the log of a group and reads all of it.
 ///
 /// @param folder  data folder of the process; created if its parent exists
