A process that joins dials the leader, also one that isn't a seed

Cause: a process that joins dials the seeds only. A seed forwards its hello to the leader, which knows a slot and no address, and dials the one that the slot implies.

Change: members tell processes that aren't voters the members and addresses, in the message that gateways get, and these dial them.

Result: script_join_other_leader failed 3 times of 3 before and holds 6 of 6; script_addresses and unit_hub pass, lint clean.

--- a/src/hub/hub_hosts.c
+++ b/src/hub/hub_hosts.c
@@ -149,6 +149,20 @@
 	return false;
 }
 
+/// Takes addresses that another process knows, of processes that haven't told
+/// theirs to this one.
+void
+hub_hosts_learn(struct hub *h, const GArray *hosts)
+{
+	for (guint i = 0; i < hosts->len; i++) {
+		const struct hosttable_entry *e =
+		    &g_array_index(hosts, struct hosttable_entry, i);
+
+		if (hosttable_fits(h->hosts, e->slot, e->host))
+			set_host(h, e->slot, e->host);
+	}
+}
+
 /// Takes the addresses that the replicated state has.
 void
 hub_hosts_on_applied(struct hub *h)
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -89,6 +89,7 @@
 	struct hosttable *hosts; ///< addresses of all control processes known
 	char *saved_hosts;       ///< text of the file of addresses; NULL: none
 	bool recording_host;     ///< one is being committed
+	uint64_t next_join_us;   ///< processes that join are told members then
 	GHashTable *peers;       ///< slot -> struct hub_peer
 	GHashTable *gateways;    ///< name -> struct hub_gateway
 	struct hub_fleet *fleet; ///< figures over all of them
@@ -186,6 +187,7 @@
 struct hub_peer *hub_peer(struct hub *h, uint32_t slot);
 void hub_peer_send_raft(
     struct hub *h, uint32_t slot, const struct wire_msg *msg);
+void hub_fill_members(const struct hub *h, struct hubmsg_state *s);
 void hub_links_tick(struct hub *h, uint64_t now_us);
 void hub_push_begin(struct hub *h);
 void hub_push_slice(void *arg, uint64_t now_us);
@@ -194,9 +196,14 @@
 enum status hub_hosts_start(struct hub *h);
 void hub_hosts_stop(struct hub *h);
 bool hub_hosts_on_hello(struct hub *h, const struct wire_hello *hello);
+void hub_hosts_learn(struct hub *h, const GArray *hosts);
 void hub_hosts_on_applied(struct hub *h);
 void hub_hosts_tick(struct hub *h);
 
+/// hub_join.c: processes that join
+void hub_join_tick(struct hub *h, uint64_t now_us);
+void hub_join_on_state(struct hub *h, const struct wire_bytes *bytes);
+
 /// hub_peers.c: gateways that others send attempts through
 void hub_peers_start(struct hub *h);
 void hub_peers_stop(struct hub *h);
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -129,20 +129,23 @@
 	return g;
 }
 
-static void
-fill_members(const struct hub *h, const struct replica_status *st,
-    struct hubmsg_state *s)
+/// Fills in the leader, the members and the addresses that are recorded.
+void
+hub_fill_members(const struct hub *h, struct hubmsg_state *s)
 {
 	const GArray *hosts = hubstate_hosts(h->state);
+	struct replica_status st;
 
+	replica_status(h->group, &st);
+	s->leader = st.leader & RAFT_SLOT_MASK;
 	g_array_append_vals(s->hosts, hosts->data, hosts->len);
-	for (uint32_t i = 0; i < st->members.n_voters; i++) {
-		const uint32_t slot = st->members.voters[i] & RAFT_SLOT_MASK;
+	for (uint32_t i = 0; i < st.members.n_voters; i++) {
+		const uint32_t slot = st.members.voters[i] & RAFT_SLOT_MASK;
 
 		g_array_append_val(s->members, slot);
 	}
-	for (uint32_t i = 0; i < st->members.n_learners; i++) {
-		const uint32_t slot = st->members.learners[i] & RAFT_SLOT_MASK;
+	for (uint32_t i = 0; i < st.members.n_learners; i++) {
+		const uint32_t slot = st.members.learners[i] & RAFT_SLOT_MASK;
 
 		g_array_append_val(s->members, slot);
 	}
@@ -174,19 +177,16 @@
 send_state(struct hub *h, struct hub_gateway *g)
 {
 	struct wire_msg msg = { .kind = WIRE_CONTROL_STATUS };
-	struct replica_status st;
 	struct hubmsg_state s;
 	uint8_t *bytes;
 
 	g->push_due = false;
-	replica_status(h->group, &st);
 	hubmsg_state_init(&s);
 	s.echo_us = g->echo_us;
 	s.is_leader = hub_is_leader(h);
 	if (s.is_leader)
 		hub_crashes_send_blocked(h, g);
-	s.leader = st.leader & RAFT_SLOT_MASK;
-	fill_members(h, &st, &s);
+	hub_fill_members(h, &s);
 	fill_config(h, g, &s);
 	if (s.is_leader) {
 		s.evacuations = *hubstate_evacuations(h->state);
@@ -340,6 +340,10 @@
 	struct hub *h = arg;
 
 	switch (msg->kind) {
+	case WIRE_CONTROL_STATUS:
+		if (hello->role == WIRE_ROLE_CONTROL)
+			hub_join_on_state(h, &msg->payload);
+		break;
 	case WIRE_RAFT:
 		if (hello->role == WIRE_ROLE_CONTROL && h->group != NULL)
 			on_raft(h, hello, &msg->raft);
