A control process that is refused for its slot takes another one

Seen: a control process with an empty disk, at an address whose slot a member has, runs and is never let in; a process that is long gone keeps its slot in the same way. Its own log says nothing.

Cause: hub_hosts_on_hello() refused a slot for which another address was known, whoever used that address now, and told nobody. The process had one slot only.

Ruled out: ending the process (a fault in itself); refusal by the address known last (a follower with an old log would refuse a member that followed); another slot for a member (the log has it).

Change: a refusal is a message with the members and addresses; a process that hasn't joined takes a free slot of its address and starts anew. A slot is taken only while its process runs, or is a member and a leader is known; else the newest address has it, and is recorded.

--- a/src/fleet/hosttable.c
+++ b/src/fleet/hosttable.c
@@ -96,6 +96,20 @@
 	return strcmp(used, host) != 0;
 }
 
+/// Forgets the address of a slot.
+void
+hosttable_forget(struct hosttable *t, uint32_t slot)
+{
+	(void)g_hash_table_remove(t->hosts, GUINT_TO_POINTER(slot));
+}
+
+/// Whether no address is known for a slot, not even an assumed one.
+bool
+hosttable_is_free(const struct hosttable *t, uint32_t slot)
+{
+	return find(t, slot) == NULL;
+}
+
 /// Finds the slot of an address, or assumes one that no other address has.
 ///
 /// @return 0 if `host` isn't an IPv4 address, or others have all its slots
@@ -179,11 +193,11 @@
 	return true;
 }
 
-/// The slots whose addresses were told and have to be told.
+/// The slots whose addresses were told.
 ///
 /// @return struct hosttable_entry, to be released with g_array_unref()
 GArray *
-hosttable_not_implied(const struct hosttable *t)
+hosttable_told(const struct hosttable *t)
 {
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct hosttable_entry));
 	GHashTableIter it;
@@ -195,10 +209,28 @@
 		const struct known_host *k = value;
 		struct hosttable_entry e = { .slot = GPOINTER_TO_UINT(slot) };
 
-		if (!k->told || hosttable_is_implied(t, e.slot, k->host))
+		if (!k->told)
 			continue;
 		(void)g_strlcpy(e.host, k->host, sizeof(e.host));
 		g_array_append_val(out, e);
 	}
 	return out;
 }
+
+/// The slots whose addresses were told and have to be told on.
+///
+/// @return as hosttable_told()
+GArray *
+hosttable_not_implied(const struct hosttable *t)
+{
+	GArray *out = hosttable_told(t);
+
+	for (guint i = out->len; i > 0; i--) {
+		const struct hosttable_entry *e =
+		    &g_array_index(out, struct hosttable_entry, i - 1);
+
+		if (hosttable_is_implied(t, e->slot, e->host))
+			g_array_remove_index_fast(out, i - 1);
+	}
+	return out;
+}
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -23,6 +23,8 @@
 struct hosttable *hosttable_new(const char *own);
 void hosttable_free(struct hosttable *t);
 bool hosttable_set(struct hosttable *t, uint32_t slot, const char *host);
+void hosttable_forget(struct hosttable *t, uint32_t slot);
+bool hosttable_is_free(const struct hosttable *t, uint32_t slot);
 uint32_t hosttable_assume(struct hosttable *t, const char *host);
 void hosttable_assume_seeds(
     struct hosttable *t, const struct settings_addr *seeds, uint32_t n);
@@ -32,6 +34,7 @@
     const struct hosttable *t, uint32_t slot, char out[INSTANCE_HOST_BYTES]);
 bool hosttable_is_implied(
     const struct hosttable *t, uint32_t slot, const char *host);
+GArray *hosttable_told(const struct hosttable *t);
 GArray *hosttable_not_implied(const struct hosttable *t);
 
 #endif
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -27,6 +27,7 @@
 	hub_links_tick(h, now_us);
 	hub_feed_tick(h, now_us);
 	hub_servers_tick(h, now_us);
+	hub_slot_tick(h);
 	hub_hosts_tick(h);
 	hub_join_tick(h, now_us);
 	if (!hub_is_leader(h))
@@ -112,6 +113,9 @@
 	h->push = timerq_timer_new(loop_timers(loop), on_push, h);
 	h->push_slice = timerq_timer_new(loop_timers(loop), hub_push_slice, h);
 	h->shutdown_timer = timerq_timer_new(loop_timers(loop), on_shutdown, h);
+	h->change_slot =
+	    timerq_timer_new(loop_timers(loop), hub_slot_change, h);
+	hub_slot_start(h);
 	h->n_operator_requests =
 	    metrics_counter(registry, "ac_orders_total", "");
 	h->n_invalid_requests =
@@ -183,6 +187,7 @@
 	timerq_timer_free(h->push_slice);
 	timerq_timer_free(h->shutdown_timer);
 	g_hash_table_destroy(h->peers);
+	hub_slot_stop(h);
 	hub_hosts_stop(h);
 	g_hash_table_destroy(h->gateways);
 	g_hash_table_destroy(h->limits);
--- a/src/hub/hub_hosts.c
+++ b/src/hub/hub_hosts.c
@@ -126,6 +126,62 @@
 	transport_remove(h->links, old);
 }
 
+/// Whether a link leads to the process that has a slot.
+static bool
+leads_to(const struct hub *h, handle_t link, uint32_t slot)
+{
+	const struct wire_hello *hello = transport_peer(h->links, link);
+
+	return hello != NULL && hello->role == WIRE_ROLE_CONTROL &&
+	    hello->id == slot;
+}
+
+/// Whether a process with a slot runs. Those of replaced ones are known for as
+/// long as this process runs, and would take the places of others.
+static bool
+is_up(const struct hub *h, uint32_t slot)
+{
+	const struct hub_peer *p =
+	    g_hash_table_lookup(h->peers, GUINT_TO_POINTER(slot));
+
+	return slot == h->slot ||
+	    (p != NULL &&
+		(leads_to(h, p->dialled, slot) ||
+		    leads_to(h, p->accepted, slot)));
+}
+
+static bool
+has_slot(const uint32_t *ids, uint32_t n, uint32_t slot)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if ((ids[i] & RAFT_SLOT_MASK) == slot)
+			return true;
+	}
+	return false;
+}
+
+/// Whether a slot is that of a member. Without a leader the members known here
+/// may be old, and the process that has the slot one of the newer ones.
+static bool
+is_member(const struct hub *h, uint32_t slot)
+{
+	struct replica_status st;
+
+	replica_status(h->group, &st);
+	return st.leader != 0 &&
+	    (has_slot(st.members.voters, st.members.n_voters, slot) ||
+		has_slot(st.members.learners, st.members.n_learners, slot));
+}
+
+/// Whether another process than the one at `host` has a slot: a member, or one
+/// that runs. That of a process which is gone may be taken.
+static bool
+is_taken(const struct hub *h, uint32_t slot, const char *host)
+{
+	return !hosttable_fits(h->hosts, slot, host) &&
+	    (is_up(h, slot) || is_member(h, slot));
+}
+
 /// Takes the address of a control process from its hello.
 ///
 /// @return false if the process can't be a member: its slot is another one's
@@ -140,7 +196,7 @@
 		slotaddr_to_host(
 		    h->settings.host, hello->id, host, sizeof(host));
 	if (slotaddr_is_choice(host, hello->id) &&
-	    hosttable_fits(h->hosts, hello->id, host)) {
+	    !is_taken(h, hello->id, host)) {
 		set_host(h, hello->id, host);
 		return true;
 	}
@@ -163,7 +219,8 @@
 	}
 }
 
-/// Takes the addresses that the replicated state has.
+/// Takes the addresses that the replicated state has. It may have an earlier
+/// process's for a slot.
 void
 hub_hosts_on_applied(struct hub *h)
 {
@@ -173,7 +230,9 @@
 		const struct hosttable_entry *e =
 		    &g_array_index(hosts, struct hosttable_entry, i);
 
-		set_host(h, e->slot, e->host);
+		if (hosttable_fits(h->hosts, e->slot, e->host) ||
+		    !is_up(h, e->slot))
+			set_host(h, e->slot, e->host);
 	}
 }
 
@@ -188,34 +247,33 @@
 	h->recording_host = false;
 }
 
-/// Whether a process runs at an address. Those of replaced ones are known for
-/// as long as this process runs, and would take the places of others.
+/// Whether the replicated state lacks an address. One that the slot implies is
+/// missed only if it has another one for the slot.
 static bool
-is_up(const struct hub *h, uint32_t slot)
+must_record(const struct hub *h, const struct hosttable_entry *e)
 {
-	const struct hub_peer *p =
-	    g_hash_table_lookup(h->peers, GUINT_TO_POINTER(slot));
+	const char *recorded = hubstate_host(h->state, e->slot);
 
-	return slot == h->slot ||
-	    (p != NULL &&
-		(transport_is_up(h->links, p->dialled) ||
-		    transport_is_up(h->links, p->accepted)));
+	if (recorded != NULL)
+		return strcmp(recorded, e->host) != 0;
+	return !hosttable_is_implied(h->hosts, e->slot, e->host);
 }
 
-/// Records an address that the replicated state doesn't have.
+/// Records an address that the replicated state lacks.
 static void
-record_host(struct hub *h, const GArray *hosts)
+record_host(struct hub *h)
 {
 	struct hubstate_command c = { .kind = HUBSTATE_HOST };
+	GArray *told = hosttable_told(h->hosts);
 
-	for (guint i = 0; i < hosts->len && !h->recording_host; i++) {
-		c.host = g_array_index(hosts, struct hosttable_entry, i);
-		if (!is_up(h, c.host.slot) ||
-		    hubstate_has_host(h->state, c.host.slot, c.host.host))
+	for (guint i = 0; i < told->len && !h->recording_host; i++) {
+		c.host = g_array_index(told, struct hosttable_entry, i);
+		if (!is_up(h, c.host.slot) || !must_record(h, &c.host))
 			continue;
 		h->recording_host = true;
 		hub_propose(h, &c, on_recorded, h);
 	}
+	g_array_unref(told);
 }
 
 /// Keeps the addresses that slots don't imply: in the data folder, and as the
@@ -227,7 +285,7 @@
 
 	if (hosts->len > 0 || h->saved_hosts != NULL)
 		save_hosts(h, hosts);
-	if (hub_is_leader(h))
-		record_host(h, hosts);
 	g_array_unref(hosts);
+	if (hub_is_leader(h))
+		record_host(h);
 }
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -90,9 +90,12 @@
 	char *saved_hosts;       ///< text of the file of addresses; NULL: none
 	bool recording_host;     ///< one is being committed
 	uint64_t next_join_us;   ///< processes that join are told members then
-	GHashTable *peers;       ///< slot -> struct hub_peer
-	GHashTable *gateways;    ///< name -> struct hub_gateway
-	struct hub_fleet *fleet; ///< figures over all of them
+	GArray *refused_links;   ///< handle_t, to be closed (hub_slot.c)
+	struct timerq_timer *change_slot;
+	uint32_t next_slot;              ///< to be taken then; 0: none
+	GHashTable *peers;               ///< slot -> struct hub_peer
+	GHashTable *gateways;            ///< name -> struct hub_gateway
+	struct hub_fleet *fleet;         ///< figures over all of them
 	struct hub_peers *gateway_peers; ///< see hub_peers.c
 	struct hub_quotas *quotas;       ///< kept by the leader (hub_quota.h)
 	struct timerq_timer *tick;
@@ -175,6 +178,7 @@
 
 /// hub_log.c: the replicated log
 enum status hub_log_start(struct hub *h);
+void hub_log_failed(struct hub *h, enum status status);
 void hub_load_config(struct hub *h);
 void hub_propose(struct hub *h, const struct hubstate_command *c,
     replica_done_cb done, void *arg);
@@ -187,6 +191,7 @@
 struct hub_peer *hub_peer(struct hub *h, uint32_t slot);
 void hub_peer_send_raft(
     struct hub *h, uint32_t slot, const struct wire_msg *msg);
+void hub_links_set_self(struct hub *h);
 void hub_fill_members(const struct hub *h, struct hubmsg_state *s);
 void hub_links_tick(struct hub *h, uint64_t now_us);
 void hub_push_begin(struct hub *h);
@@ -202,7 +207,17 @@
 
 /// hub_join.c: processes that join
 void hub_join_tick(struct hub *h, uint64_t now_us);
-void hub_join_on_state(struct hub *h, const struct wire_bytes *bytes);
+void hub_join_on_state(struct hub *h, const struct hubmsg_state *s);
+
+/// hub_slot.c: slots that two processes have
+void hub_slot_start(struct hub *h);
+void hub_slot_stop(struct hub *h);
+void hub_slot_refuse(struct hub *h, handle_t link, uint32_t slot);
+bool hub_slot_is_refused(const struct hub *h, handle_t link);
+void hub_slot_on_state(struct hub *h, const struct wire_hello *hello,
+    const struct hubmsg_state *s);
+void hub_slot_change(void *arg, uint64_t now_us);
+void hub_slot_tick(struct hub *h);
 
 /// hub_peers.c: gateways that others send attempts through
 void hub_peers_start(struct hub *h);
--- a/src/hub/hub_join.c
+++ b/src/hub/hub_join.c
@@ -37,6 +37,14 @@
 	h->next_join_us = now_us + HUB_JOIN_US;
 	hubmsg_state_init(&s);
 	hub_fill_members(h, &s);
+	// A process that has the slot of an earlier one mustn't take itself for
+	// refused.
+	for (guint i = 0; i < s.hosts->len; i++) {
+		struct hosttable_entry *e =
+		    &g_array_index(s.hosts, struct hosttable_entry, i);
+
+		hosttable_get(h->hosts, e->slot, e->host);
+	}
 	hubmsg_state_encode(&s, &bytes, &msg.payload.len);
 	hubmsg_state_clear(&s);
 	msg.payload.data = bytes;
@@ -53,16 +61,9 @@
 
 /// Dials the members that another process knows.
 void
-hub_join_on_state(struct hub *h, const struct wire_bytes *bytes)
+hub_join_on_state(struct hub *h, const struct hubmsg_state *s)
 {
-	struct hubmsg_state s;
-
-	hubmsg_state_init(&s);
-	if (hubmsg_state_decode(bytes->data, bytes->len, &s) == STATUS_OK) {
-		hub_hosts_learn(h, s.hosts);
-		for (guint i = 0; i < s.members->len; i++)
-			(void)hub_peer(
-			    h, g_array_index(s.members, uint32_t, i));
-	}
-	hubmsg_state_clear(&s);
+	hub_hosts_learn(h, s->hosts);
+	for (guint i = 0; i < s->members->len; i++)
+		(void)hub_peer(h, g_array_index(s->members, uint32_t, i));
 }
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -296,7 +296,7 @@
 	if (hello->role != WIRE_ROLE_CONTROL)
 		return;
 	if (!hub_hosts_on_hello(h, hello)) {
-		transport_close(h->links, link);
+		hub_slot_refuse(h, link, hello->id);
 		return;
 	}
 	p = hub_peer(h, hello->id);
@@ -333,16 +333,33 @@
 		hub_limits_on_message(h, g, bytes);
 }
 
+/// Another control process tells the members, maybe as it refuses this one.
+static void
+on_state(struct hub *h, const struct wire_hello *hello,
+    const struct wire_bytes *bytes)
+{
+	struct hubmsg_state s;
+
+	hubmsg_state_init(&s);
+	if (hubmsg_state_decode(bytes->data, bytes->len, &s) == STATUS_OK) {
+		hub_slot_on_state(h, hello, &s);
+		hub_join_on_state(h, &s);
+	}
+	hubmsg_state_clear(&s);
+}
+
 static void
 on_message(void *arg, handle_t link, const struct wire_hello *hello,
     const struct wire_msg *msg)
 {
 	struct hub *h = arg;
 
+	if (hub_slot_is_refused(h, link) && msg->kind != WIRE_CONTROL_STATUS)
+		return;
 	switch (msg->kind) {
 	case WIRE_CONTROL_STATUS:
 		if (hello->role == WIRE_ROLE_CONTROL)
-			hub_join_on_state(h, &msg->payload);
+			on_state(h, hello, &msg->payload);
 		break;
 	case WIRE_RAFT:
 		if (hello->role == WIRE_ROLE_CONTROL && h->group != NULL)
@@ -413,6 +430,33 @@
 		(void)hub_peer(h, hosttable_slot(h->hosts, s->seeds[i].host));
 }
 
+static struct wire_hello
+own_hello(const struct hub *h)
+{
+	const struct bootstrap_settings *s = &h->settings;
+	struct wire_hello hello = {
+		.role = WIRE_ROLE_CONTROL,
+		.id = h->slot,
+		.incarnation = loop_incarnation(h->loop),
+		.deployment = "fleet",
+	};
+
+	(void)g_strlcpy(hello.node, s->node, WIRE_NAME_BYTES);
+	(void)g_strlcpy(hello.data_centre, s->data_centre, WIRE_NAME_BYTES);
+	if (!hosttable_is_implied(h->hosts, h->slot, s->host))
+		(void)g_strlcpy(hello.host, s->host, WIRE_NAME_BYTES);
+	return hello;
+}
+
+/// Tells all peers the slot that this process has now.
+void
+hub_links_set_self(struct hub *h)
+{
+	const struct wire_hello hello = own_hello(h);
+
+	transport_set_self(h->links, &hello);
+}
+
 /// Opens the links to the other processes of the deployment: dials the seeds
 /// and listens for peers and gateways.
 ///
@@ -424,12 +468,7 @@
 	struct transport_config config = {
 		.base = loop_event_base(h->loop),
 		.timers = loop_timers(h->loop),
-		.self = {
-			.role = WIRE_ROLE_CONTROL,
-			.id = h->slot,
-			.incarnation = loop_incarnation(h->loop),
-			.deployment = "fleet",
-		},
+		.self = own_hello(h),
 		.max_queue_bytes = HUB_MAX_QUEUE_BYTES,
 		.callbacks = {
 			.up = on_link_up,
@@ -439,11 +478,6 @@
 		},
 	};
 
-	(void)g_strlcpy(config.self.node, s->node, WIRE_NAME_BYTES);
-	(void)g_strlcpy(
-	    config.self.data_centre, s->data_centre, WIRE_NAME_BYTES);
-	if (!hosttable_is_implied(h->hosts, h->slot, s->host))
-		(void)g_strlcpy(config.self.host, s->host, WIRE_NAME_BYTES);
 	h->links = transport_new(&config);
 	dial_seeds(h);
 	if (s->peer_listen.port != 0)
--- a/src/hub/hub_log.c
+++ b/src/hub/hub_log.c
@@ -140,10 +140,10 @@
 	timerq_arm_in(h->push, 0);
 }
 
-static void
-on_failed(void *arg, enum status status)
+/// Ends the process: its replica has failed, for the reason in status_last().
+void
+hub_log_failed(struct hub *h, enum status status)
 {
-	struct hub *h = arg;
 	char quoted[256];
 
 	logger_event(LOGGER_ERROR, "group.failed", "status=%s reason=%s",
@@ -152,6 +152,12 @@
 	loop_exit(h->loop, HUB_FAILED_EXIT);
 }
 
+static void
+on_failed(void *arg, enum status status)
+{
+	hub_log_failed(arg, status);
+}
+
 /// Proposes a command for the replicated log.
 ///
 /// @param c     encoded before the call returns
--- a/src/hub/hubstate.c
+++ b/src/hub/hubstate.c
@@ -344,18 +344,26 @@
 	return s->hosts;
 }
 
-/// Whether an address is recorded for a slot.
-bool
-hubstate_has_host(const struct hubstate *s, uint32_t slot, const char *host)
+/// Address that is recorded for a slot, or NULL; valid until the next change of
+/// `s`.
+const char *
+hubstate_host(const struct hubstate *s, uint32_t slot)
 {
 	for (guint i = 0; i < s->hosts->len; i++) {
 		const struct hosttable_entry *e =
 		    &g_array_index(s->hosts, struct hosttable_entry, i);
 
 		if (e->slot == slot)
-			return strcmp(e->host, host) == 0;
+			return e->host;
 	}
-	return false;
+	return NULL;
+}
+
+/// Whether an address is recorded for a slot.
+bool
+hubstate_has_host(const struct hubstate *s, uint32_t slot, const char *host)
+{
+	return g_strcmp0(hubstate_host(s, slot), host) == 0;
 }
 
 /// What is known of a part of prompts that crashed servers; NULL if it never
--- a/src/hub/hubstate.h
+++ b/src/hub/hubstate.h
@@ -107,6 +107,7 @@
 uint64_t hubstate_blocks_revision(const struct hubstate *s);
 const struct evacset *hubstate_evacuations(const struct hubstate *s);
 const GArray *hubstate_hosts(const struct hubstate *s);
+const char *hubstate_host(const struct hubstate *s, uint32_t slot);
 bool hubstate_has_host(
     const struct hubstate *s, uint32_t slot, const char *host);
 const struct hubstate_usage *hubstate_usage(
--- a/src/replog/logstore.c
+++ b/src/replog/logstore.c
@@ -251,6 +251,47 @@
 	return d;
 }
 
+static enum status
+remove_file(struct logstore *d, const char *name)
+{
+	char *path = logstore_path(d, name);
+	const int result = d->os.unlink(d->os.arg, path);
+
+	g_free(path);
+	return result == 0 || errno == ENOENT
+	    ? STATUS_OK
+	    : logstore_io_error(d, "unlink", name);
+}
+
+/// Removes a log that isn't open. The identity goes last: a log without one is
+/// taken for damaged.
+///
+/// @return STATUS_OK or STATUS_IO
+enum status
+logstore_remove(
+    const char *folder, uint32_t group, const struct logstore_os *os)
+{
+	struct logstore *d = new_logstore(folder, group, os);
+	char *names = d->os.list(d->os.arg, d->folder);
+	enum status status = names == NULL
+	    ? logstore_io_error(d, "list", "the folder")
+	    : STATUS_OK;
+
+	for (const char *n = names;
+	     status == STATUS_OK && n != NULL && *n != '\0';
+	     n += strlen(n) + 1) {
+		if (strcmp(n, "identity") != 0)
+			status = remove_file(d, n);
+	}
+	if (status == STATUS_OK)
+		status = remove_file(d, "identity");
+	if (status == STATUS_OK && d->os.sync_folder(d->os.arg, d->folder) != 0)
+		status = logstore_io_error(d, "sync", "the folder");
+	g_free(names);
+	logstore_close(d);
+	return status;
+}
+
 /// Slot of a disk's identity, of a log that needn't be open.
 ///
 /// @return 0 if there is none, or it can't be read
--- a/src/replog/logstore.h
+++ b/src/replog/logstore.h
@@ -62,6 +62,8 @@
 enum status logstore_open(const char *folder, uint32_t group,
     const struct logstore_identity *wanted, const struct logstore_os *os,
     struct logstore **out, struct logstore_loaded *loaded);
+enum status logstore_remove(
+    const char *folder, uint32_t group, const struct logstore_os *os);
 uint32_t logstore_read_slot(
     const char *folder, uint32_t group, const struct logstore_os *os);
 enum status logstore_write_identity(
--- a/src/wire/transport.c
+++ b/src/wire/transport.c
@@ -530,6 +530,32 @@
 	return link != NULL && link->up;
 }
 
+/// The hello of a link's peer; NULL while the link is down. Valid until the
+/// link goes down.
+const struct wire_hello *
+transport_peer(const struct transport *t, handle_t h)
+{
+	const struct transport_link *link = slotmap_get(t->links, h);
+
+	return link != NULL && link->up ? &link->hello : NULL;
+}
+
+/// Replaces the hello that is sent on every link, and closes all links, so that
+/// the peers get the new one when they are dialled again.
+void
+transport_set_self(struct transport *t, const struct wire_hello *self)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(handle_t));
+
+	t->config.self = *self;
+	for (handle_t h = slotmap_next(t->links, HANDLE_NONE); h != HANDLE_NONE;
+	     h = slotmap_next(t->links, h))
+		g_array_append_val(all, h);
+	for (guint i = 0; i < all->len; i++)
+		transport_close(t, g_array_index(all, handle_t, i));
+	g_array_unref(all);
+}
+
 /// Closes a link's connection at once, discarding unsent messages. Calls the
 /// `down` callback if the link was up. A dialled link is redialled.
 void
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -53,6 +53,9 @@
     struct transport *t, handle_t link, const struct wire_msg *msg);
 size_t transport_queued(const struct transport *t, handle_t link);
 bool transport_is_up(const struct transport *t, handle_t link);
+const struct wire_hello *transport_peer(
+    const struct transport *t, handle_t link);
+void transport_set_self(struct transport *t, const struct wire_hello *self);
 void transport_close(struct transport *t, handle_t link);
 void transport_remove(struct transport *t, handle_t link);
 struct transport_traffic transport_traffic(
--- a/test/script/slots_taken.sh
+++ b/test/script/slots_taken.sh
@@ -1,6 +1,6 @@
 # Guards against control processes that end, or are never let in, where the usual slots of
 # their addresses are those of others. The usual slot of 12 is that of 11, that of 16 is
-# that of 13.
+# that of 13; 16 takes another one then, which is the usual slot of 17.
 . "$PWD/test/script/deployment.inc"
 
 # The addresses are fixed: one run at a time.
@@ -10,6 +10,7 @@
 a=127.200.27
 b=127.236.39
 c=127.188.179
+d=127.166.149
 seeds="\"$a.11:8229\", \"$b.12:8229\", \"$a.13:8229\""
 
 # The seat of a control process, as another one knows it: ADDRESS ADDRESS.
@@ -47,3 +48,15 @@
 hub 16 false "$c"
 wait_for 200 change 6 k2 "$c.16"
 wait_for 200 status_of 21 /plain/a k2
+echo "== a later process has the slot that another one took"
+hub 17 false "$d"
+wait_for learner seat "$d.17" "$a.13"
+kill -9 "$hub_12"
+wait_for voter seat "$d.17" "$a.13"
+wait_for "" seat "$b.12" "$a.13"
+wait_for 200 change 7 k3 "$d.17"
+echo "== that one starts again, from its disk"
+kill -9 "$hub_17" "$hub_13"
+hub 17 false "$d"
+wait_for 200 change 8 k4 "$d.17"
+wait_for 200 status_of 21 /plain/a k4
--- a/test/unit/hub/test_peers.cc
+++ b/test/unit/hub/test_peers.cc
@@ -145,3 +145,46 @@
 	EXPECT_EQ(peer->incarnation, 1U);
 	EXPECT_EQ(g_hash_table_size(hub.hub->peers), 1U);
 }
+
+/// Guards against a replaced process that keeps its slot for good: the usual
+/// slot of a new one's address may be the same.
+TEST(Peers, ASlotOfAProcessThatIsGoneIsFree)
+{
+	TestHub hub;
+	const std::string gone = otherAddressOfSlot2();
+	struct hubstate_command c = {};
+
+	c.kind = HUBSTATE_HOST;
+	c.host.slot = 2;
+	g_strlcpy(c.host.host, gone.c_str(), sizeof(c.host.host));
+	hub_propose(
+	    hub.hub, &c, [](void *, enum status, const uint8_t *, size_t) {},
+	    nullptr);
+	hub.run(200);
+	EXPECT_FALSE(hosttable_fits(hub.hub->hosts, 2, "127.0.0.2"));
+	SilentSeed next(hub);
+	hub.run(500);
+	EXPECT_EQ(next.lostDialled, 0);
+	EXPECT_TRUE(hosttable_fits(hub.hub->hosts, 2, "127.0.0.2"));
+	// Gateways and other hubs have the earlier address from the log.
+	EXPECT_TRUE(hubstate_has_host(hub.hub->state, 2, "127.0.0.2"));
+}
+
+/// Guards against a process that gives up its place in the group: only one that
+/// has no part in it takes another slot.
+TEST(Peers, AMemberKeepsItsSlot)
+{
+	TestHub hub;
+	const uint32_t slot = hub.hub->slot;
+	struct hosttable_entry taken = { slot, "127.77.9.9" };
+	struct wire_hello hello = {};
+	struct hubmsg_state s;
+
+	hubmsg_state_init(&s);
+	g_array_append_val(s.hosts, taken);
+	hub_slot_on_state(hub.hub, &hello, &s);
+	hubmsg_state_clear(&s);
+	hub.run(200);
+	EXPECT_EQ(hub.hub->slot, slot);
+	EXPECT_TRUE(hub_is_leader(hub.hub));
+}
