Gateways are known by whole addresses, not by slots

Seen: two gateways at addresses that no slot implies, one cut off from all servers: its callers get 503 (plain, booking) and 502 (streams), 15 of 15, though the other one reaches all servers. Read in the code: 10.2.0.5 and 172.2.0.5 have one slot, and each gateway makes the address from it with its own first byte.

Cause: a gateway was known by the 16 bits that stand for a control process in the replicated log.

Ruled out: the address in the hello or the report (older control processes refuse a longer one and would lose the gateway).

Change: packed addresses, 32 bits in the fields that had slots; the lowest 16 are the slot that older processes read. An older gateway isn't told peers that it would take for others. relay.refused names the peer's address instead of its slot.

--- a/src/fleet/hubmsg.h
+++ b/src/fleet/hubmsg.h
@@ -156,9 +156,9 @@
 	/// Addresses of `members` that their slots don't imply: struct
 	/// hosttable_entry.
 	GArray *hosts;
-	/// Slots of gateways that the receiver may send attempts through:
-	/// uint32_t, first those of its own data centre. Empty for one of an
-	/// older version.
+	/// Packed addresses (slotaddr.h) of gateways that the receiver may send
+	/// attempts through: uint32_t, first those of its own data centre.
+	/// Empty for one of an older version.
 	GArray *peers;
 	uint32_t n_near_peers; ///< in its data centre
 };
--- a/src/fleet/slotaddr.c
+++ b/src/fleet/slotaddr.c
@@ -10,6 +10,7 @@
 #define SECOND_BITS 6
 #define THIRD_BITS 2
 #define LAST_BITS 8
+#define SLOT_BITS (SECOND_BITS + THIRD_BITS + LAST_BITS)
 #define MASK(bits) ((1U << (bits)) - 1)
 
 /// Parses an IPv4 address into its four bytes.
@@ -35,9 +36,8 @@
 {
 	const uint8_t bytes[] = { (uint8_t)n[0], (uint8_t)n[1], (uint8_t)n[2],
 		(uint8_t)n[3] };
-	const uint32_t bits = SECOND_BITS + THIRD_BITS + LAST_BITS;
 	const uint32_t slot =
-	    (uint32_t)XXH64(bytes, sizeof(bytes), seed) & MASK(bits);
+	    (uint32_t)XXH64(bytes, sizeof(bytes), seed) & MASK(SLOT_BITS);
 
 	return slot != 0 ? slot : 1;
 }
@@ -101,3 +101,60 @@
 	slotaddr_to_host(own, slot, implied, sizeof(implied));
 	return strcmp(implied, host) == 0;
 }
+
+/// Packs an IPv4 address: the bits that its slot has no room for go above it.
+///
+/// @return 0 when `host` isn't an IPv4 address
+uint32_t
+slotaddr_pack(const char *host)
+{
+	unsigned n[4];
+	uint32_t high;
+
+	if (!parse_ipv4(host, n))
+		return 0;
+	high = n[0] << 8 | n[1] >> SECOND_BITS << (8 - THIRD_BITS) |
+	    n[2] >> THIRD_BITS;
+	return high << SLOT_BITS |
+	    (n[1] & MASK(SECOND_BITS)) << (THIRD_BITS + LAST_BITS) |
+	    (n[2] & MASK(THIRD_BITS)) << LAST_BITS | n[3];
+}
+
+/// Whether what a gateway sent is a slot, as an older version sends.
+bool
+slotaddr_is_slot(uint32_t packed)
+{
+	return packed >> SLOT_BITS == 0;
+}
+
+/// Unpacks an address. What an older version sent is a slot, and is taken for
+/// one of the owner's network.
+///
+/// @param own   any address of the deployment
+/// @param size  of `out` in bytes
+void
+slotaddr_unpack(const char *own, uint32_t packed, char *out, size_t size)
+{
+	const uint32_t high = packed >> SLOT_BITS;
+	const uint32_t second =
+	    high >> (8 - THIRD_BITS) & MASK(8 - SECOND_BITS);
+
+	if (slotaddr_is_slot(packed)) {
+		slotaddr_to_host(own, packed, out, size);
+		return;
+	}
+	(void)snprintf(out, size, "%u.%u.%u.%u", high >> 8,
+	    second << SECOND_BITS |
+		(packed >> (THIRD_BITS + LAST_BITS) & MASK(SECOND_BITS)),
+	    (high & MASK(8 - THIRD_BITS)) << THIRD_BITS |
+		(packed >> LAST_BITS & MASK(THIRD_BITS)),
+	    packed & MASK(LAST_BITS));
+}
+
+/// Whether a version that takes a packed address for a slot derives the same
+/// address from it, if the first byte is its own.
+bool
+slotaddr_fits_slot(uint32_t packed)
+{
+	return (packed >> SLOT_BITS & MASK(8)) == 0;
+}
--- a/src/fleet/slotaddr.h
+++ b/src/fleet/slotaddr.h
@@ -23,4 +23,13 @@
 void slotaddr_to_host(const char *own, uint32_t slot, char *out, size_t size);
 bool slotaddr_implies(const char *own, uint32_t slot, const char *host);
 
+/// Packed addresses: whole IPv4 addresses whose low 16 bits are the slots that
+/// imply them, if any do. Gateways are known by them. Those of versions before
+/// sent the slot alone, and take a packed address for one.
+
+uint32_t slotaddr_pack(const char *host);
+void slotaddr_unpack(const char *own, uint32_t packed, char *out, size_t size);
+bool slotaddr_is_slot(uint32_t packed);
+bool slotaddr_fits_slot(uint32_t packed);
+
 #endif
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -251,8 +251,8 @@
 				 ///< for a grant; 0: none
 	bool awaits_opening;     ///< in its service's queue
 	bool work_counted; ///< the prompt is counted in the service's load
-	uint32_t via; ///< slot of the gateway that the attempt goes through; 0:
-		      ///< none
+	uint32_t via; ///< packed address of the gateway that the attempt goes
+		      ///< through; 0: none
 	uint32_t n_relays; ///< gateways that the attempt was sent to
 	bool awaits_relay; ///< is sent through another one now
 	uint32_t n_sent;   ///< attempts sent so far
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -515,10 +515,8 @@
 	(void)g_strlcpy(config.self.node, g->settings.node, WIRE_NAME_BYTES);
 	(void)g_strlcpy(
 	    config.self.data_centre, g->settings.data_centre, WIRE_NAME_BYTES);
-	if (g->relay != NULL &&
-	    slotaddr_implies(g->settings.host,
-		slotaddr_from_host(g->settings.host), g->settings.host))
-		config.self.id = slotaddr_from_host(g->settings.host);
+	if (g->relay != NULL)
+		config.self.id = slotaddr_pack(g->settings.host);
 	g->links = transport_new(&config);
 	dial_seeds(g);
 	return STATUS_OK;
--- a/src/gateway/gateway_relay.c
+++ b/src/gateway/gateway_relay.c
@@ -16,8 +16,8 @@
 
 /// A gateway that attempts can be sent through.
 struct peer {
-	uint32_t slot;
-	bool is_near; ///< in this gateway's data centre
+	uint32_t address; ///< packed, see slotaddr.h
+	bool is_near;     ///< in this gateway's data centre
 };
 
 /// Makes the empty list of peers.
@@ -42,7 +42,7 @@
 avoided_until_us(
     const struct gateway *g, const struct peer *p, const char *service)
 {
-	char *key = g_strdup_printf("%u %s", p->slot, service);
+	char *key = g_strdup_printf("%u %s", p->address, service);
 	const uint64_t *until_us = g_hash_table_lookup(g->avoided, key);
 
 	g_free(key);
@@ -81,7 +81,7 @@
 	g_array_set_size(g->peers, 0);
 	for (guint i = 0; i < s->peers->len; i++) {
 		const struct peer p = {
-			.slot = g_array_index(s->peers, uint32_t, i),
+			.address = g_array_index(s->peers, uint32_t, i),
 			.is_near = i < s->n_near_peers,
 		};
 
@@ -147,10 +147,11 @@
 	    ? choose_peer(g, s->instance.service, loop_now_us(g->loop))
 	    : NULL;
 
-	q->via = p == NULL ? 0 : p->slot;
+	q->via = p == NULL ? 0 : p->address;
 	if (p == NULL)
 		return false;
-	slotaddr_to_host(g->settings.host, p->slot, host, INSTANCE_HOST_BYTES);
+	slotaddr_unpack(
+	    g->settings.host, p->address, host, INSTANCE_HOST_BYTES);
 	q->n_relays++;
 	g->n_relays->value++;
 	logger_event(LOGGER_INFO, "relay.asked",
@@ -173,7 +174,8 @@
 
 	if (p == NULL)
 		return;
-	slotaddr_to_host(g->settings.host, p->slot, host, INSTANCE_HOST_BYTES);
+	slotaddr_unpack(
+	    g->settings.host, p->address, host, INSTANCE_HOST_BYTES);
 	call->host = host;
 	call->port = gateway_relay_port(g);
 	call->headers[0] =
@@ -238,6 +240,7 @@
 {
 	const char *refusal = gateway_relay_refusal(q);
 	char why[sizeof(API_RELAY_CLOSED) + sizeof(API_RELAY_LOST)];
+	char via[INSTANCE_HOST_BYTES];
 
 	if (q->via == 0)
 		return false;
@@ -246,10 +249,10 @@
 	if (refusal == NULL && result->verdict != VERDICT_NOT_RUN)
 		return false;
 	(void)g_strlcpy(why, refusal != NULL ? refusal : "", sizeof(why));
+	slotaddr_unpack(q->gateway->settings.host, q->via, via, sizeof(via));
 	logger_event(LOGGER_INFO, "relay.refused",
-	    "request=%s attempt=%u server=%s slot=%u reason=\"%s\"", q->call.id,
-	    q->n_sent, q->server, q->via,
-	    refusal != NULL ? why : "no connection");
+	    "request=%s attempt=%u server=%s via=%s reason=\"%s\"", q->call.id,
+	    q->n_sent, q->server, via, refusal != NULL ? why : "no connection");
 	q->gateway->n_relays_refused->value++;
 	if (strcmp(why, API_RELAY_CLOSED) == 0)
 		gateway_attempt_failed(q, BALANCER_REFUSED, VERDICT_NOT_RUN,
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -48,8 +48,8 @@
 	char name[FLEETCFG_NAME_BYTES];
 	char data_centre[FLEETCFG_NAME_BYTES];
 	uint64_t incarnation;
-	uint32_t
-	    relay_slot; ///< takes attempts of other gateways there; 0: none
+	uint32_t relay_address; ///< takes attempts of other gateways there,
+				///< packed (slotaddr.h); 0: none
 	handle_t link;
 	uint64_t last_report_us;
 	uint64_t echo_us;        ///< its clock when it sent its newest report
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -120,7 +120,7 @@
 	(void)g_strlcpy(
 	    g->data_centre, hello->data_centre, sizeof(g->data_centre));
 	g->incarnation = hello->incarnation;
-	g->relay_slot = hello->id;
+	g->relay_address = hello->id;
 	g->usage = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_usage));
 	g->quotas = g_array_new(FALSE, TRUE, sizeof(struct hubmsg_quota));
 	(void)g_hash_table_insert(h->gateways, g->name, g);
--- a/src/hub/hub_peers.c
+++ b/src/hub/hub_peers.c
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include "fleet/slotaddr.h"
+
 /// The gateways that each gateway may send attempts through (gateway_relay.c):
 /// some of its own data centre, and some of the others. They are neighbours on
 /// a ring of all gateways, so that the load of one is spread and each is chosen
@@ -18,7 +20,7 @@
 
 struct peer {
 	uint64_t place;
-	uint32_t slot;
+	uint32_t address; ///< packed, see slotaddr.h
 	char data_centre[FLEETCFG_NAME_BYTES];
 };
 
@@ -30,7 +32,7 @@
 
 	if (x->place != y->place)
 		return x->place < y->place ? -1 : 1;
-	return x->slot < y->slot ? -1 : x->slot > y->slot;
+	return x->address < y->address ? -1 : x->address > y->address;
 }
 
 static void
@@ -45,11 +47,11 @@
 	g_hash_table_iter_init(&it, h->gateways);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct hub_gateway *g = value;
-		struct peer e = { .slot = g->relay_slot };
+		struct peer e = { .address = g->relay_address };
 
-		if (g->relay_slot == 0 || !hub_gateway_is_alive(h, g))
+		if (g->relay_address == 0 || !hub_gateway_is_alive(h, g))
 			continue;
-		e.place = XXH64(&e.slot, sizeof(e.slot), 0);
+		e.place = XXH64(&e.address, sizeof(e.address), 0);
 		(void)g_strlcpy(
 		    e.data_centre, g->data_centre, sizeof(e.data_centre));
 		g_array_append_val(p->ring, e);
@@ -61,18 +63,27 @@
 ///
 /// @return the length of the ring if it has none
 static guint
-find(const GArray *ring, uint32_t slot)
+find(const GArray *ring, uint32_t address)
 {
 	guint i = 0;
 
-	while (
-	    i < ring->len && g_array_index(ring, struct peer, i).slot != slot)
+	while (i < ring->len &&
+	    g_array_index(ring, struct peer, i).address != address)
 		i++;
 	return i;
 }
 
-/// Adds a gateway's peers to its state. One of an older version has none: it
-/// would refuse such a state.
+/// Whether a gateway can be told a peer: one of an older version takes the
+/// address for a slot.
+static bool
+may_tell(const struct hub_gateway *g, const struct peer *e)
+{
+	return !slotaddr_is_slot(g->relay_address) ||
+	    slotaddr_fits_slot(e->address);
+}
+
+/// Adds a gateway's peers to its state. One of a version that knows no peers
+/// has none: it would refuse such a state.
 void
 hub_peers_fill(
     const struct hub *h, const struct hub_gateway *g, struct hubmsg_state *s)
@@ -82,22 +93,25 @@
 	uint32_t n_far = 0;
 	guint own;
 
-	if (g->relay_slot == 0)
+	if (g->relay_address == 0)
 		return;
 	if (now >= h->gateway_peers->made_us + HUB_PEERS_AGE_US)
 		make_ring(h, now);
-	own = find(ring, g->relay_slot);
+	own = find(ring, g->relay_address);
 	for (guint i = 1; i < ring->len; i++) {
 		const struct peer *e =
 		    &g_array_index(ring, struct peer, (own + i) % ring->len);
 		const bool is_near =
 		    g_strcmp0(e->data_centre, g->data_centre) == 0;
 
+		if (!may_tell(g, e))
+			continue;
 		if (is_near && s->n_near_peers < HUB_PEERS_NEAR) {
-			g_array_insert_val(s->peers, s->n_near_peers, e->slot);
+			g_array_insert_val(
+			    s->peers, s->n_near_peers, e->address);
 			s->n_near_peers++;
 		} else if (!is_near && n_far < HUB_PEERS_FAR) {
-			g_array_append_val(s->peers, e->slot);
+			g_array_append_val(s->peers, e->address);
 			n_far++;
 		}
 		if (s->n_near_peers == HUB_PEERS_NEAR && n_far == HUB_PEERS_FAR)
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -65,8 +65,9 @@
 
 struct wire_hello {
 	enum wire_role role;
-	uint32_t id; ///< id of a control process, slot of a hub, or of a
-		     ///< gateway that takes attempts of others, else 0
+	uint32_t id; ///< id of a control process, slot of a hub, or packed
+		     ///< address (slotaddr.h) of a gateway that takes
+		     ///< attempts of others, else 0
 	uint64_t incarnation; ///< tells this run of the process from others
 	char deployment[WIRE_NAME_BYTES];
 	char node[WIRE_NAME_BYTES];
--- a/test/unit/fleet/test_fleetcfg.cc
+++ b/test/unit/fleet/test_fleetcfg.cc
@@ -165,6 +165,30 @@
 	hosttable_free(t);
 }
 
+/// Guards against a gateway that is asked for an attempt at another address
+/// than its own: one whose slot doesn't imply it, or of another network.
+TEST(Slots, APackedAddressIsWhole)
+{
+	char host[INSTANCE_HOST_BYTES];
+
+	for (const char *at : { "10.2.0.5", "172.2.0.5", "10.64.0.1",
+		 "127.255.255.255", "192.168.7.9", "1.0.0.0" }) {
+		slotaddr_unpack(
+		    "10.9.9.9", slotaddr_pack(at), host, sizeof(host));
+		EXPECT_STREQ(host, at);
+	}
+	EXPECT_EQ(slotaddr_pack("no address"), 0U);
+	// What older versions send, and what they read.
+	slotaddr_unpack(
+	    "10.9.9.9", slotaddr_from_host("10.2.0.5"), host, sizeof(host));
+	EXPECT_STREQ(host, "10.2.0.5");
+	EXPECT_EQ(
+	    slotaddr_pack("10.2.0.5") & 0xffff, slotaddr_from_host("10.2.0.5"));
+	EXPECT_TRUE(slotaddr_fits_slot(slotaddr_pack("10.2.0.5")));
+	EXPECT_FALSE(slotaddr_fits_slot(slotaddr_pack("10.64.0.5")));
+	EXPECT_FALSE(slotaddr_fits_slot(slotaddr_pack("10.2.4.5")));
+}
+
 /// Two addresses whose usual slots are the same.
 constexpr const char *kSameSlot[] = { "127.200.27.11", "127.236.39.12" };
 
--- a/test/unit/hub/test_peers.cc
+++ b/test/unit/hub/test_peers.cc
@@ -6,6 +6,8 @@
 
 #include <malloc.h>
 
+#include <map>
+
 namespace
 {
 
@@ -188,3 +190,39 @@
 	EXPECT_EQ(hub.hub->slot, slot);
 	EXPECT_TRUE(hub_is_leader(hub.hub));
 }
+
+/// Guards against gateways at some addresses that nobody sends attempts
+/// through, and against older ones that take a packed address for a slot.
+TEST(Peers, GatewaysAreToldWholeAddressesIfTheyReadThem)
+{
+	TestHub hub;
+	const uint32_t far = slotaddr_pack("127.64.9.22");
+	const uint32_t newer = slotaddr_pack("127.0.0.23");
+	const uint32_t older = slotaddr_from_host("127.0.0.24");
+	// The older one isn't told the address that its slots don't imply.
+	const std::map<uint32_t, guint> peersOf = { { far, 2 }, { newer, 2 },
+		{ older, 1 }, { 0, 0 } };
+
+	for (const auto &[address, n] : peersOf) {
+		auto *g = g_new0(struct hub_gateway, 1);
+
+		snprintf(g->name, sizeof(g->name), "front-%u", address);
+		g->relay_address = address;
+		g->last_report_us = loop_now_us(hub.loop) + 60 * USEC_PER_SEC;
+		g->usage = g_array_new(FALSE, TRUE, sizeof(hubmsg_usage));
+		g->quotas = g_array_new(FALSE, TRUE, sizeof(hubmsg_quota));
+		(void)g_hash_table_insert(hub.hub->gateways, g->name, g);
+	}
+	for (const auto &[address, n] : peersOf) {
+		struct hub_gateway g = {};
+		struct hubmsg_state s;
+
+		g.relay_address = address;
+		hubmsg_state_init(&s);
+		hub_peers_fill(hub.hub, &g, &s);
+		EXPECT_EQ(s.peers->len, n) << address;
+		for (guint i = 0; address == older && i < s.peers->len; i++)
+			EXPECT_EQ(g_array_index(s.peers, uint32_t, i), newer);
+		hubmsg_state_clear(&s);
+	}
+}
