A report leaves out the revision of evacuations while there is none

Cause: the last field of a report was written always, and versions before it refuse a longer report.

Ruled out: asking for the version first (no message that older processes read has room).

Change: the field is written only when there is something to say, as in states. Control that doesn't know evacuations never causes one.

Messages.AReportWithoutEvacuationsIsWhatOlderVersionsRead compares the lengths, which were equal before; unit_fleet's messages pass.

--- a/src/fleet/hubmsg.c
+++ b/src/fleet/hubmsg.c
@@ -79,8 +79,9 @@
 	code_length(m, r->loads);
 	for (guint i = 0; i < r->loads->len; i++)
 		code_load(m, &g_array_index(r->loads, struct hubmsg_load, i));
-	// Gateways of older versions end here.
-	if (!codec_is_writer(m) && codec_at_end(m))
+	// Gateways of older versions end here, and control of older versions
+	// refuses more: it never tells of evacuations.
+	if (codec_is_writer(m) ? r->evac_revision == 0 : codec_at_end(m))
 		return;
 	codec_u64(m, &r->evac_revision);
 }
--- a/test/unit/fleet/test_hubmsg.cc
+++ b/test/unit/fleet/test_hubmsg.cc
@@ -189,6 +189,25 @@
 	free(bytes);
 }
 
+/// Guards against control of an older version that refuses the reports of newer
+/// gateways, which then serve nobody: it knows no evacuations.
+TEST(Messages, AReportWithoutEvacuationsIsWhatOlderVersionsRead)
+{
+	struct hubmsg_report r;
+	size_t lens[2];
+
+	hubmsg_report_init(&r);
+	for (const uint64_t revision : { 0, 1 }) {
+		uint8_t *bytes;
+
+		r.evac_revision = revision;
+		hubmsg_report_encode(&r, &bytes, &lens[revision]);
+		free(bytes);
+	}
+	hubmsg_report_clear(&r);
+	EXPECT_EQ(lens[0] + 1, lens[1]);
+}
+
 } // namespace
 
 /// Older gateways and hubs send neither how long a request can wait nor whether
