A hello that is refused for its address is sent with the address hidden

Cause: the hello has a field more for such an address, which versions before it refuse.

Change: after a link that the peer closed within a second, the next hello has the address behind the terminating zero of the deployment's name, where older versions read over it; the two forms take turns.

Result: Links.AHelloThatIsRefusedHidesTheAddress (the older peer linked to nobody before).

--- a/src/wire/transport.c
+++ b/src/wire/transport.c
@@ -32,6 +32,8 @@
 /// if no TCP reset arrives.
 #define TRANSPORT_UNACKED_MS 2000
 #define TRANSPORT_KEEPALIVE_S 1
+/// A peer that closes the link this soon after the hello may have refused it.
+#define TRANSPORT_REFUSED_US USEC_PER_SEC
 #define TRANSPORT_KEEPALIVE_PROBES 2
 
 /// One link. A dialled link stays in the table while it is down, an accepted
@@ -48,8 +50,13 @@
 	struct sockaddr_storage address;
 	int address_len;
 	bool dialled;
-	bool up;                 ///< the peer's hello was received and accepted
-	uint64_t up_us;          ///< when it was
+	bool up;         ///< the peer's hello was received and accepted
+	uint64_t up_us;  ///< when it was
+	bool hello_sent; ///< on the connection that there is, or was
+	/// Dialled links only: the next hello hides the address, as versions
+	/// before it refuse the field. Accepted links need none: such a version
+	/// can't have dialled an address that it doesn't know.
+	bool hides_host;
 	struct wire_hello hello; ///< of the peer
 };
 
@@ -115,6 +122,19 @@
 	link->up = false;
 }
 
+/// Chooses the form of the next hello of a dialled link: the two take turns as
+/// long as the peer closes the link at once.
+static void
+choose_hello(struct transport_link *link, bool was_up)
+{
+	const uint64_t now = timerq_now_us(link->owner->config.timers);
+	const bool was_refused = link->hello_sent &&
+	    (!was_up || now - link->up_us < TRANSPORT_REFUSED_US);
+
+	link->hides_host = was_refused && !link->hides_host;
+	link->hello_sent = false;
+}
+
 /// Closes a link's connection and calls the `down` callback if the link was
 /// up. A dialled link is scheduled for a redial, an accepted one is removed.
 static void
@@ -134,6 +154,7 @@
 		link->retry_delay_us = TRANSPORT_RETRY_MIN_US;
 	release_connection(link);
 	if (link->dialled) {
+		choose_hello(link, was_up);
 		timerq_arm_in(link->retry_timer, link->retry_delay_us);
 		link->retry_delay_us =
 		    MIN(link->retry_delay_us * 2, TRANSPORT_RETRY_MAX_US);
@@ -310,11 +331,13 @@
 static void
 send_hello(struct transport_link *link)
 {
-	const struct wire_msg msg = {
+	struct wire_msg msg = {
 		.kind = WIRE_HELLO,
 		.hello = link->owner->config.self,
 	};
 
+	msg.hello.hides_host = link->hides_host;
+	link->hello_sent = true;
 	(void)transport_send(link->owner, link->self, &msg);
 }
 
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -34,17 +34,38 @@
 	put_u64(p, kind);
 }
 
+/// Writes the deployment of a hello, and behind its terminating zero the
+/// address.
+static void
+put_deployment_and_host(msgpack_packer *p, const struct wire_hello *h)
+{
+	char text[2 * WIRE_NAME_BYTES];
+	const size_t n = strlen(h->deployment) + 1;
+	const size_t len = n + strlen(h->host);
+
+	(void)g_strlcpy(text, h->deployment, WIRE_NAME_BYTES);
+	(void)g_strlcpy(text + n, h->host, WIRE_NAME_BYTES);
+	// A longer one would be refused; the peer can do without the address.
+	(void)msgpack_pack_str_with_body(
+	    p, text, len < WIRE_NAME_BYTES ? len : n - 1);
+}
+
 static void
 put_hello(msgpack_packer *p, const struct wire_hello *h)
 {
-	put_kind(p, WIRE_HELLO, h->host[0] != '\0' ? 7 : 6);
+	const bool has_field = h->host[0] != '\0' && !h->hides_host;
+
+	put_kind(p, WIRE_HELLO, has_field ? 7 : 6);
 	put_u64(p, h->role);
 	put_u64(p, h->id);
 	put_u64(p, h->incarnation);
-	put_str(p, h->deployment);
+	if (h->hides_host)
+		put_deployment_and_host(p, h);
+	else
+		put_str(p, h->deployment);
 	put_str(p, h->node);
 	put_str(p, h->data_centre);
-	if (h->host[0] != '\0')
+	if (has_field)
 		put_str(p, h->host);
 }
 
@@ -234,6 +255,22 @@
 	return b;
 }
 
+/// Reads what put_hello() writes for the deployment.
+static void
+get_deployment_and_host(struct reader *r, struct wire_hello *h)
+{
+	char text[WIRE_NAME_BYTES] = "";
+	size_t n;
+
+	get_str(r, text, sizeof(text));
+	n = strlen(text) + 1;
+	(void)g_strlcpy(h->deployment, text, sizeof(h->deployment));
+	if (n < sizeof(text) && text[n] != '\0') {
+		(void)g_strlcpy(h->host, text + n, sizeof(h->host));
+		h->hides_host = true;
+	}
+}
+
 static void
 get_hello(struct reader *r, struct wire_hello *h)
 {
@@ -244,7 +281,7 @@
 	h->role = (enum wire_role)role;
 	h->id = get_u32(r);
 	h->incarnation = get_u64(r);
-	get_str(r, h->deployment, sizeof(h->deployment));
+	get_deployment_and_host(r, h);
 	get_str(r, h->node, sizeof(h->node));
 	get_str(r, h->data_centre, sizeof(h->data_centre));
 	if (!r->failed && r->next < r->array->size)
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -75,6 +75,9 @@
 	/// Address of a control process whose `id` doesn't imply it, else
 	/// empty and not sent: versions before it refuse a longer hello.
 	char host[WIRE_NAME_BYTES];
+	/// The address follows `deployment`, behind its terminating zero, where
+	/// versions before it read over it.
+	bool hides_host;
 };
 
 struct wire_raft {
--- a/test/unit/wire/test_transport.cc
+++ b/test/unit/wire/test_transport.cc
@@ -4,6 +4,8 @@
 #include "wire/transport.h"
 }
 
+#include <glib.h>
+
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <netinet/in.h>
@@ -18,11 +20,14 @@
 /// A transport over real sockets, with a clock that the test advances.
 struct TestTransport {
 	uint64_t now = USEC_PER_SEC;
+	/// Hellos that came; those with a field for the address are refused.
+	std::vector<struct wire_hello> hellos;
+	bool isOld = false;
 	struct event_base *base = event_base_new();
 	struct timerq *timers;
 	struct transport *links;
 
-	TestTransport()
+	explicit TestTransport(const char *host = "")
 	{
 		const struct timerq_source source = {
 			.now_us =
@@ -39,8 +44,11 @@
 		config.base = base;
 		config.timers = timers;
 		config.max_queue_bytes = 1 << 20;
-		config.callbacks.up = [](void *, handle_t,
-					  const struct wire_hello *) {};
+		config.self.role = WIRE_ROLE_CONTROL;
+		g_strlcpy(config.self.deployment, "fleet", WIRE_NAME_BYTES);
+		g_strlcpy(config.self.host, host, WIRE_NAME_BYTES);
+		config.callbacks.arg = this;
+		config.callbacks.up = onUp;
 		config.callbacks.down = [](void *, handle_t,
 					    const struct wire_hello *) {};
 		links = transport_new(&config);
@@ -53,6 +61,16 @@
 		event_base_free(base);
 	}
 
+	static void onUp(
+	    void *arg, handle_t link, const struct wire_hello *hello)
+	{
+		auto *t = static_cast<TestTransport *>(arg);
+
+		t->hellos.push_back(*hello);
+		if (t->isOld && hello->host[0] != 0 && !hello->hides_host)
+			transport_close(t->links, link);
+	}
+
 	void advance(uint64_t us)
 	{
 		now += us;
@@ -129,3 +147,36 @@
 	EXPECT_LE(transport_dials(t.links), 13U);
 	EXPECT_GE(transport_dials(t.links), 8U);
 }
+
+/// Guards against a control process that no older one links to: those before
+/// addresses in hellos close the link for the field.
+TEST(Links, AHelloThatIsRefusedHidesTheAddress)
+{
+	TestTransport t("10.64.0.1");
+	TestTransport old;
+	struct sockaddr_in address = {};
+	socklen_t len = sizeof(address);
+	const int fd = socket(AF_INET, SOCK_STREAM, 0);
+	handle_t link;
+
+	old.isOld = true;
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, reinterpret_cast<struct sockaddr *>(&address), len);
+	getsockname(fd, reinterpret_cast<struct sockaddr *>(&address), &len);
+	close(fd);
+	ASSERT_EQ(
+	    transport_listen(old.links, "127.0.0.1", ntohs(address.sin_port)),
+	    STATUS_OK);
+	link = transport_dial(t.links, "127.0.0.1", ntohs(address.sin_port));
+	for (int i = 0; i < 300; i++) {
+		t.advance(10 * USEC_PER_MSEC);
+		old.advance(10 * USEC_PER_MSEC);
+	}
+	EXPECT_TRUE(transport_is_up(t.links, link));
+	ASSERT_EQ(old.hellos.size(), 2U);
+	EXPECT_FALSE(old.hellos[0].hides_host);
+	EXPECT_TRUE(old.hellos[1].hides_host);
+	EXPECT_STREQ(old.hellos[1].deployment, "fleet");
+	EXPECT_STREQ(old.hellos[1].host, "10.64.0.1");
+}
--- a/test/unit/wire/test_wire.cc
+++ b/test/unit/wire/test_wire.cc
@@ -65,6 +65,22 @@
 	ASSERT_EQ(wire_decode(frame.data(), frame.size(), &out), STATUS_OK);
 	EXPECT_STREQ(out.hello.host, "10.64.0.1");
 	EXPECT_STREQ(out.hello.node, "core-7");
+	EXPECT_FALSE(out.hello.hides_host);
+	// Older versions read six fields, and a name up to its zero.
+	m.hello.hides_host = true;
+	strcpy(m.hello.deployment, "fleet");
+	frame = encode_frame(m);
+	EXPECT_EQ(frame[0], 0x97);
+	ASSERT_EQ(wire_decode(frame.data(), frame.size(), &out), STATUS_OK);
+	EXPECT_STREQ(out.hello.deployment, "fleet");
+	EXPECT_STREQ(out.hello.host, "10.64.0.1");
+	EXPECT_TRUE(out.hello.hides_host);
+	// There is no room for the address.
+	memset(m.hello.deployment, 'd', WIRE_NAME_BYTES - 1);
+	frame = encode_frame(m);
+	ASSERT_EQ(wire_decode(frame.data(), frame.size(), &out), STATUS_OK);
+	EXPECT_STREQ(out.hello.deployment, m.hello.deployment);
+	EXPECT_STREQ(out.hello.host, "");
 }
 
 /// Guards against a truncated frame being accepted and against a crash or an
