Only a process that knows no leader is told where the members are

Cause: members told every process that isn't a voter twice a second, and these dialled all members. In a group with many learners each of n processes told each other learner, for good, and had a link to each; bytes between data centres are priced.

Ruled out: telling a process once, when its link comes up (the leader may change before it has answered).

Change: the answer to a hello of the replicated log, which only a process without a leader sends; it dials the leader, or all members if the one that tells it knows no leader.

Bytes saved weren't measured.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -29,7 +29,6 @@
 	hub_servers_tick(h, now_us);
 	hub_slot_tick(h);
 	hub_hosts_tick(h);
-	hub_join_tick(h, now_us);
 	if (!hub_is_leader(h))
 		return;
 	hub_members_tick(h);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -38,6 +38,7 @@
 	uint64_t unanswered_us; ///< first one without any of its own since; 0:
 				///< none
 	uint64_t patience_us;   ///< from that to the links' end
+	uint64_t next_state_us; ///< it isn't told the members before
 	uint64_t silent_since_us; ///< since when it is inactive as a member of
 				  ///< the replicated log; 0: active
 };
@@ -89,7 +90,6 @@
 	struct hosttable *hosts; ///< addresses of all control processes known
 	char *saved_hosts;       ///< text of the file of addresses; NULL: none
 	bool recording_host;     ///< one is being committed
-	uint64_t next_join_us;   ///< processes that join are told members then
 	GArray *refused_links;   ///< handle_t, to be closed (hub_slot.c)
 	struct timerq_timer *change_slot;
 	uint32_t next_slot;              ///< to be taken then; 0: none
@@ -206,7 +206,8 @@
 void hub_hosts_tick(struct hub *h);
 
 /// hub_join.c: processes that join
-void hub_join_tick(struct hub *h, uint64_t now_us);
+void hub_join_on_raft(
+    struct hub *h, struct hub_peer *p, const struct wire_bytes *raft);
 void hub_join_on_state(struct hub *h, const struct hubmsg_state *s);
 
 /// hub_slot.c: slots that two processes have
--- a/src/hub/hub_join.c
+++ b/src/hub/hub_join.c
@@ -2,12 +2,15 @@
 
 #include <stdlib.h>
 
+#include "replog/replica_hello.h"
+
 /// A process that joins dials the seeds, and the leader needn't be one of them.
-/// Members that it has a link to tell it the others, so that it dials the
-/// leader, too: the leader can't know an address that a slot doesn't imply
-/// before it has that process's hello.
+/// While it knows no leader, members that get its hellos tell it the leader's
+/// address, so that it dials the leader, too. The leader can't know an address
+/// that a slot doesn't imply before it has that process's hello.
 
-#define HUB_JOIN_US (500 * USEC_PER_MSEC)
+/// Hellos of the replicated log come more often than this.
+#define HUB_JOIN_US (400 * USEC_PER_MSEC)
 
 static bool
 is_voter(const struct replica_status *st, uint32_t slot)
@@ -19,22 +22,14 @@
 	return false;
 }
 
-/// Tells processes that aren't voters which processes are members. A learner
-/// may still be out of the leader's reach: other members forward its hellos.
-void
-hub_join_tick(struct hub *h, uint64_t now_us)
+/// Makes the message with the leader, the members and their addresses.
+///
+/// @param bytes  receives the payload of `msg`, to be released with free()
+static void
+make_state(const struct hub *h, struct wire_msg *msg, uint8_t **bytes)
 {
-	struct wire_msg msg = { .kind = WIRE_CONTROL_STATUS };
-	struct replica_status st;
 	struct hubmsg_state s;
-	GHashTableIter it;
-	gpointer value;
-	uint8_t *bytes;
 
-	replica_status(h->group, &st);
-	if (now_us < h->next_join_us || st.members.n_voters == 0)
-		return;
-	h->next_join_us = now_us + HUB_JOIN_US;
 	hubmsg_state_init(&s);
 	hub_fill_members(h, &s);
 	// A process that has the slot of an earlier one mustn't take itself for
@@ -45,25 +40,45 @@
 
 		hosttable_get(h->hosts, e->slot, e->host);
 	}
-	hubmsg_state_encode(&s, &bytes, &msg.payload.len);
+	hubmsg_state_encode(&s, bytes, &msg->payload.len);
+	msg->payload.data = *bytes;
 	hubmsg_state_clear(&s);
-	msg.payload.data = bytes;
-	g_hash_table_iter_init(&it, h->peers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct hub_peer *p = value;
+}
 
-		if (!is_voter(&st, p->slot) &&
-		    !transport_send(h->links, p->dialled, &msg))
-			(void)transport_send(h->links, p->accepted, &msg);
-	}
+/// Tells a process that knows no leader where the members are, if it isn't a
+/// voter. A learner may still be out of the leader's reach: other members have
+/// forwarded its hellos.
+///
+/// @param raft  message of the replicated log from it
+void
+hub_join_on_raft(
+    struct hub *h, struct hub_peer *p, const struct wire_bytes *raft)
+{
+	const uint64_t now = loop_now_us(h->loop);
+	struct wire_msg msg = { .kind = WIRE_CONTROL_STATUS };
+	struct replica_status st;
+	uint8_t *bytes;
+
+	if (raft->len == 0 || raft->data[0] != REPLICA_HELLO_MARK ||
+	    now < p->next_state_us)
+		return;
+	replica_status(h->group, &st);
+	if (st.members.n_voters == 0 || is_voter(&st, p->slot))
+		return;
+	p->next_state_us = now + HUB_JOIN_US;
+	make_state(h, &msg, &bytes);
+	if (!transport_send(h->links, p->dialled, &msg))
+		(void)transport_send(h->links, p->accepted, &msg);
 	free(bytes);
 }
 
-/// Dials the members that another process knows.
+/// Dials the leader that another process knows, or all members if it knows
+/// none.
 void
 hub_join_on_state(struct hub *h, const struct hubmsg_state *s)
 {
 	hub_hosts_learn(h, s->hosts);
-	for (guint i = 0; i < s->members->len; i++)
+	(void)hub_peer(h, s->leader);
+	for (guint i = 0; s->leader == 0 && i < s->members->len; i++)
 		(void)hub_peer(h, g_array_index(s->members, uint32_t, i));
 }
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -90,6 +90,7 @@
 	if (p != NULL) {
 		p->unanswered_us = 0;
 		p->patience_us = HUB_SILENT_US;
+		hub_join_on_raft(h, p, &raft->bytes);
 	}
 	replica_receive(h->group, hello->id, raft->bytes.data, raft->bytes.len);
 }
