The two forms of a hello differ only if there is an address

Cause: a gateway's hello has none, and after a link that ended at once it had a zero more behind the deployment's name; older versions read over it, but nothing asked for it.

Result: unit_wire passes.

--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -53,13 +53,14 @@
 static void
 put_hello(msgpack_packer *p, const struct wire_hello *h)
 {
-	const bool has_field = h->host[0] != '\0' && !h->hides_host;
+	const bool has_host = h->host[0] != '\0';
+	const bool has_field = has_host && !h->hides_host;
 
 	put_kind(p, WIRE_HELLO, has_field ? 7 : 6);
 	put_u64(p, h->role);
 	put_u64(p, h->id);
 	put_u64(p, h->incarnation);
-	if (h->hides_host)
+	if (has_host && h->hides_host)
 		put_deployment_and_host(p, h);
 	else
 		put_str(p, h->deployment);
@@ -255,7 +256,7 @@
 	return b;
 }
 
-/// Reads what put_hello() writes for the deployment.
+/// Reads the deployment of a hello, and the address if it follows.
 static void
 get_deployment_and_host(struct reader *r, struct wire_hello *h)
 {
