The loop tells how late events run that aren't urgent

Cause of the gap: loop.late and ac_loop_late_seconds measure due timers, which are urgent. A loop that is seconds behind with gateways, operators and the platform's list showed nothing, so the hypotheses of the incident couldn't be told apart. Ruled out: the logs of the duties, which only show that nothing came. Change: an event of the default priority is queued every 100 ms and its wait is measured (ac_loop_wait_seconds, loop.late events=other). Time spent on received messages is counted by kind (ac_peer_message_us_total). order.config tells how long an order took once it was read. No decision uses any of these.

--- a/src/hub/hub_operators.c
+++ b/src/hub/hub_operators.c
@@ -68,12 +68,14 @@
 {
 	struct pending_request *p = arg;
 	struct hub *h = p->hub;
+	const uint64_t took_us = loop_now_us(h->loop) - p->received_us;
 
 	(void)result;
 	(void)len;
 	logger_event(LOGGER_INFO, "order.config",
-	    "version=%" PRIu64 " status=%s", p->version, status_name(status));
-	metrics_observe(h->ack_latency, loop_now_us(h->loop) - p->received_us);
+	    "version=%" PRIu64 " status=%s ms=%" PRIu64, p->version,
+	    status_name(status), took_us / USEC_PER_MSEC);
+	metrics_observe(h->ack_latency, took_us);
 	if (status == STATUS_OK)
 		reply(h, p->handle, 200, "accepted");
 	else
--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -21,19 +21,31 @@
 #define LOOP_PRIORITIES 2
 /// After this many other callbacks the loop looks for urgent events again.
 #define LOOP_MAX_CALLBACKS 4
-/// Timers that run this late are logged, at most once in LOOP_LATE_LOG_US.
+/// Events that run this late are logged, at most once in LOOP_LATE_LOG_US.
 #define LOOP_LATE_US (100 * USEC_PER_MSEC)
 #define LOOP_LATE_LOG_US USEC_PER_SEC
+/// How often the wait of events that aren't urgent is measured.
+#define LOOP_PROBE_US (100 * USEC_PER_MSEC)
+
+/// How late events of one priority run.
+struct lateness {
+	const char *events; ///< name of the priority in the log
+	struct metrics_hist *hist;
+	uint64_t logged_us;
+};
 
 struct loop {
 	struct event_base *base;
 	struct event *wake;
+	struct event *probe; ///< an event that isn't urgent
 	struct event *signals[LOOP_SIGNALS];
 	struct timerq *timers;
 	struct metrics_registry *counters;
-	struct metrics_hist *lateness; ///< of timers
-	uint64_t wake_at_us;           ///< when the next timer is due
-	uint64_t late_logged_us;
+	struct lateness urgent;
+	struct lateness other;
+	uint64_t wake_at_us;  ///< when the next timer is due
+	uint64_t probe_at_us; ///< when the last probe was queued
+	bool is_probing;      ///< it hasn't run yet
 	struct rnd *random;
 	struct loop_callbacks callbacks;
 	uint64_t incarnation;
@@ -73,22 +85,45 @@
 	(void)event_add(l->wake, &tv);
 }
 
-/// Records by how much the loop runs the due timer late: what it was busy with
-/// before held up everything else of this process as well.
+/// Records by how much an event ran late: what the loop was busy with before
+/// held up all others of that priority as well.
 static void
-note_lateness(struct loop *l)
+note_lateness(struct lateness *l, uint64_t due_us)
 {
 	const uint64_t now = monotonic_us(NULL);
-	const uint64_t late_us = now > l->wake_at_us ? now - l->wake_at_us : 0;
+	const uint64_t late_us = now > due_us ? now - due_us : 0;
 
-	metrics_observe(l->lateness, late_us);
+	metrics_observe(l->hist, late_us);
 	if (late_us < LOOP_LATE_US ||
-	    (l->late_logged_us != 0 &&
-		now < l->late_logged_us + LOOP_LATE_LOG_US))
+	    (l->logged_us != 0 && now < l->logged_us + LOOP_LATE_LOG_US))
+		return;
+	l->logged_us = now;
+	logger_event(LOGGER_WARN, "loop.late", "events=%s by_ms=%" PRIu64,
+	    l->events, late_us / USEC_PER_MSEC);
+}
+
+static void
+on_probe(evutil_socket_t fd, short what, void *arg)
+{
+	struct loop *l = arg;
+
+	(void)fd;
+	(void)what;
+	l->is_probing = false;
+	note_lateness(&l->other, l->probe_at_us);
+}
+
+/// Queues the probe behind the events that are ready now, from time to time.
+static void
+probe(struct loop *l)
+{
+	const uint64_t now = monotonic_us(NULL);
+
+	if (l->is_probing || now < l->probe_at_us + LOOP_PROBE_US)
 		return;
-	l->late_logged_us = now;
-	logger_event(LOGGER_WARN, "loop.late", "by_ms=%" PRIu64,
-	    late_us / USEC_PER_MSEC);
+	l->is_probing = true;
+	l->probe_at_us = now;
+	event_active(l->probe, EV_TIMEOUT, 0);
 }
 
 static void
@@ -98,7 +133,8 @@
 
 	(void)fd;
 	(void)what;
-	note_lateness(l);
+	note_lateness(&l->urgent, l->wake_at_us);
+	probe(l);
 	timerq_run(l->timers);
 }
 
@@ -146,9 +182,17 @@
 	l->base = new_event_base();
 	l->wake = evtimer_new(l->base, on_wake, l);
 	(void)event_priority_set(l->wake, 0);
+	l->probe = event_new(l->base, -1, 0, on_probe, l);
 	l->timers = timerq_new(&source);
 	l->counters = metrics_new();
-	l->lateness = metrics_hist(l->counters, "ac_loop_late_seconds", "");
+	l->urgent = (struct lateness){
+		.events = "urgent",
+		.hist = metrics_hist(l->counters, "ac_loop_late_seconds", ""),
+	};
+	l->other = (struct lateness){
+		.events = "other",
+		.hist = metrics_hist(l->counters, "ac_loop_wait_seconds", ""),
+	};
 	l->random = rnd_new(seed != 0 ? seed : system_random());
 	l->incarnation = system_random();
 	return l;
@@ -185,6 +229,7 @@
 			event_free(l->signals[i]);
 	}
 	event_free(l->wake);
+	event_free(l->probe);
 	run_queued(l->base);
 	timerq_free(l->timers);
 	metrics_free(l->counters);
--- a/src/wire/transport.c
+++ b/src/wire/transport.c
@@ -238,6 +238,7 @@
 handle_frame(struct transport_link *link, const uint8_t *bytes, size_t len)
 {
 	struct transport *t = link->owner;
+	const uint64_t begun_us = timerq_now_us(t->config.timers);
 	struct wire_hello hello;
 	struct wire_msg msg;
 
@@ -256,6 +257,8 @@
 	hello = link->hello;
 	t->config.callbacks.message(
 	    t->config.callbacks.arg, link->self, &hello, &msg);
+	t->traffic[msg.kind].handling_us +=
+	    timerq_now_us(t->config.timers) - begun_us;
 	return true;
 }
 
@@ -633,7 +636,22 @@
 	    ->value = bytes;
 }
 
-/// Writes the messages of each kind and their bytes to counters.
+static void
+export_handling(struct metrics_registry *registry, enum wire_kind kind,
+    const struct transport_traffic *c)
+{
+	char labels[48];
+
+	if (c->received == 0)
+		return;
+	(void)g_snprintf(
+	    labels, sizeof(labels), "kind=\"%s\"", wire_kind_name(kind));
+	metrics_counter(registry, "ac_peer_message_us_total", labels)->value =
+	    c->handling_us;
+}
+
+/// Writes the messages of each kind, their bytes and the time spent on those
+/// that were received to counters.
 void
 transport_export(const struct transport *t, struct metrics_registry *registry)
 {
@@ -643,6 +661,7 @@
 		export_direction(registry, k, "sent", c->sent, c->sent_bytes);
 		export_direction(
 		    registry, k, "received", c->received, c->received_bytes);
+		export_handling(registry, k, c);
 	}
 }
 
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -33,6 +33,7 @@
 	uint64_t sent_bytes;
 	uint64_t received;
 	uint64_t received_bytes;
+	uint64_t handling_us; ///< spent on those that were received
 };
 
 struct transport_config {
