Messages of gateways are handled a few at a time, behind no operator

Seen by operators: on the large deployment a valid configuration had no acknowledgement for 6 s, and rollouts, evacuations and GET of the configuration go the same way. Seen by callers: lists of servers, and with them refusals by servers that had left, seconds late. Cause: each of 291 links was an event of the queue that also holds operators' connections and the platform's list. An order needs three turns of that queue, a page of the list one for each 4 KiB, and each turn handled a message of every gateway. libevent also polled all of them again after each four callbacks. Change: messages of gateways are read at once, wait in a queue of the transport, and four are handled in one callback; while other events keep the loop busy, a batch is due every 5 ms. What has arrived before the end of a connection is handled before the link goes down. entry and control use the same transport.

--- a/src/wire/transport.c
+++ b/src/wire/transport.c
@@ -1,4 +1,4 @@
-#include "wire/transport.h"
+#include "wire/transport_internal.h"
 
 #include <arpa/inet.h>
 #include <assert.h>
@@ -18,7 +18,6 @@
 
 #define TRANSPORT_RETRY_MIN_US (50 * USEC_PER_MSEC)
 #define TRANSPORT_RETRY_MAX_US (250 * USEC_PER_MSEC)
-#define TRANSPORT_LENGTH_BYTES 4
 /// A connection that isn't established within this timeout is dialled again,
 /// and the timeout doubles up to the maximum. It starts short because the
 /// first packet to a VM that is just starting is lost, and the kernel
@@ -36,40 +35,6 @@
 #define TRANSPORT_REFUSED_US USEC_PER_SEC
 #define TRANSPORT_KEEPALIVE_PROBES 2
 
-/// One link. A dialled link stays in the table while it is down, an accepted
-/// one is removed.
-struct transport_link {
-	struct transport *owner;
-	handle_t self;
-	struct bufferevent *bev; ///< NULL while down
-	/// Dialled links only: redials after a failure, and times out the
-	/// connection and the peer's hello.
-	struct timerq_timer *retry_timer;
-	uint64_t retry_delay_us;     ///< delay before the next redial
-	uint64_t connect_timeout_us; ///< connect timeout of the next dial
-	struct sockaddr_storage address;
-	int address_len;
-	bool dialled;
-	bool up;         ///< the peer's hello was received and accepted
-	uint64_t up_us;  ///< when it was
-	bool hello_sent; ///< on the connection that there is, or was
-	/// Dialled links only: the next hello hides the address, as versions
-	/// before it refuse the field. Accepted links need none: such a version
-	/// can't have dialled an address that it doesn't know.
-	bool hides_host;
-	struct wire_hello hello; ///< of the peer
-};
-
-struct transport {
-	struct transport_config config;
-	struct slotmap *links;
-	struct evconnlistener *listener;
-	struct transport_traffic traffic[WIRE_KIND_COUNT];
-	uint64_t bytes_sent;
-	uint64_t bytes_received;
-	uint64_t n_dials;
-};
-
 static void dial(struct transport_link *link);
 
 static enum status
@@ -95,8 +60,6 @@
 	return status_fail(STATUS_INVALID, "'%s' is not an IP address", host);
 }
 
-static void close_link(struct transport_link *link);
-
 /// Redials a link that is down, or closes one whose connection or hello timed
 /// out.
 static void
@@ -108,14 +71,15 @@
 	if (link->bev == NULL)
 		dial(link);
 	else if (!link->up)
-		close_link(link);
+		transport_link_close(link);
 }
 
 /// Releases the connection of a link and marks the link down, without the
-/// `down` callback or a redial; see close_link().
+/// `down` callback or a redial; see transport_link_close().
 static void
 release_connection(struct transport_link *link)
 {
+	transport_input_drop(link);
 	if (link->bev != NULL)
 		bufferevent_free(link->bev);
 	link->bev = NULL;
@@ -137,8 +101,8 @@
 
 /// Closes a link's connection and calls the `down` callback if the link was
 /// up. A dialled link is scheduled for a redial, an accepted one is removed.
-static void
-close_link(struct transport_link *link)
+void
+transport_link_close(struct transport_link *link)
 {
 	struct transport *t = link->owner;
 	const bool was_up = link->up;
@@ -196,8 +160,9 @@
 /// link up.
 ///
 /// @return false when the link must be closed
-static bool
-handle_hello(struct transport_link *link, const struct wire_msg *msg)
+bool
+transport_link_accept_hello(
+    struct transport_link *link, const struct wire_msg *msg)
 {
 	struct transport *t = link->owner;
 
@@ -231,81 +196,6 @@
 	return true;
 }
 
-/// Decodes a frame and passes its message to the owner.
-///
-/// @return false when the link must be closed
-static bool
-handle_frame(struct transport_link *link, const uint8_t *bytes, size_t len)
-{
-	struct transport *t = link->owner;
-	const uint64_t begun_us = timerq_now_us(t->config.timers);
-	struct wire_hello hello;
-	struct wire_msg msg;
-
-	if (wire_decode(bytes, len, &msg) != STATUS_OK) {
-		logger_event(LOGGER_WARN, "link.corrupt",
-		    "peer=%s reason=\"%s\"", link->hello.node, status_last());
-		return false;
-	}
-	t->traffic[msg.kind].received++;
-	t->traffic[msg.kind].received_bytes += len + TRANSPORT_LENGTH_BYTES;
-	if (!link->up)
-		return handle_hello(link, &msg);
-	if (msg.kind == WIRE_HELLO)
-		return false;
-	// The callback may remove the link.
-	hello = link->hello;
-	t->config.callbacks.message(
-	    t->config.callbacks.arg, link->self, &hello, &msg);
-	t->traffic[msg.kind].handling_us +=
-	    timerq_now_us(t->config.timers) - begun_us;
-	return true;
-}
-
-/// Handles the frames that were received whole. An empty or oversized frame
-/// closes the link.
-static void
-on_read(struct bufferevent *bev, void *arg)
-{
-	struct transport_link *link = arg;
-	struct transport *t = link->owner;
-	const handle_t self = link->self;
-	struct evbuffer *in = bufferevent_get_input(bev);
-
-	for (;;) {
-		uint32_t be;
-		uint32_t len;
-		uint8_t *frame;
-		bool ok;
-
-		if (evbuffer_copyout(in, &be, sizeof(be)) <
-		    TRANSPORT_LENGTH_BYTES)
-			return;
-		len = ntohl(be);
-		if (len == 0 || len > WIRE_MAX_FRAME_BYTES) {
-			close_link(link);
-			return;
-		}
-		if (evbuffer_get_length(in) <
-		    (size_t)len + TRANSPORT_LENGTH_BYTES)
-			return;
-		(void)evbuffer_drain(in, TRANSPORT_LENGTH_BYTES);
-		frame = g_malloc(len);
-		(void)evbuffer_remove(in, frame, len);
-		t->bytes_received += len + TRANSPORT_LENGTH_BYTES;
-		ok = handle_frame(link, frame, len);
-		g_free(frame);
-		// The callbacks may have closed or removed the link.
-		link = slotmap_get(t->links, self);
-		if (link == NULL || link->bev != bev)
-			return;
-		if (!ok) {
-			close_link(link);
-			return;
-		}
-	}
-}
-
 static void
 set_option(evutil_socket_t fd, int level, int option, int value)
 {
@@ -344,7 +234,8 @@
 	(void)transport_send(link->owner, link->self, &msg);
 }
 
-/// Sends the hello once connected; any other event closes the link.
+/// Sends the hello once connected; any other event closes the link, after the
+/// messages that have arrived.
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
@@ -358,7 +249,8 @@
 		send_hello(link);
 		return;
 	}
-	close_link(link);
+	if (!transport_input_end(link))
+		transport_link_close(link);
 }
 
 static struct bufferevent *
@@ -383,12 +275,13 @@
 	link->connect_timeout_us =
 	    MIN(link->connect_timeout_us * 2, TRANSPORT_CONNECT_MAX_US);
 	link->bev = make_bev(link->owner, -1, true);
-	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
+	bufferevent_setcb(
+	    link->bev, transport_input_on_read, NULL, on_event, link);
 	(void)bufferevent_enable(link->bev, EV_READ | EV_WRITE);
 	if (bufferevent_socket_connect(link->bev,
 		(struct sockaddr *)&link->address, link->address_len) != 0 &&
 	    link->bev != NULL)
-		close_link(link);
+		transport_link_close(link);
 }
 
 static void
@@ -408,7 +301,8 @@
 	link->owner = t;
 	link->self = self;
 	link->bev = make_bev(t, fd, false);
-	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
+	bufferevent_setcb(
+	    link->bev, transport_input_on_read, NULL, on_event, link);
 	(void)bufferevent_enable(link->bev, EV_READ | EV_WRITE);
 	if (t->config.tls == NULL) {
 		set_options(link->bev);
@@ -427,6 +321,7 @@
 
 	t->config = *config;
 	t->links = slotmap_new(sizeof(struct transport_link));
+	transport_input_start(t);
 	return t;
 }
 
@@ -446,6 +341,7 @@
 	}
 	if (t->listener != NULL)
 		evconnlistener_free(t->listener);
+	transport_input_stop(t);
 	slotmap_free(t->links);
 	g_free(t);
 }
@@ -591,7 +487,7 @@
 
 	if (link == NULL || link->bev == NULL)
 		return;
-	close_link(link);
+	transport_link_close(link);
 }
 
 /// Closes a link and dials it no more. Calls the `down` callback if it was up.
