A state for all gateways goes out with pauses in which other events run

Cause: a changed state is sent to eight gateways at a time, and the list and configurations to sixteen subscribers, but the timer of the next slice is due at once, and due timers run before all other events. So the slices held up operators, the platform's list and all messages of gateways as one callback for all would. Ruled out: the quota queue's timer, which is due again only when an ask can be decided. Change: a pause of 1 ms between two slices: 36 ms for 291 gateways, where a configuration has a second.

--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -130,7 +130,7 @@
 	// subscriber.
 	while ((s = find_due(h)) != NULL) {
 		if (n++ == HUB_FEED_SLICE || len > HUB_FEED_SLICE_BYTES) {
-			timerq_arm(h->feed, now_us + 1);
+			timerq_arm(h->feed, now_us + HUB_SLICE_PAUSE_US);
 			return;
 		}
 		len += send_update(h, s);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -24,6 +24,9 @@
 
 /// A gateway without a report for this long counts as dead.
 #define HUB_GATEWAY_LOST_US (2500 * USEC_PER_MSEC)
+/// Between two slices of what is sent to many gateways. Timers are urgent:
+/// without a pause no other event would run before the last slice.
+#define HUB_SLICE_PAUSE_US (1 * USEC_PER_MSEC)
 
 /// Another control process.
 struct hub_peer {
--- a/src/hub/hub_links.c
+++ b/src/hub/hub_links.c
@@ -223,7 +223,7 @@
 }
 
 /// Sends the state to some of the gateways that wait for it, and goes on with
-/// the others when the loop has looked for urgent events.
+/// the others when the loop has run other events.
 void
 hub_push_slice(void *arg, uint64_t now_us)
 {
@@ -239,7 +239,7 @@
 		if (!g->push_due)
 			continue;
 		if (n++ == HUB_PUSH_SLICE) {
-			timerq_arm(h->push_slice, now_us + 1);
+			timerq_arm(h->push_slice, now_us + HUB_SLICE_PAUSE_US);
 			return;
 		}
 		send_state(h, g);
