--- a/test/unit/hub/test_link_priority.cc
+++ b/test/unit/hub/test_link_priority.cc
@@ -303,3 +303,41 @@
 	}
 	EXPECT_EQ(got, lengths);
 }
+
+/// Guards against a process whose memory one peer fills: what was read ahead of
+/// its messages is limited, and the rest stays in the sockets.
+TEST(LinkPriority, MessagesAreNotReadFarAhead)
+{
+	const size_t socketBytes = 16 << 20; ///< more than both sockets hold
+	const std::vector<uint8_t> body(100);
+	LinkRig rig(1);
+	struct wire_msg msg = {};
+	uint8_t *bytes;
+	size_t len;
+	size_t handled = 0;
+	size_t written = 0;
+	int rounds = 0;
+
+	msg.kind = WIRE_GATEWAY_REPORT;
+	msg.payload.data = body.data();
+	msg.payload.len = body.size();
+	wire_encode(&msg, &bytes, &len);
+	rig.onMessage = [&](int, const struct wire_msg &) {
+		handled++;
+		event_base_loopbreak(loop_event_base(rig.loop));
+	};
+	rig.until([&] {
+		// A message that fits in part goes on in the next round.
+		for (ssize_t n = 1; n > 0;) {
+			const size_t at = written % len;
+
+			n = send(
+			    rig.fds[0], bytes + at, len - at, MSG_DONTWAIT);
+			written += n > 0 ? static_cast<size_t>(n) : 0;
+		}
+		return ++rounds == 15000;
+	});
+	EXPECT_GT(handled, 1000U);
+	EXPECT_LT(written - handled * len, socketBytes);
+	g_free(bytes);
+}
