Only limits of servers that are new are passed on to all gateways

Cause: each gateway tells the leader of a limit that a response named, and the leader passed each of these messages on to all others, also if it knew the limit: while it is late, all of 291 gateways learn of 115 limits by themselves, and 290 messages follow each of theirs. Cold servers were filtered this way already. Ruled out: messages that are sent at once (a trial without has 2.5 s of loop.late). Change: a limit that the leader has recorded isn't passed on.

--- a/src/hub/hub_limits.c
+++ b/src/hub/hub_limits.c
@@ -41,24 +41,41 @@
 		((struct hub_gateway *)value)->n_numbered = 0;
 }
 
-/// Applies the changes in a message.
+/// Records a limit, or that a server has none any more.
+///
+/// @return whether that is new
+static bool
+record_limit(struct hub *h, const struct limitmsg_limit *limit)
+{
+	const double per_s = limitmsg_per_s(limit);
+	const double *known = g_hash_table_lookup(h->limits, limit->server);
+
+	if (!limit->limited)
+		return g_hash_table_remove(h->limits, limit->server);
+	if (known != NULL && !(*known < per_s) && !(*known > per_s))
+		return false;
+	(void)g_hash_table_insert(h->limits, g_strdup(limit->server),
+	    g_memdup2(&per_s, sizeof(per_s)));
+	return true;
+}
+
+/// Records the limits in a message, and drops those that are known already:
+/// many gateways learn of a limit at once, and each message is passed on to all
+/// of them.
 static void
-apply(struct hub *h, const struct limitmsg *m)
+apply(struct hub *h, struct limitmsg *m)
 {
+	guint n = 0;
+
 	for (guint i = 0; i < m->limits->len; i++) {
-		const struct limitmsg_limit *limit =
-		    &g_array_index(m->limits, struct limitmsg_limit, i);
-		double *per_s;
+		const struct limitmsg_limit limit =
+		    g_array_index(m->limits, struct limitmsg_limit, i);
 
-		if (!limit->limited) {
-			(void)g_hash_table_remove(h->limits, limit->server);
-			continue;
-		}
-		per_s = g_new(double, 1);
-		*per_s = limitmsg_per_s(limit);
-		(void)g_hash_table_insert(
-		    h->limits, g_strdup(limit->server), per_s);
+		if (record_limit(h, &limit))
+			g_array_index(m->limits, struct limitmsg_limit, n++) =
+			    limit;
 	}
+	g_array_set_size(m->limits, n);
 }
 
 /// Records the cold servers in a message, and drops those that are known
--- a/test/unit/hub/test_hub.h
+++ b/test/unit/hub/test_hub.h
@@ -116,7 +116,9 @@
 	int grants = 0;    ///< asks for grants that were granted
 	int decisions = 0; ///< asks for grants that were granted or refused
 
-	explicit TestGateway(TestHub &h) : hub(h)
+	int limits = 0; ///< limits of servers that came
+
+	explicit TestGateway(TestHub &h, const char *node = "front-1") : hub(h)
 	{
 		struct sockaddr_in address = {};
 		struct wire_msg hello = {};
@@ -133,7 +135,7 @@
 		hello.hello.role = WIRE_ROLE_ENTRY;
 		hello.hello.incarnation = 1;
 		g_strlcpy(hello.hello.deployment, "fleet", WIRE_NAME_BYTES);
-		g_strlcpy(hello.hello.node, "front-1", WIRE_NAME_BYTES);
+		g_strlcpy(hello.hello.node, node, WIRE_NAME_BYTES);
 		send(hello);
 	}
 
@@ -197,6 +199,22 @@
 		sendPayload(WIRE_FEED_ASK, bytes, len);
 	}
 
+	/// Tells of the limit of a server, or of none.
+	void tellLimit(const char *server, double per_s)
+	{
+		struct limitmsg m;
+		uint8_t *bytes;
+		size_t len;
+
+		limitmsg_init(&m);
+		m.whole = server == nullptr;
+		if (server != nullptr)
+			limitmsg_add(&m, server, per_s);
+		limitmsg_encode(&m, &bytes, &len);
+		limitmsg_clear(&m);
+		sendPayload(WIRE_LIMITS, bytes, len);
+	}
+
 	/// Asks the leader for a grant, or withdraws the ask.
 	void askGrant(const char *customer, uint64_t units,
 	    enum hubmsg_ask_kind kind = HUBMSG_ASK_GRANT)
@@ -270,6 +288,16 @@
 			grants += a.granted;
 			decisions += !a.queued;
 		}
+		if (msg.kind == WIRE_LIMITS) {
+			struct limitmsg m;
+
+			limitmsg_init(&m);
+			EXPECT_EQ(limitmsg_decode(
+				      msg.payload.data, msg.payload.len, &m),
+			    STATUS_OK);
+			limits += static_cast<int>(m.limits->len);
+			limitmsg_clear(&m);
+		}
 		if (msg.kind == WIRE_FEED) {
 			struct feedmsg_update u;
 
