--- a/src/wire/transport_input.c
+++ b/src/wire/transport_input.c
@@ -12,7 +12,8 @@
 /// but wait to be handled a few at a time: between two batches the loop runs
 /// whatever else is ready, such as operators' requests.
 
-/// Messages that are handled in one run of the loop's callbacks.
+/// Messages that are handled in one callback. As few as the loop runs callbacks
+/// before it looks for urgent events.
 #define TRANSPORT_BATCH 4
 /// A batch is due after this time at the latest, however many other events are
 /// ready: leases of gateways depend on it.
@@ -20,7 +21,8 @@
 /// After a batch that took long, other events have this many times as long
 /// before the next one is overdue. Else they would have no time at all.
 #define TRANSPORT_OVERDUE_FACTOR 4
-/// A link on which more bytes wait isn't read.
+/// A link on which more bytes wait isn't read, so that no peer fills the
+/// memory.
 #define TRANSPORT_MAX_WAITING_BYTES (64UL << 10)
 
 enum input_result {
